--- /dev/null
+++ b/packages/bench/src/wagtailtide_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring runs and soak tests."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the wagtailtide serving system, free of I/O."""
--- /dev/null
+++ b/packages/ctl/src/wagtailtide_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The wagtailtide operator's tool."""
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/__init__.py
@@ -0,0 +1,1 @@
+"""The wagtailtide server."""
--- /dev/null
+++ b/packages/testing/src/wagtailtide_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, builders of test data and test clock helpers."""
--- /dev/null
+++ b/packages/testing/src/wagtailtide_testing/virtual_time.py
@@ -0,0 +1,28 @@
+"""Run asynchronous tests on a clock that jumps over idle time."""
+
+import functools
+
+import trio
+import trio.testing
+
+# Real time the event loop must be idle before the clock jumps. Loopback I/O
+# needs a little real time to arrive, so zero would skip past its timeouts.
+AUTOJUMP_THRESHOLD_S = 0.02
+
+
+def run_in_virtual_time(test):
+    """Decorate a coroutine function so that it runs in virtual time.
+
+    Args:
+        test: Coroutine function, for example a method of a test case.
+
+    Returns:
+        A plain function that runs the coroutine on a mock clock.
+    """
+
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        clock = trio.testing.MockClock(autojump_threshold=AUTOJUMP_THRESHOLD_S)
+        return trio.run(functools.partial(test, *args, **kwargs), clock=clock)
+
+    return run
