--- /dev/null
+++ b/packages/core/src/wagtailtide_core/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration in force and its lookup index."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/document/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' document: schema, parsing, checks and differences."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/errors/__init__.py
@@ -0,0 +1,1 @@
+"""Closed list of error kinds and the answers they give."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/invariants/__init__.py
@@ -0,0 +1,1 @@
+"""Assertions that stay on in production."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' keys: format, hashing, authentication and trust."""
