Add stand-ins for the platform, model engines and plain services

Other parts are tested over real HTTP against these, on a mock clock or as separate processes. Connections are reset and silenced below ASGI because hypercorn answers 500 for an app that ends without an answer, so a lost answer could not be produced through ASGI alone.

Background tasks were ruled out for loads and late reports: the state is advanced when it is next looked at, so it needs no lifetime of its own.

--- /dev/null
+++ b/packages/testing/src/wagtailtide_testing/serving.py
@@ -0,0 +1,147 @@
+"""Serve ASGI apps with hypercorn on kernel-chosen loopback ports.
+
+The connection that a request arrived on is in ``scope['state']['connection']``
+as a `Connection`, so that a stand-in can close it without an answer. Lifespan
+events are not sent.
+"""
+
+import contextlib
+import functools
+import socket
+import struct
+
+from hypercorn import config as hypercorn_config
+from hypercorn import typing as hypercorn_typing
+from hypercorn import utils
+from hypercorn.trio import tcp_server
+from hypercorn.trio import worker_context
+import trio
+
+HOST = '127.0.0.1'
+
+# Longer than any client of ours keeps an idle connection, so that a request
+# never meets a connection that the server is about to close.
+KEEP_ALIVE_TIMEOUT_S = 75.0
+
+# Makes close() send a reset and leave no TIME_WAIT state on the port.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class Connection:
+    """One accepted connection.
+
+    Attributes:
+        silent: Whether nothing is sent or answered on it any more.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._scope = trio.CancelScope()
+        self.silent = False
+
+    async def run(self, server):
+        """Serve the connection until it ends or is aborted."""
+        try:
+            with self._scope:
+                await server
+        finally:
+            self._stream.socket.close()
+
+    def abort(self):
+        """Reset the connection at once, without an answer."""
+        with contextlib.suppress(OSError):
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self._scope.cancel()
+
+
+class Served:
+    """An app that is served on one port and can be stopped and started.
+
+    Attributes:
+        port: Port that was chosen at the first start.
+    """
+
+    def __init__(self, app, nursery, port=0):
+        self._app = utils.wrap_app(app, 16 * 1024 * 1024, 'asgi')
+        self._nursery = nursery
+        self._cfg = hypercorn_config.Config()
+        self._cfg.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+        self._scope = None
+        self._stopped = None
+        self.port = port
+
+    @property
+    def address(self):
+        """Address as ``ip:port``."""
+        return f'{HOST}:{self.port}'
+
+    @property
+    def url(self):
+        """Base URL."""
+        return f'http://{self.address}'
+
+    async def start(self):
+        """Listen and accept connections.
+
+        Raises:
+            OSError: The port is in use.
+        """
+        listeners = await trio.open_tcp_listeners(self.port, host=HOST)
+        self.port = listeners[0].socket.getsockname()[1]
+        self._scope = trio.CancelScope()
+        self._stopped = trio.Event()
+        self._nursery.start_soon(self._serve, listeners)
+
+    async def stop(self):
+        """Stop listening and reset all connections, as a crash would."""
+        if self._scope is not None:
+            self._scope.cancel()
+            await self._stopped.wait()
+            self._scope = None
+
+    async def _serve(self, listeners):
+        context = worker_context.WorkerContext(None)
+        handler = functools.partial(self._handle, context)
+        try:
+            with self._scope:
+                await trio.serve_listeners(handler, listeners)
+        finally:
+            for listener in listeners:
+                listener.socket.close()
+            self._stopped.set()
+
+    async def _handle(self, context, stream):
+        conn = Connection(stream)
+        state = hypercorn_typing.ConnectionState({'connection': conn})
+        await conn.run(
+            tcp_server.TCPServer(self._app, self._cfg, context, state, stream)
+        )
+
+
+@contextlib.asynccontextmanager
+async def serve_restartable(app, port=0):
+    """Serve an app while the block runs.
+
+    Args:
+        app: ASGI app.
+        port: Loopback port; 0 lets the kernel choose one.
+
+    Yields:
+        The `Served` app, started.
+    """
+    async with trio.open_nursery() as nursery:
+        served = Served(app, nursery, port)
+        await served.start()
+        try:
+            yield served
+        finally:
+            nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def serve(app, port=0):
+    """Serve an app while the block runs and yield its base URL."""
+    async with serve_restartable(app, port) as served:
+        yield served.url
--- /dev/null
+++ b/packages/testing/src/wagtailtide_testing/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers, served over HTTP."""
--- /dev/null
+++ b/packages/testing/src/wagtailtide_testing/standins/platform.py
@@ -0,0 +1,368 @@
+"""Stand-in for the platform: object API and lists of instances and servers.
+
+The body of a PUT is either the value itself or, with content type
+``application/json``, ``{"value": base64 text}``.
+"""
+
+import base64
+import binascii
+import collections
+import dataclasses
+import json
+import math
+
+import anyio
+
+from wagtailtide_testing.standins import asgi
+from wagtailtide_testing.standins import objects
+from wagtailtide_testing.standins import process
+
+VALUE_LIMIT_BYTES = 1_000_000
+
+_OBJECTS = '/v1/objects'
+_LISTS = {'instances': 'instances', 'backend-servers': 'backend_servers'}
+_WRITES = ('put', 'delete')
+
+
+@dataclasses.dataclass(frozen=True)
+class PlatformSettings:
+    """Settings of the platform.
+
+    Attributes:
+        list_lag_s: Time before a change of a list is visible.
+        reads_per_s: Limit on reads, or 0 for none.
+        writes_per_s: Limit on writes, or 0 for none.
+    """
+
+    list_lag_s: float = 0.0
+    reads_per_s: float = 0.0
+    writes_per_s: float = 0.0
+
+
+@dataclasses.dataclass
+class PlatformFaults:
+    """Faults that are switched on.
+
+    Attributes:
+        outage: '' for none, '503' to refuse or 'hang' never to answer.
+        delay_s: Delay before each call is carried out. A write is carried
+            out even if its client has gone by then.
+        lose_answers: Number of writes to apply without an answer.
+        lose_requests: Number of writes to drop without an answer.
+        stale_revisions: Number of revisions that reads are behind.
+        list_lag_s: Replaces the lag of the lists unless negative.
+    """
+
+    outage: str = ''
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    lose_requests: int = 0
+    stale_revisions: int = 0
+    list_lag_s: float = -1.0
+
+
+class _CallRate:
+    """Token bucket over the calls of all clients, one second deep."""
+
+    def __init__(self, per_s):
+        self._per_s = per_s
+        self._level = per_s
+        self._at = -math.inf
+
+    def take(self, now):
+        if not self._per_s:
+            return True
+        refill = (now - self._at) * self._per_s
+        self._level = min(self._per_s, self._level + refill)
+        self._at = now
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+
+class Platform:
+    """State of the platform.
+
+    Attributes:
+        objects: Stored objects.
+        faults: Faults; may be changed at any time with `set_faults`.
+        calls: Number of calls by kind; a waiting watch is one call.
+        refused: Number of calls refused for their rate, by kind.
+        recorder: Recorded requests.
+    """
+
+    def __init__(self, settings=None):
+        self.settings = settings or PlatformSettings()
+        self.objects = objects.Objects()
+        self.faults = PlatformFaults()
+        self.calls = collections.Counter()
+        self.refused = collections.Counter()
+        self.recorder = asgi.Recorder()
+        self._reads = _CallRate(self.settings.reads_per_s)
+        self._writes = _CallRate(self.settings.writes_per_s)
+        self._lists = {name: [(-math.inf, [])] for name in _LISTS.values()}
+        self._changed = anyio.Event()
+
+    def set_faults(self, **values):
+        """Change faults; waiting watches notice at once."""
+        asgi.set_faults(self.faults, values)
+        self.wake_watches()
+
+    def wake_watches(self):
+        """Let waiting watches look again."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def wait_change(self):
+        """Wait for the next change of objects or faults."""
+        await self._changed.wait()
+
+    def admit(self, kind, now):
+        """Count a call and tell whether it is within the rate."""
+        self.calls[kind] += 1
+        rate = self._writes if kind in _WRITES else self._reads
+        if rate.take(now):
+            return True
+        self.refused[kind] += 1
+        return False
+
+    def set_list(self, name, items, now):
+        """Replace a list; visible after the lag.
+
+        Args:
+            name: 'instances' or 'backend_servers'.
+            items: Maps with name, address, zone and state.
+            now: Time in seconds.
+        """
+        lag_s = self.faults.list_lag_s
+        if lag_s < 0:
+            lag_s = self.settings.list_lag_s
+        entries = [{'state': 'live', **item} for item in items]
+        self._lists[name].append((now + lag_s, entries))
+
+    def visible_list(self, name, now):
+        """Return a list as it is visible now."""
+        versions = self._lists[name]
+        while len(versions) > 1 and versions[1][0] <= now:
+            versions.pop(0)
+        return versions[0][1]
+
+
+def make_app(state):
+    """Return the ASGI app of a `Platform`."""
+
+    async def handle(req):
+        if req.path.startswith('/admin/'):
+            await _handle_admin(state, req)
+            return
+        kind, call = _find_call(req)
+        if call is None:
+            await req.reply(404, _error('not_found', req.path))
+            return
+        if not state.admit(kind, anyio.current_time()):
+            await req.reply(429, _error('rate', f'over the rate of {kind}'))
+            return
+        if state.faults.delay_s:
+            await anyio.sleep(state.faults.delay_s)
+        await _fail_in_outage(state, req)
+        if kind in _WRITES:
+            await _write_with_faults(state, req, call)
+        else:
+            await call(state, req)
+
+    return asgi.make_app(_answering_outage(handle), state.recorder)
+
+
+class _Outage(Exception):
+    pass
+
+
+def _answering_outage(handle):
+    async def wrapped(req):
+        try:
+            await handle(req)
+        except _Outage:
+            await req.reply(503, _error('outage', 'platform is down'))
+
+    return wrapped
+
+
+async def _fail_in_outage(state, req):
+    if state.faults.outage == 'hang':
+        await req.disconnected.wait()
+        raise asgi.DropConnection
+    if state.faults.outage:
+        raise _Outage
+
+
+def _find_call(req):
+    if req.path.startswith(_OBJECTS + '/'):
+        calls = {'GET': _get, 'PUT': _put, 'DELETE': _delete}
+        return req.method.lower(), calls.get(req.method)
+    if req.method != 'GET':
+        return '', None
+    calls = {
+        _OBJECTS: ('list', _list),
+        '/v1/watch': ('watch', _watch),
+        '/v1/instances': ('instances', _instances),
+        '/v1/backend-servers': ('backend_servers', _backend_servers),
+    }
+    return calls.get(req.path, ('', None))
+
+
+async def _write_with_faults(state, req, call):
+    if asgi.take_one(state.faults, 'lose_requests'):
+        raise asgi.DropConnection
+    status, value = call(state, req)
+    if status < 300 and asgi.take_one(state.faults, 'lose_answers'):
+        raise asgi.DropConnection
+    await req.reply(status, value)
+
+
+def _put(state, req):
+    value = _read_value(req)
+    if len(value) > VALUE_LIMIT_BYTES:
+        return 413, _error('too_large', f'limit {VALUE_LIMIT_BYTES} bytes')
+    return _write(state, req, value)
+
+
+def _delete(state, req):
+    return _write(state, req, None)
+
+
+def _write(state, req, value):
+    match, none_match = req.header('if-match'), req.header('if-none-match')
+    if match is None and none_match != '*':
+        return 428, _error('unconditional', 'If-Match or If-None-Match: *')
+    try:
+        expected = None if match is None else int(match.strip('"'))
+    except ValueError as exc:
+        raise asgi.BadRequest('expected a version in If-Match') from exc
+    if value is None and expected is None:
+        return 428, _error('unconditional', 'If-Match')
+    try:
+        version = state.objects.write(_key(req), value, expected)
+    except objects.Conflict:
+        return 412, _error('conflict', 'the version differs')
+    state.wake_watches()
+    return 200, {'version': version}
+
+
+def _read_value(req):
+    content_type = req.header('content-type', '').partition(';')[0]
+    if content_type != 'application/json':
+        return req.body
+    try:
+        value = json.loads(req.body)
+        if isinstance(value, dict) and list(value) == ['value']:
+            return base64.b64decode(value['value'], validate=True)
+    except (ValueError, TypeError, binascii.Error) as exc:
+        raise asgi.BadRequest(f'expected a base64 value: {exc}') from exc
+    return req.body
+
+
+async def _get(state, req):
+    entry = state.objects.get(_key(req), state.faults.stale_revisions)
+    if entry is None:
+        await req.reply(404, _error('not_found', _key(req)))
+    else:
+        await req.reply(200, _item(entry))
+
+
+async def _list(state, req):
+    prefix = req.query.get('prefix', '')
+    found, revision = state.objects.list(prefix, state.faults.stale_revisions)
+    await req.reply(200, _listing(found, revision))
+
+
+async def _watch(state, req):
+    prefix, since = req.query.get('prefix', ''), _number(req, 'since', 0)
+    deadline = anyio.current_time() + _number(req, 'timeout_s', 1)
+    while True:
+        await _fail_in_outage(state, req)
+        try:
+            found, revision = state.objects.changed_since(
+                prefix, since, state.faults.stale_revisions
+            )
+        except objects.TooOld:
+            await req.reply(410, _error('too_old', f'revision {since}'))
+            return
+        left_s = deadline - anyio.current_time()
+        if found or left_s <= 0:
+            await req.reply(200, _listing(found, revision))
+            return
+        if not await _wait_change(state, req, left_s):
+            return
+
+
+async def _wait_change(state, req, timeout_s):
+    """Wait for a change or the timeout; tell whether the client is there."""
+    with anyio.move_on_after(timeout_s) as scope:
+        req.cancel_when_gone(scope)
+        await state.wait_change()
+    return not req.disconnected.is_set()
+
+
+async def _instances(state, req):
+    await _reply_list(state, req, 'instances')
+
+
+async def _backend_servers(state, req):
+    await _reply_list(state, req, 'backend_servers')
+
+
+async def _reply_list(state, req, name):
+    items = state.visible_list(name, anyio.current_time())
+    await req.reply(200, {'items': items})
+
+
+async def _handle_admin(state, req):
+    what = req.path.removeprefix('/admin/')
+    if req.method == 'POST' and what == 'faults':
+        state.set_faults(**req.json())
+        await req.reply(200, dataclasses.asdict(state.faults))
+    elif req.method == 'GET' and what == 'calls':
+        await req.reply(200, {'calls': state.calls, 'refused': state.refused})
+    elif req.method == 'GET' and what == 'requests':
+        await req.reply(200, {'items': list(state.recorder.requests)})
+    elif req.method == 'PUT' and what in _LISTS:
+        items = req.json().get('items', [])
+        state.set_list(_LISTS[what], items, anyio.current_time())
+        await req.reply(200, {'items': items})
+    else:
+        await req.reply(404, _error('not_found', req.path))
+
+
+def _key(req):
+    return req.path.removeprefix(_OBJECTS + '/')
+
+
+def _number(req, name, default):
+    try:
+        return float(req.query.get(name, default))
+    except ValueError as exc:
+        raise asgi.BadRequest(f'expected a number in {name}') from exc
+
+
+def _item(entry):
+    item = {'key': entry.key, 'version': entry.version}
+    if entry.deleted:
+        return {**item, 'deleted': True}
+    return {**item, 'value': base64.b64encode(entry.value).decode()}
+
+
+def _listing(found, revision):
+    return {'items': [_item(entry) for entry in found], 'revision': revision}
+
+
+def _error(kind, message):
+    return {'error': {'kind': kind, 'message': message}}
+
+
+def _make_process_app(settings):
+    return make_app(Platform(settings))
+
+
+if __name__ == '__main__':
+    process.run(_make_process_app, PlatformSettings, __doc__)
