Add claims of idempotency keys as pure changes of a partition's head

Cause: a keyed non-idempotent request must run at most once whichever instance it comes to; only the store's conditional update is agreed by all. Ruled out: one object for each request (two writes each exhaust the store) and leased owners (a paused owner would need fencing).

--- /dev/null
+++ b/packages/core/src/wagtailtide_core/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that make a keyed non-idempotent request run at most once."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/claims/codec.py
@@ -0,0 +1,111 @@
+"""CBOR form of heads, segments, claims and records."""
+
+import cbor2
+
+from wagtailtide_core.claims import model
+
+_STATES = tuple(model.ClaimState)
+
+
+class ClaimsFormatError(ValueError):
+    """Raised for stored claims that cannot be read."""
+
+
+def _outcome_to_list(outcome):
+    if outcome is None:
+        return None
+    return [outcome.status, [list(h) for h in outcome.headers], outcome.body]
+
+
+def _outcome_from_list(raw):
+    if raw is None:
+        return None
+    status, headers, body = raw
+    return model.Outcome(status, tuple((n, v) for n, v in headers), body)
+
+
+def claim_to_list(claim):
+    """Return the CBOR form of a claim."""
+    return [
+        claim.key_hash,
+        claim.body_hash,
+        claim.claim_id,
+        claim.instance,
+        claim.boot,
+        _STATES.index(claim.state),
+        _outcome_to_list(claim.outcome),
+    ]
+
+
+def claim_from_list(raw):
+    """Return the claim for its CBOR form."""
+    *plain, state, outcome = raw
+    return model.Claim(*plain, _STATES[state], _outcome_from_list(outcome))
+
+
+def record_to_list(record):
+    """Return the CBOR form of a record."""
+    return [
+        record.key_hash,
+        record.claim_id,
+        _STATES.index(record.state),
+        _outcome_to_list(record.outcome),
+    ]
+
+
+def record_from_list(raw):
+    """Return the record for its CBOR form."""
+    key_hash, claim_id, state, outcome = raw
+    return model.Record(
+        key_hash, claim_id, _STATES[state], _outcome_from_list(outcome)
+    )
+
+
+def encode_head(head):
+    """Return the stored bytes of a head."""
+    return cbor2.dumps(
+        {
+            'entries': [claim_to_list(c) for c in head.entries.values()],
+            'sealed': [[s.number, s.sealed_at_s] for s in head.sealed],
+            'next': head.next_segment,
+        }
+    )
+
+
+def decode_head(data):
+    """Return the head for its stored bytes.
+
+    Raises:
+        ClaimsFormatError: If the bytes are not a head.
+    """
+    try:
+        raw = cbor2.loads(data)
+        claims = [claim_from_list(item) for item in raw['entries']]
+        sealed = tuple(model.SealedSegment(n, at) for n, at in raw['sealed'])
+        return model.Head({c.key_hash: c for c in claims}, sealed, raw['next'])
+    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as exc:
+        raise ClaimsFormatError(
+            f'expected a claims head in CBOR, got {exc}; '
+            'remove the damaged claims object or restore it'
+        ) from exc
+
+
+def encode_segment(entries):
+    """Return the stored bytes of a sealed segment."""
+    return cbor2.dumps([claim_to_list(c) for c in entries.values()])
+
+
+def decode_segment(data):
+    """Return the claims of a sealed segment by key hash.
+
+    Raises:
+        ClaimsFormatError: If the bytes are not a segment.
+    """
+    try:
+        claims = [claim_from_list(item) for item in cbor2.loads(data)]
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
+        raise ClaimsFormatError(
+            f'expected a claims segment in CBOR, got {exc}; '
+            'remove the damaged segment or restore it'
+        ) from exc
+    return {c.key_hash: c for c in claims}
