Test that repeating a claim with its own id is granted

Cause: taking the id comparison out left the suite green. Conclusion: the settling of lost answers is covered.

--- a/packages/core/tests/claims/test_partition.py
+++ b/packages/core/tests/claims/test_partition.py
@@ -139,6 +139,12 @@
         _, (result,) = partition.claim(head, lambda _: None, (other,))
         self.assertIs(result.kind, model.ClaimResultKind.BODY_MISMATCH)
 
+    def test_a_write_whose_answer_was_lost_can_be_repeated(self):
+        wanted = model.Claim(_KEYS[0], _BODIES[0], b'1', 'i1', 1)
+        head, _ = partition.claim(model.Head(), lambda _: None, (wanted,))
+        _, (result,) = partition.claim(head, lambda _: None, (wanted,))
+        self.assertIs(result.kind, model.ClaimResultKind.GRANTED)
+
     def test_an_outcome_is_final(self):
         wanted = model.Claim(_KEYS[0], _BODIES[0], b'1', 'i1', 1)
         head, _ = partition.claim(model.Head(), lambda _: None, (wanted,))
