Add platform client with typed write outcomes and call budget

Cause: every activity that writes to the store needs to know whether a write was refused, certainly not made, or unknown, and the platform's rates are shared by the whole fleet.

A write is unknown from the moment it may have been sent. put_settled reads the object and repeats the write under the same condition while that still holds. Reading alone was ruled out as an answer of 'not written': a delayed request may still take effect while the version is the expected one.

--- /dev/null
+++ b/packages/core/src/wagtailtide_core/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Records that instances gossip, and how they are merged."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members of the fleet, their links and failure detection."""
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/control/__init__.py
@@ -0,0 +1,1 @@
+"""Background tasks of one instance."""
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, connections and calls between instances."""
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform: object API and lists of processes."""
--- /dev/null
+++ b/packages/server/tests/platform/test_client.py
@@ -0,0 +1,129 @@
+import base64
+import json
+import random
+import unittest
+
+import anyio
+import httpx
+from wagtailtide_server.platform import budget as budgets
+from wagtailtide_server.platform import client
+from wagtailtide_testing import virtual_time
+
+
+class ScriptedPlatform:
+    """One object; each call takes the next fault from a script."""
+
+    def __init__(self, faults=()):
+        self.faults = list(faults)
+        self.version, self.value = 0, None
+        self.calls = 0
+
+    async def __call__(self, req):
+        self.calls += 1
+        fault = self.faults.pop(0) if self.faults else None
+        if fault == 'refused':
+            raise httpx.ConnectError('refused')
+        if isinstance(fault, int):
+            return httpx.Response(fault)
+        if fault == 'lost_request':
+            raise httpx.ReadTimeout('no response')
+        response = self.apply(req)
+        if fault == 'lost_response':
+            await anyio.sleep(3600)
+        return response
+
+    def apply(self, req):
+        if req.method == 'GET':
+            if self.value is None:
+                return httpx.Response(404)
+            value = base64.b64encode(self.value).decode()
+            body = {'key': 'k', 'version': self.version, 'value': value}
+            return httpx.Response(200, json=body)
+        expected = req.headers.get('If-Match')
+        current = str(self.version) if self.value is not None else None
+        if expected != current:
+            return httpx.Response(412)
+        self.version += 1
+        self.value = base64.b64decode(json.loads(req.content)['value'])
+        return httpx.Response(200, json={'version': self.version})
+
+
+def store_on(platform):
+    return client.StoreClient(
+        'http://platform',
+        rng=random.Random(1),
+        transport=httpx.MockTransport(platform),
+    )
+
+
+class WriteOutcomeTest(unittest.TestCase):
+    """Guards against taking a lost response for a failed write."""
+
+    @virtual_time.run_in_virtual_time
+    async def test_each_failure_says_what_is_known_of_the_write(self):
+        for fault, error in (
+            ('refused', client.Unavailable),
+            (503, client.Unavailable),
+            (429, client.RateLimited),
+            (412, client.Conflict),
+            (413, client.ValueTooLarge),
+            (500, client.WriteUnknown),
+            ('lost_request', client.WriteUnknown),
+            ('lost_response', client.WriteUnknown),
+        ):
+            with self.subTest(fault=fault):
+                async with store_on(ScriptedPlatform([fault])) as store:
+                    with self.assertRaises(error):
+                        await store.put('k', b'v', None)
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_lost_response_is_settled_as_written(self):
+        platform = ScriptedPlatform(['lost_response', 503, 503])
+        async with store_on(platform) as store:
+            self.assertEqual(await store.put_settled('k', b'v', None), 1)
+        self.assertEqual(platform.version, 1)
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_lost_request_is_sent_again_under_its_condition(self):
+        platform = ScriptedPlatform(['lost_request'])
+        async with store_on(platform) as store:
+            self.assertEqual(await store.put_settled('k', b'v', None), 1)
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_write_that_another_overtook_is_a_conflict(self):
+        platform = ScriptedPlatform(['lost_request'])
+        async with store_on(platform) as store:
+            with self.assertRaises(client.WriteUnknown):
+                await store.put('k', b'mine', None)
+            await store.put('k', b'other', None)
+            settled = await store.settle_write('k', lambda v: v == b'mine')
+        self.assertFalse(settled.written)
+        self.assertFalse(settled.still_possible)
+
+
+class BudgetTest(unittest.TestCase):
+    """Guards against one instance using up the platform's rates."""
+
+    @virtual_time.run_in_virtual_time
+    async def test_calls_over_a_long_time_stay_within_the_budget(self):
+        platform = ScriptedPlatform()
+        async with store_on(platform) as store:
+            started = anyio.current_time()
+            for _ in range(100):
+                await store.get('k', activity=budgets.Activity.CONFIG)
+            took = anyio.current_time() - started
+        allowed = budgets.READS_PER_S * (budgets.BURST_S + took)
+        self.assertLessEqual(100, allowed + 1)
+        self.assertEqual(
+            store.budget.calls[budgets.Activity.CONFIG, 'read'], 100
+        )
+
+    def test_background_work_backs_off_before_claims(self):
+        budget = budgets.Budget(random.Random(2))
+        now = 100.0
+        budget.refuse(budgets.Activity.LISTS, now)
+        self.assertEqual(budget.reserve('claims', True, now), 0)
+        self.assertGreater(budget.reserve('lists', False, now), 0)
+        for _ in range(budgets.REFUSALS_BEFORE_CLAIMS_WAIT):
+            budget.refuse(budgets.Activity.CLAIMS, now)
+        self.assertGreater(budget.reserve('claims', True, now), 0)
