Add callers' keys with salted hashes

Cause: the server and the operator's tool need one place that creates keys and checks presented ones. Ruled out: a slow password hash, which costs time on each request and adds nothing for 256 random bits. Conclusion: documents hold an id, a salt and a hash, never a secret.

--- /dev/null
+++ b/packages/core/src/wagtailtide_core/keys/keys.py
@@ -0,0 +1,82 @@
+"""Create callers' keys and check the ones that callers present.
+
+A key reads ``wt_<key id>_<secret>``. The key id is public and appears in logs;
+documents hold the salted hash of the secret and never the secret.
+"""
+
+import hashlib
+import hmac
+import re
+
+from wagtailtide_core.document import schema
+
+PREFIX = 'wt'
+SECRET_BYTES = 32
+SALT_BYTES = 16
+KEY_ID = re.compile(r'[a-z0-9][a-z0-9.-]{0,62}')
+PRESENTED = re.compile(
+    rf'{PREFIX}_({KEY_ID.pattern})_([0-9a-f]{{{2 * SECRET_BYTES}}})'
+)
+
+
+def hash_secret(salt, secret):
+    """Return the hexadecimal salted hash of a secret.
+
+    A fast hash is enough because secrets are 256 random bits, which cannot be
+    found by trying guesses; a slow one would cost time on each request.
+
+    Args:
+        salt: Hexadecimal salt.
+        secret: Secret part of a key.
+    """
+    # The salt is used as text: the schema allows an odd number of digits.
+    return hmac.new(salt.encode(), secret.encode(), hashlib.sha256).hexdigest()
+
+
+def make_key(key_id, rng):
+    """Create a key.
+
+    Args:
+        key_id: Public part: lower-case letters, digits, ``.`` and ``-``.
+        rng: Random generator with ``randbytes``; ``random.SystemRandom()``
+            for keys that are going to be used.
+
+    Returns:
+        The key as its caller presents it, and its entry for the document.
+
+    Raises:
+        ValueError: If the key id has another form.
+    """
+    if not KEY_ID.fullmatch(key_id):
+        raise ValueError(
+            f'expected a key id of 1 to 63 lower-case letters, digits, '
+            f'"." and "-" that starts with a letter or digit, got {key_id!r}'
+        )
+    secret = rng.randbytes(SECRET_BYTES).hex()
+    salt = rng.randbytes(SALT_BYTES).hex()
+    entry = schema.Key(id=key_id, salt=salt, hash=hash_secret(salt, secret))
+    return f'{PREFIX}_{key_id}_{secret}', entry
+
+
+def authenticate(catalog, presented):
+    """Return the entry of a presented key.
+
+    Args:
+        catalog: Catalog of the documents in force.
+        presented: Key as the caller sent it.
+
+    Returns:
+        The key's entry, or None if the key is malformed, unknown, withdrawn or
+        its secret is wrong.
+    """
+    match = PRESENTED.fullmatch(presented)
+    if match is None:
+        return None
+    key_id, secret = match.groups()
+    entry = catalog.keys.get(key_id)
+    if entry is None or entry.key.withdrawn:
+        return None
+    # Comparing in constant time keeps the response time from revealing how
+    # much of a guessed hash is right.
+    expected = hash_secret(entry.key.salt, secret)
+    return entry if hmac.compare_digest(expected, entry.key.hash) else None
