--- /dev/null
+++ b/packages/testing/src/wagtailtide_testing/builders.py
@@ -0,0 +1,132 @@
+"""Builders of documents, organisations with known keys, and settings."""
+
+import json
+import random
+
+import pydantic
+from wagtailtide_core.document import schema
+
+GIB = 1 << 30
+
+_DOCUMENT = pydantic.TypeAdapter(schema.Document)
+
+
+def make_model(name='letters', version='v1', **fields):
+    """Return a model of 10 GiB weights and 2 GiB KV reserve."""
+    values = {'weights_bytes': 10 * GIB, 'kv_reserve_bytes': 2 * GIB}
+    return schema.Model(name=name, version=version, **{**values, **fields})
+
+
+def make_adapter(name='clerk', model='letters', **fields):
+    """Return an adapter of 100 MB."""
+    values = {'bytes': 100_000_000, **fields}
+    return schema.Adapter(name=name, model=model, **values)
+
+
+def make_organisation(name='lahore-tiles', key_ids=None, rng=None, **fields):
+    """Return an organisation and the keys that its callers present.
+
+    Args:
+        name: Name of the organisation.
+        key_ids: Ids of its keys; by default one that is named after it.
+        rng: Random source of the secrets.
+        fields: Other fields of the organisation.
+
+    Returns:
+        The organisation and a tuple of presented keys, in the same order.
+    """
+    # Most users of builders need no keys, and hashing is slow on purpose.
+    from wagtailtide_core.keys import keys
+
+    rng = rng or random.Random(name)
+    key_ids = (f'{name}-1',) if key_ids is None else key_ids
+    made = [keys.make_key(key_id, rng) for key_id in key_ids]
+    values = {'rate_tokens_per_s': 10_000.0, 'burst_tokens': 50_000}
+    org = schema.Organisation(
+        name=name,
+        keys=tuple(key for _, key in made),
+        **{**values, **fields},
+    )
+    return org, tuple(presented for presented, _ in made)
+
+
+def make_engine(name='engine-1', address='127.0.0.1:1', **fields):
+    """Return an engine of 80 GiB in zone gulberg, group assistants."""
+    values = {
+        'kind': schema.ServerKind.ENGINE,
+        'group': 'assistants',
+        'zone': 'gulberg',
+        'memory_bytes': 80 * GIB,
+        'accelerators': 1,
+        'adapter_pool_bytes': 4 * GIB,
+        'slots': 8,
+        'checks_fences': True,
+    }
+    return schema.BackendServer(
+        name=name, address=address, **{**values, **fields}
+    )
+
+
+def make_ledger(name='ledger-1', address='127.0.0.1:2', **fields):
+    """Return a plain service in zone gulberg, group ledger."""
+    values = {
+        'kind': schema.ServerKind.PLAIN,
+        'group': 'ledger',
+        'zone': 'gulberg',
+    }
+    return schema.BackendServer(
+        name=name, address=address, **{**values, **fields}
+    )
+
+
+def make_ledger_routes(backend='ledger'):
+    """Return the routes of a ledger; ``/notices`` is open."""
+    posts = {'methods': ('POST',), 'backend': backend}
+    reads = {'methods': ('GET',), 'backend': backend, 'idempotent': True}
+    return (
+        schema.Route(path='/issues', **posts),
+        schema.Route(path='/orders', **posts),
+        schema.Route(path='/claims', **reads),
+        schema.Route(path='/notices', open=True, **reads),
+    )
+
+
+def make_document(service='lahore', **fields):
+    """Return a document with one model, one adapter and ledger routes."""
+    values = {
+        'models': (make_model(),),
+        'adapters': (make_adapter(),),
+        'routes': make_ledger_routes(),
+        'backend_servers': (make_engine(), make_ledger()),
+    }
+    return schema.Document(service=service, **{**values, **fields})
+
+
+def encode_document(document):
+    """Return a document as the JSON text that operators write."""
+    return _DOCUMENT.dump_json(document, indent=2).decode()
+
+
+def make_settings(name, platform_url, ports, **fields):
+    """Return the JSON text of an instance's settings.
+
+    Args:
+        name: Name of the instance.
+        platform_url: Base URL of the platform.
+        ports: Ports for callers, admin and peers on the loopback address.
+        fields: Other settings.
+    """
+    callers, admin, peers = (f'127.0.0.1:{port}' for port in ports)
+    values = {
+        'name': name,
+        'region': 'punjab',
+        'zone': 'gulberg',
+        'callers': callers,
+        'admin': admin,
+        'peers': peers,
+        'platform': platform_url,
+        'seed_peers': [],
+        'balancer_lag_s': 0.2,
+        'log_level': 'info',
+    }
+    return json.dumps({**values, **fields}, indent=2)
