--- a/packages/testing/src/wagtailtide_testing/builders.py
+++ b/packages/testing/src/wagtailtide_testing/builders.py
@@ -5,6 +5,7 @@
 
 import pydantic
 from wagtailtide_core.document import schema
+from wagtailtide_core.keys import keys
 
 GIB = 1 << 30
 
@@ -35,9 +36,6 @@
     Returns:
         The organisation and a tuple of presented keys, in the same order.
     """
-    # Most users of builders need no keys, and hashing is slow on purpose.
-    from wagtailtide_core.keys import keys
-
     rng = rng or random.Random(name)
     key_ids = (f'{name}-1',) if key_ids is None else key_ids
     made = [keys.make_key(key_id, rng) for key_id in key_ids]
