--- a/packages/testing/src/wagtailtide_testing/demo.py
+++ b/packages/testing/src/wagtailtide_testing/demo.py
@@ -187,7 +187,8 @@
 async def check_refusal(deployment, client):
     """Check that callers without a key or with a wrong one are refused."""
     body = {'model': MODEL.name, 'prompt': 'x'}
-    wrong = {'authorization': f'Bearer {deployment.key[:-4]}0000'}
+    other = '1' if deployment.key.endswith('0') else '0'
+    wrong = {'authorization': f'Bearer {deployment.key[:-1]}{other}'}
     for what, headers in (('without a key', {}), ('with a wrong key', wrong)):
         for url in deployment.callers:
             answer = await client.post(
--- a/packages/testing/src/wagtailtide_testing/standins/accelerator.py
+++ b/packages/testing/src/wagtailtide_testing/standins/accelerator.py
@@ -56,12 +56,12 @@
         """Take memory for a model; return its `Resident`.
 
         Raises:
-            Refusal: It does not fit, or is being unloaded.
+            Refusal: It does not fit, or a load or unload is under way.
         """
         held = self.models.get(model)
         if held is not None:
-            if held.state == UNLOADING:
-                raise engine_settings.Refusal(409, 'unloading', model)
+            if held.state != READY:
+                raise engine_settings.Refusal(409, held.state, model)
             return held
         return self._add(self.models, model, size, now)
 
@@ -74,8 +74,11 @@
         held = self.models.get(model)
         if held is None or held.state == UNLOADING:
             raise engine_settings.Refusal(409, 'model_not_resident', model)
-        if (model, adapter) in self.adapters:
-            return self.adapters[model, adapter]
+        found = self.adapters.get((model, adapter))
+        if found is not None:
+            if found.state != READY:
+                raise engine_settings.Refusal(409, found.state, adapter)
+            return found
         pool = self._settings.adapter_pool_bytes
         if not pool:
             return self._add(self.adapters, (model, adapter), size, now)
--- a/packages/testing/src/wagtailtide_testing/standins/asgi.py
+++ b/packages/testing/src/wagtailtide_testing/standins/asgi.py
@@ -130,10 +130,14 @@
 
 
 class Recorder:
-    """Requests that arrived and connections that are open."""
+    """Requests that arrived and connections that are open.
 
-    def __init__(self):
-        self.requests = collections.deque(maxlen=RECORDED_REQUESTS)
+    Args:
+        limit: Number of latest requests to keep.
+    """
+
+    def __init__(self, limit=RECORDED_REQUESTS):
+        self.requests = collections.deque(maxlen=limit)
         self._connections = weakref.WeakSet()
 
     def note(self, req):
--- a/packages/testing/src/wagtailtide_testing/standins/engine.py
+++ b/packages/testing/src/wagtailtide_testing/standins/engine.py
@@ -32,6 +32,9 @@
 class Engine:
     """State of an engine.
 
+    Loads and unloads end when the state is next looked at: call `advance`
+    before reading `accelerator` or `orders` directly.
+
     Attributes:
         faults: Faults; change them with `set_faults`.
         boot_id: Changes with each crash.
--- a/packages/testing/src/wagtailtide_testing/standins/engine_settings.py
+++ b/packages/testing/src/wagtailtide_testing/standins/engine_settings.py
@@ -111,7 +111,6 @@
     draining: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
 class Refusal(Exception):
     """A request or an order that was not run.
 
@@ -121,9 +120,11 @@
         message: Reason for people.
     """
 
-    status: int
-    kind: str
-    message: str = ''
+    def __init__(self, status, kind, message=''):
+        super().__init__(f'{kind}: {message}')
+        self.status = status
+        self.kind = kind
+        self.message = message
 
     def as_value(self):
         """Return the JSON value of the answer."""
--- a/packages/testing/src/wagtailtide_testing/standins/platform.py
+++ b/packages/testing/src/wagtailtide_testing/standins/platform.py
@@ -197,8 +197,6 @@
         await req.reply(200, dataclasses.asdict(state.faults))
     elif req.method == 'GET' and what == 'calls':
         await req.reply(200, {'calls': state.calls, 'refused': state.refused})
-    elif req.method == 'GET' and what == 'requests':
-        await req.reply(200, {'items': list(state.recorder.requests)})
     elif req.method == 'PUT' and what in _LISTS:
         items = req.json().get('items', [])
         state.set_list(_LISTS[what], items, anyio.current_time())
--- a/packages/testing/src/wagtailtide_testing/standins/platform_state.py
+++ b/packages/testing/src/wagtailtide_testing/standins/platform_state.py
@@ -78,7 +78,7 @@
         faults: Faults; may be changed at any time with `set_faults`.
         calls: Number of calls by kind; a waiting watch is one call.
         refused: Number of calls refused for their rate, by kind.
-        recorder: Recorded requests.
+        recorder: Open connections; requests are only counted.
     """
 
     def __init__(self, settings=None):
@@ -87,7 +87,8 @@
         self.faults = PlatformFaults()
         self.calls = collections.Counter()
         self.refused = collections.Counter()
-        self.recorder = asgi.Recorder()
+        # Values of up to 1 MB would fill the memory in a long run.
+        self.recorder = asgi.Recorder(limit=0)
         self._reads = _CallRate(self.settings.reads_per_s)
         self._writes = _CallRate(self.settings.writes_per_s)
         self._lists = {name: [(-math.inf, [])] for name in LISTS}
