Test racing writers and a coordinator with an old head

Cause: two mutations of the claim writer left the suite green: conflicts taken as success, and no second read before a change is ignored. Conclusion: both mechanisms are covered.

--- a/packages/server/tests/claims/test_service.py
+++ b/packages/server/tests/claims/test_service.py
@@ -27,7 +27,8 @@
 class Fleet:
     """Three instances over one store; partition p prefers instance p % 3."""
 
-    def __init__(self):
+    def __init__(self, coordinator_of=lambda number: 'abc'[number % 3]):
+        self.coordinator_of = coordinator_of
         self.store = memory.MemoryStore()
         self.network = memory.MemoryNetwork()
         self.boots = dict.fromkeys(('a', 'b', 'c'), 1)
@@ -38,7 +39,7 @@
         return service.ClaimService(
             store=self.store,
             peers=self.network.peer(name),
-            coordinator_of=lambda number: 'abc'[number % 3],
+            coordinator_of=self.coordinator_of,
             instance=name,
             boot=lambda: self.boots[name],
             invariants=self.invariants,
@@ -78,19 +79,33 @@
         self.assertEqual(answers.count(service.AnswerKind.STILL_RUNNING), 5)
 
     @virtual_time.run_without_io
-    async def test_concurrent_submissions_with_cut_peers_grant_one(self):
+    async def test_concurrent_writers_of_a_partition_grant_one(self):
         # Without coordinators every instance writes the head itself.
-        self.fleet.network.cut = {'a', 'b', 'c'}
+        fleet = Fleet(coordinator_of=lambda number: None)
         answers = []
 
         async def submit(name):
-            answers.append((await self.fleet.submit(name)).kind)
+            answers.append((await fleet.submit(name)).kind)
 
         async with anyio.create_task_group() as group:
             for name in 'abc':
                 group.start_soon(submit, name)
         self.assertEqual(answers.count(service.AnswerKind.GRANTED), 1)
 
+    @virtual_time.run_without_io
+    async def test_a_coordinator_with_an_old_head_records_an_outcome(self):
+        first, second = _keys_of_one_partition(2)
+        coordinator = self.fleet.coordinator_of(0)
+        holder, other = (name for name in 'abc' if name != coordinator)
+        await self.fleet.submit(coordinator, first)
+        self.fleet.network.cut = {coordinator}
+        await self.fleet.run(holder, second)
+        self.fleet.network.cut = set()
+        await self.fleet.services[holder].record_pending()
+        self.fleet.restart(holder)
+        answer = await self.fleet.submit(other, second)
+        self.assertEqual(answer.outcome, _CREATED)
+
     @virtual_time.run_without_io
     async def test_an_outcome_is_replayed_at_every_instance(self):
         await self.fleet.run('a')
