Add the memory account of an engine

Cause: memory must not be overcommitted although orders are lost, late or duplicated, reports lag and owners change.

--- /dev/null
+++ b/packages/core/src/wagtailtide_core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which models are resident where: memory accounts, plans and demand."""
--- /dev/null
+++ b/packages/core/tests/placement/test_memory.py
@@ -0,0 +1,223 @@
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+from wagtailtide_core.invariants import checks
+from wagtailtide_core.placement import memory
+from wagtailtide_core.placement import orders
+
+CAPACITY = 10
+# Any two of them overcommit the memory.
+SIZES = {'a': 6, 'b': 7}
+FATES = ('done', 'lost', 'late', 'answer lost', 'twice')
+
+
+class Engine:
+    """An engine that obeys every order that its fence check lets pass."""
+
+    def __init__(self, checks_fences):
+        self.checks_fences = checks_fences
+        self.loaded = {}
+        self.ended = set()
+        self.seq = 0
+        self.fence = 0
+
+    def receive(self, order):
+        if self.checks_fences and order.fence < self.fence:
+            return False
+        self.fence = max(self.fence, order.fence)
+        if order.kind is orders.OrderKind.LOAD:
+            self.loaded[order.model] = order.size_bytes
+        else:
+            self.loaded.pop(order.model, None)
+        self.ended.add(order.order_id)
+        return True
+
+    def report(self, taken_at_s):
+        self.seq += 1
+        return orders.Report(
+            'boot',
+            self.seq,
+            self.fence,
+            tuple(
+                orders.Residency(m, orders.ResidencyState.READY, size)
+                for m, size in self.loaded.items()
+            ),
+            frozenset(self.ended),
+            taken_at_s,
+        )
+
+
+class Schedule:
+    """Orders are lost, late and duplicated; reports late; owners change.
+
+    Guards against overcommitted memory on engines that check fencing tokens
+    and on engines that ignore them.
+    """
+
+    def __init__(self, rng, checks_fences):
+        self.rng = rng
+        self.now = 0.0
+        self.engine = Engine(checks_fences)
+        self.asserted = checks.Invariants()
+        self.account = memory.MemoryAccount(CAPACITY, checks_fences)
+        self.fence = 1
+        self.count = 0
+        self.in_flight = []
+        self.reports = []
+        self.recorded = {}
+
+    def order(self):
+        kind = self.rng.choice(
+            (orders.OrderKind.LOAD, orders.OrderKind.UNLOAD)
+        )
+        model = self.rng.choice(sorted(SIZES))
+        fate = self.rng.choice(FATES)
+        size = SIZES[model]
+        is_load = kind is orders.OrderKind.LOAD
+        if is_load and not self.account.fits(model, size):
+            return
+        self.count += 1
+        order = orders.Order(
+            f'o{self.count}',
+            self.fence,
+            kind,
+            model,
+            size,
+            self.account.report.seq if self.account.report else 0,
+            self.now,
+        )
+        if is_load:
+            # Recorded in the store before it is sent.
+            self.recorded[order.order_id] = order
+        self.account.send(order, self.asserted)
+        self._deliver(order, fate)
+
+    def _deliver(self, order, fate):
+        if fate in ('late', 'twice'):
+            deadline = self.now + memory.LATE_ORDER_BOUND_S
+            self.in_flight.append((deadline, order))
+        if fate in ('lost', 'late'):
+            self.account.unanswered(order.order_id)
+            return
+        obeyed = self.engine.receive(order)
+        if fate in ('answer lost', 'twice'):
+            self.account.unanswered(order.order_id)
+        elif obeyed:
+            self.account.accepted(order.order_id)
+        else:
+            self.account.refused(order.order_id)
+
+    def late_order_arrives(self):
+        if self.in_flight:
+            index = self.rng.randrange(len(self.in_flight))
+            self.engine.receive(self.in_flight.pop(index)[1])
+
+    def take_report(self):
+        self.reports.append(self.engine.report(self.now))
+
+    def late_report_arrives(self):
+        if self.reports:
+            index = self.rng.randrange(len(self.reports))
+            self.account.apply(self.reports.pop(index))
+            self._prune_recorded()
+
+    def _prune_recorded(self):
+        # The owner removes settled loads from the store's record.
+        unsettled = {order.order_id for order in self.account.unsettled()}
+        self.recorded = {
+            order_id: order
+            for order_id, order in self.recorded.items()
+            if order_id in unsettled
+        }
+
+    def fresh_report(self):
+        self.now += 1.0
+        self.account.apply(self.engine.report(self.now))
+        self._prune_recorded()
+
+    def pass_time(self):
+        self.now += self.rng.choice((60.0, 1000.0))
+        # The network holds nothing beyond the bound.
+        self.in_flight = [f for f in self.in_flight if f[0] >= self.now]
+
+    def new_owner(self):
+        self.fence += 1
+        self.account = memory.MemoryAccount(CAPACITY, self.account_checks())
+        self.account.add_pending(tuple(self.recorded.values()), self.now)
+        self.reports.clear()
+        if self.engine.checks_fences:
+            # The first order of a new owner raises the engine's fence.
+            self.engine.fence = self.fence
+        self.account.apply(self.engine.report(self.now))
+
+    def account_checks(self):
+        return self.engine.checks_fences
+
+    def check(self):
+        assert sum(self.engine.loaded.values()) <= CAPACITY
+        assert not self.asserted.violated
+
+
+class RandomScheduleTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+    @hypothesis.given(st.integers(0, 2**32), st.booleans())
+    def test_memory_is_never_overcommitted(self, seed, checks_fences):
+        schedule = Schedule(random.Random(seed), checks_fences)
+        steps = (
+            *(schedule.order,) * 3,
+            *(schedule.fresh_report,) * 2,
+            *(schedule.late_order_arrives,) * 2,
+            schedule.take_report,
+            schedule.late_report_arrives,
+            schedule.pass_time,
+            schedule.new_owner,
+        )
+        for _ in range(300):
+            schedule.rng.choice(steps)()
+            schedule.check()
+
+
+class MemoryAccountTest(unittest.TestCase):
+    def setUp(self):
+        self.account = memory.MemoryAccount(CAPACITY, checks_fences=False)
+        self.engine = Engine(checks_fences=False)
+        self.account.apply(self.engine.report(0.0))
+
+    def test_nothing_fits_before_the_first_report(self):
+        account = memory.MemoryAccount(CAPACITY, checks_fences=False)
+        self.assertFalse(account.fits('a', 1))
+
+    def test_an_unload_frees_memory_only_with_a_newer_report(self):
+        self.engine.loaded = {'d': 6}
+        self.account.apply(self.engine.report(1.0))
+        old = self.engine.report(1.5)
+        unload = orders.Order('o1', 1, orders.OrderKind.UNLOAD, 'd', 6, 2, 2.0)
+        self.account.send(unload, checks.Invariants())
+        self.engine.receive(unload)
+        self.account.accepted('o1')
+        self.account.apply(old)
+        self.assertFalse(self.account.fits('c', 5))
+        self.account.apply(self.engine.report(3.0))
+        self.assertTrue(self.account.fits('c', 5))
+
+    def test_a_load_that_does_not_fit_is_stopped(self):
+        invariants = checks.Invariants()
+        order = orders.Order('o1', 1, orders.OrderKind.LOAD, 'x', 11, 1, 0.0)
+        with self.assertRaises(checks.InvariantError):
+            self.account.send(order, invariants)
+        self.assertEqual(self.account.unsettled(), ())
+
+    def test_a_model_that_may_be_unloaded_late_is_not_counted_on(self):
+        self.engine.loaded = {'a': 3}
+        self.account.apply(self.engine.report(1.0))
+        unload = orders.Order('o1', 1, orders.OrderKind.UNLOAD, 'a', 3, 2, 2.0)
+        self.account.send(unload, checks.Invariants())
+        self.account.unanswered('o1')
+        self.account.apply(self.engine.report(5.0))
+        self.assertEqual(self.account.ready_models(), frozenset())
+
+
+if __name__ == '__main__':
+    unittest.main()
