Add the server program and its data plane

Callers need a path from a key to an answer before the control plane is there: the program reads documents straight from the store (plane_local), keeps rates and claims in memory (rates_local, claims_local) and serves models, routes and the administration endpoints.

Model requests are always streamed from the engine, also for callers that want one JSON object, because only a stream can be resumed elsewhere. Passing an engine's answer through as it is was ruled out for that reason.

Headers to backend servers are built from an allow-list, and an invariant check stops an attempt that would carry the presented key. Decisions on fate, retries, choice of server and crashes are in wagtailtide_core.

--- /dev/null
+++ b/packages/core/src/wagtailtide_core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the backend servers that run them."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Fate of failed attempts, retry budget and circuit breakers."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Load estimates and the choice of a backend server."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/routing/table.py
@@ -0,0 +1,109 @@
+"""What an instance knows of the backend servers."""
+
+import dataclasses
+
+from wagtailtide_core.document import schema
+from wagtailtide_core.retries import breaker as breakers
+from wagtailtide_core.routing import load
+
+
+@dataclasses.dataclass
+class ServerState:
+    """Knowledge of one backend server.
+
+    Attributes:
+        declared: Its declaration in the document.
+        ready: Resident model versions as ``(name, version)``.
+        adapters: Resident adapters as ``(model, adapter)``.
+        boot_id: Identifier of its current process, or None.
+        draining: Whether it said itself that it is stopping.
+        leaving: Whether the platform's list says that it is leaving.
+        listed: Whether the platform's list has it.
+        estimate: Its estimated load.
+        breaker: Its circuit breaker.
+    """
+
+    declared: schema.BackendServer
+    ready: frozenset[tuple[str, str]] = frozenset()
+    adapters: frozenset[tuple[str, str]] = frozenset()
+    boot_id: str | None = None
+    draining: bool = False
+    leaving: bool = False
+    listed: bool = True
+    estimate: load.LoadEstimate = dataclasses.field(
+        default_factory=load.LoadEstimate
+    )
+    breaker: breakers.Breaker = dataclasses.field(
+        default_factory=breakers.Breaker
+    )
+
+    @property
+    def stopping(self):
+        """Whether the server must get no new work."""
+        return self.draining or self.leaving
+
+
+class ServerTable:
+    """Backend servers with an index for each model and group.
+
+    The index keeps the cost of a choice independent of the number of models
+    times the number of servers.
+    """
+
+    def __init__(self):
+        self.servers = {}
+        self._by_model = {}
+        self._by_group = {}
+
+    def declare(self, servers):
+        """Replace the declarations.
+
+        Args:
+            servers: Declared backend servers by name. What is known of a
+                server is kept while its kind and address stay the same.
+        """
+        kept = {}
+        for name, declared in servers.items():
+            old = self.servers.get(name)
+            same = old is not None and (
+                (old.declared.address, old.declared.kind)
+                == (declared.address, declared.kind)
+            )
+            if same:
+                old.declared = declared
+                kept[name] = old
+            else:
+                kept[name] = ServerState(declared)
+        self.servers = kept
+        self._by_model = {}
+        self._by_group = {}
+        for name, state in kept.items():
+            if state.declared.kind is schema.ServerKind.PLAIN:
+                group = self._by_group.setdefault(state.declared.group, set())
+                group.add(name)
+            for model in state.ready:
+                self._by_model.setdefault(model, set()).add(name)
+
+    def set_resident(self, name, ready, adapters):
+        """Record the models and adapters that are resident on a server."""
+        state = self.servers[name]
+        ready = frozenset(ready)
+        for model in state.ready - ready:
+            self._by_model[model].discard(name)
+        for model in ready - state.ready:
+            self._by_model.setdefault(model, set()).add(name)
+        state.ready = ready
+        state.adapters = frozenset(adapters)
+
+    def forget_model(self, name, model):
+        """Record that a server said that a model is not resident."""
+        state = self.servers[name]
+        self.set_resident(name, state.ready - {model}, state.adapters)
+
+    def with_model(self, model):
+        """Return the servers on which a ``(name, version)`` is resident."""
+        return [self.servers[n] for n in self._by_model.get(model, ())]
+
+    def in_group(self, group):
+        """Return the plain servers of a group."""
+        return [self.servers[n] for n in self._by_group.get(group, ())]
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP applications for callers and for administration."""
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/http/checks.py
@@ -0,0 +1,270 @@
+"""Checks of a request's head and of where a key may appear."""
+
+import dataclasses
+import json
+import re
+import urllib.parse
+
+from wagtailtide_core.document import schema
+from wagtailtide_core.errors import kinds
+from wagtailtide_core.keys import keys
+
+MAX_DEADLINE_MS = 86_400_000
+MAX_IDEMPOTENCY_KEY = 255
+
+_SINGLE = frozenset(
+    {
+        b'authorization',
+        b'content-length',
+        b'content-type',
+        b'host',
+        b'idempotency-key',
+        b'transfer-encoding',
+        b'x-deadline-ms',
+        b'x-priority',
+        b'x-request-id',
+    }
+)
+_BAD_VALUE = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+_BAD_NAME = re.compile(rb"[^!#$%&'*+.^_`|~0-9a-z-]")
+_BAD_TARGET = re.compile(rb'[^\x21-\x7e]|[\\#]')
+_BAD_ESCAPE = re.compile(rb'%(?![0-9a-fA-F]{2})|%(?:00|2f|5c|25)', re.I)
+_REQUEST_ID = re.compile(r'[A-Za-z0-9._-]{1,64}')
+_IDEMPOTENCY_KEY = re.compile(r'[\x21-\x7e]{1,255}')
+
+
+@dataclasses.dataclass(frozen=True)
+class Wishes:
+    """What a caller asks for in headers.
+
+    Attributes:
+        priority: Class of the request, or None.
+        deadline_ms: Deadline in milliseconds, or None.
+        idempotency_key: Idempotency key, or None.
+    """
+
+    priority: schema.PriorityClass | None
+    deadline_ms: int | None
+    idempotency_key: str | None
+
+
+def _malformed(expected, got, advice):
+    return kinds.ServingError(
+        kinds.ErrorKind.MALFORMED_REQUEST,
+        f'expected {expected}, got {got}; {advice}',
+    )
+
+
+def check_head(head):
+    """Refuse heads that two parsers could read differently.
+
+    Args:
+        head: The Head.
+
+    Raises:
+        ServingError: If the request is malformed.
+    """
+    if head.http_version not in ('1.0', '1.1'):
+        raise _malformed(
+            'HTTP/1.1', f'HTTP/{head.http_version}', 'use HTTP/1.1'
+        )
+    _check_headers(head)
+    _check_target(head)
+
+
+def _check_headers(head):
+    seen = set()
+    for name, value in head.headers:
+        if _BAD_NAME.search(name) or _BAD_VALUE.search(value):
+            raise _malformed(
+                'printable characters in headers',
+                f'others in {name[:64]!r}',
+                'correct the header',
+            )
+        if name in _SINGLE and name in seen:
+            text = name.decode()
+            raise _malformed(
+                f'one {text} header', 'more than one', 'send it once'
+            )
+        seen.add(name)
+    if {b'content-length', b'transfer-encoding'} <= seen:
+        raise _malformed(
+            'Content-Length or Transfer-Encoding', 'both', 'send one of them'
+        )
+    if b'transfer-encoding' in seen and head.http_version == '1.0':
+        raise _malformed(
+            'no Transfer-Encoding in HTTP/1.0', 'one', 'use HTTP/1.1'
+        )
+    encoding = head.header(b'content-encoding')
+    if encoding not in (None, 'identity'):
+        raise _malformed(
+            'an uncompressed body',
+            f'Content-Encoding {encoding!r:.40}',
+            'send it uncompressed',
+        )
+
+
+def _check_target(head):
+    if not head.raw_path.startswith(b'/') or head.raw_path.startswith(b'//'):
+        raise _malformed(
+            'a path that starts with one "/"',
+            repr(head.raw_path[:64]),
+            'send only the path in the request line',
+        )
+    if _BAD_TARGET.search(head.target) or _BAD_ESCAPE.search(head.raw_path):
+        raise _malformed(
+            'a path without control characters, backslashes and escaped '
+            'slashes or percent signs',
+            'one with them',
+            'correct the path',
+        )
+    segments = (s.partition(';')[0] for s in head.path.split('/'))
+    if any(s in ('.', '..') for s in segments) or '//' in head.path:
+        raise _malformed(
+            'a path without "." and ".." and empty segments',
+            'one with them',
+            'send the resolved path',
+        )
+
+
+def read_request_id(head):
+    """Return the caller's request id if it has a valid form, else None."""
+    value = head.header(b'x-request-id')
+    return value if value and _REQUEST_ID.fullmatch(value) else None
+
+
+def read_wishes(head):
+    """Return the caller's Wishes.
+
+    Raises:
+        ServingError: If a header has an impossible value.
+    """
+    return Wishes(
+        _read_priority(head), _read_deadline(head), _read_idempotency(head)
+    )
+
+
+def _read_priority(head):
+    value = head.header(b'x-priority')
+    if value is None:
+        return None
+    try:
+        return schema.PriorityClass(value)
+    except ValueError as exc:
+        known = ', '.join(schema.PriorityClass)
+        raise _malformed(
+            f'X-Priority to be one of {known}',
+            repr(value[:40]),
+            'correct or leave it out',
+        ) from exc
+
+
+def _read_deadline(head):
+    value = head.header(b'x-deadline-ms')
+    if value is None:
+        return None
+    number = int(value) if re.fullmatch(r'[0-9]{1,9}', value) else 0
+    if 1 <= number <= MAX_DEADLINE_MS:
+        return number
+    raise _malformed(
+        f'X-Deadline-Ms to be a whole number from 1 to {MAX_DEADLINE_MS}',
+        repr(value[:40]),
+        'correct or leave it out',
+    )
+
+
+def _read_idempotency(head):
+    value = head.header(b'idempotency-key')
+    if value is None or _IDEMPOTENCY_KEY.fullmatch(value):
+        return value
+    raise kinds.ServingError(
+        kinds.ErrorKind.IDEMPOTENCY_KEY_INVALID,
+        f'expected an Idempotency-Key of 1 to {MAX_IDEMPOTENCY_KEY} printable '
+        'characters without spaces, got another; correct it',
+    )
+
+
+def read_key(head):
+    """Return the presented key, or None if there is none.
+
+    Raises:
+        ServingError: If the Authorization header has another form.
+    """
+    value = head.header(b'authorization')
+    if value is None:
+        return None
+    scheme, _, presented = value.partition(' ')
+    if scheme.lower() != 'bearer' or not presented.strip():
+        raise kinds.ServingError(
+            kinds.ErrorKind.KEY_INVALID,
+            'expected "Authorization: Bearer <key>", got another form; '
+            'correct the header',
+        )
+    return presented.strip()
+
+
+def _wrong_place(place):
+    return kinds.ServingError(
+        kinds.ErrorKind.KEY_IN_WRONG_PLACE,
+        f'expected the key only in the Authorization header, got it in the '
+        f'{place}; remove it there, and have it replaced, since it may have '
+        'been logged on the way',
+    )
+
+
+def _contains_key(text, presented, catalog):
+    if presented is not None and presented in text:
+        return True
+    return any(
+        match[1] in catalog.keys for match in keys.PRESENTED.finditer(text)
+    )
+
+
+def check_key_places_in_head(head, presented, catalog):
+    """Refuse a key in the path, the query, cookies or other headers.
+
+    Args:
+        head: The Head.
+        presented: The presented key, or None.
+        catalog: The Catalog; keys that it knows are recognised as well.
+
+    Raises:
+        ServingError: If a key is found.
+    """
+    raw_query = head.query.decode('latin-1')
+    places = [
+        ('path', head.raw_path.decode('latin-1')),
+        ('path', head.path),
+        ('query', raw_query),
+        ('query', urllib.parse.unquote_plus(raw_query)),
+    ]
+    for name, value in head.headers:
+        if name == b'authorization':
+            continue
+        place = 'cookie' if name == b'cookie' else 'headers'
+        text = value.decode('latin-1')
+        places += [(place, text), (place, urllib.parse.unquote(text))]
+    for place, text in places:
+        if _contains_key(text, presented, catalog):
+            raise _wrong_place(place)
+
+
+def check_key_places_in_body(head, body, presented, catalog):
+    """Refuse a key in the body, also behind escapes of its encoding.
+
+    Raises:
+        ServingError: If a key is found.
+    """
+    text = body.decode('latin-1')
+    texts = [text]
+    kind = head.header(b'content-type') or ''
+    if 'urlencoded' in kind or '%' in text:
+        texts.append(urllib.parse.unquote_plus(text))
+    if '\\u' in text:
+        try:
+            value = json.loads(body)
+            texts.append(json.dumps(value, ensure_ascii=False))
+        except (ValueError, RecursionError):
+            pass
+    if any(_contains_key(t, presented, catalog) for t in texts):
+        raise _wrong_place('body')
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/http/exchange.py
@@ -0,0 +1,178 @@
+"""One request and its response over ASGI."""
+
+import dataclasses
+import secrets
+
+import anyio
+from wagtailtide_core.errors import kinds
+
+# A caller that sends an over-long body is read from for this long, so that it
+# can see the response instead of a reset connection.
+LINGER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Head of a request.
+
+    Attributes:
+        method: HTTP method.
+        path: Decoded path.
+        raw_path: Path as received.
+        query: Query as received.
+        headers: Pairs, names in lower case.
+        http_version: Version of HTTP.
+    """
+
+    method: str
+    path: str
+    raw_path: bytes
+    query: bytes
+    headers: list[tuple[bytes, bytes]]
+    http_version: str
+
+    @classmethod
+    def from_scope(cls, scope):
+        """Build the head from an ASGI scope."""
+        return cls(
+            method=scope['method'],
+            path=scope['path'],
+            raw_path=scope['raw_path'],
+            query=scope['query_string'],
+            headers=[(n.lower(), v) for n, v in scope['headers']],
+            http_version=scope['http_version'],
+        )
+
+    def header(self, name):
+        """Return the value of a header as text, or None."""
+        for found, value in self.headers:
+            if found == name:
+                return value.decode('latin-1').strip()
+        return None
+
+    @property
+    def target(self):
+        """Path with query, as received."""
+        return self.raw_path + (b'?' + self.query if self.query else b'')
+
+
+class Exchange:
+    """A request that is read while its response is written.
+
+    Attributes:
+        head: Head of the request.
+        request_id: The caller's request id.
+        started: Whether the response's status was sent.
+        disconnected: Event that is set when the caller is gone.
+        key_id: Id of the key that was accepted, for logs.
+        close_after: Whether to close the connection after the response.
+        history: What is known of the attempts, or None before the first.
+        outcome: Kind of error that was answered, or ``ok``.
+    """
+
+    def __init__(self, scope, receive, send, max_body_bytes):
+        self.head = Head.from_scope(scope)
+        self.request_id = secrets.token_hex(12)
+        self.started = False
+        self.disconnected = anyio.Event()
+        self.key_id = None
+        self.close_after = False
+        self.history = None
+        self.outcome = 'ok'
+        self._receive = receive
+        self._send = send
+        self._max_body_bytes = max_body_bytes
+        self._parts = []
+        self._size = 0
+        self._body_read = anyio.Event()
+        self._received = anyio.Event()
+        self._writing = anyio.Lock()
+
+    async def pump(self):
+        """Read the request until the caller is gone.
+
+        The server's reader blocks while its queue of body parts is full, so
+        the body is read to its end even if it is refused.
+        """
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                self._body_read.set()
+                self._received.set()
+                self.disconnected.set()
+                return
+            self._size += len(message.get('body', b''))
+            if self._size <= self._max_body_bytes:
+                self._parts.append(message.get('body', b''))
+            else:
+                self._parts.clear()
+                self._body_read.set()
+            if not message.get('more_body', False):
+                self._received.set()
+                self._body_read.set()
+
+    async def read_body(self):
+        """Return the whole body.
+
+        Raises:
+            ServingError: If it is too long.
+        """
+        declared = self.head.header(b'content-length') or '0'
+        if declared.isdigit() and len(declared) > 18:
+            declared = '9' * 18
+        too_long = declared.isdigit() and int(declared) > self._max_body_bytes
+        if not too_long:
+            await self._body_read.wait()
+        if too_long or self._size > self._max_body_bytes:
+            await self._linger()
+            raise kinds.ServingError(
+                kinds.ErrorKind.REQUEST_TOO_LARGE,
+                f'expected a body of at most {self._max_body_bytes} bytes, '
+                f'got more; send less',
+            )
+        return b''.join(self._parts)
+
+    async def _linger(self):
+        with anyio.move_on_after(LINGER_S):
+            await self._received.wait()
+
+    async def start(self, status, headers):
+        """Send the status and the headers of the response."""
+        async with self._writing:
+            await self._start(status, headers)
+
+    async def _start(self, status, headers):
+        if self.started:
+            return
+        self.started = True
+        close = self.close_after or not self._received.is_set()
+        closing = [(b'connection', b'close')] if close else []
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': [*headers, *closing],
+            }
+        )
+
+    async def write(self, data):
+        """Send a part of the response's body."""
+        async with self._writing:
+            await self._send(
+                {
+                    'type': 'http.response.body',
+                    'body': data,
+                    'more_body': True,
+                }
+            )
+
+    async def end(self, data=b''):
+        """Send the last part of the response's body."""
+        async with self._writing:
+            await self._send({'type': 'http.response.body', 'body': data})
+
+    async def respond(self, status, headers, body):
+        """Send a whole response."""
+        length = (b'content-length', str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        await self.end(body)
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -0,0 +1,280 @@
+"""State of one instance and its tasks."""
+
+import contextlib
+import functools
+import logging
+import signal
+import socket
+
+import anyio
+from hypercorn import config as hypercorn_config
+from hypercorn import trio as hypercorn_trio
+from wagtailtide_core.document import schema
+from wagtailtide_core.errors import kinds
+from wagtailtide_core.invariants import checks
+
+from wagtailtide_server import claims_local
+from wagtailtide_server import metrics
+from wagtailtide_server import plane_local
+from wagtailtide_server import rates_local
+from wagtailtide_server import refusals
+from wagtailtide_server.http import admin
+from wagtailtide_server.http import app
+from wagtailtide_server.upstream import dispatch
+from wagtailtide_server.upstream import failures
+from wagtailtide_server.upstream import reports
+
+LOG = logging.getLogger(__name__)
+
+CATALOG_POLL_S = 0.1
+REPORT_POLL_S = 1.0
+
+# The longest that a request may run on after a stop was ordered.
+DRAIN_LIMIT_S = 600.0
+
+# The kernel gives a connection up when its peer has taken nothing for this
+# long: the HTTP server writes without a timeout of its own.
+WRITE_TIMEOUT_MS = 30_000
+
+
+class _HttpConfig(hypercorn_config.Config):
+    """Hypercorn's settings with a write timeout on its sockets."""
+
+    include_server_header = False
+    include_date_header = False
+    keep_alive_timeout = 75.0
+    graceful_timeout = 1.0
+    h11_max_incomplete_size = 32_768
+    accesslog = None
+    errorlog = logging.getLogger('wagtailtide_server.hypercorn')
+
+    def create_sockets(self):
+        """Create the listening sockets; accepted ones inherit options."""
+        sockets = super().create_sockets()
+        for sock in sockets.insecure_sockets:
+            sock.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                WRITE_TIMEOUT_MS,
+            )
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sockets
+
+
+class Instance:
+    """One instance.
+
+    Attributes:
+        settings: Its Settings.
+        invariants: Counts of invariant checks.
+        metrics: Its Metrics.
+        plane: Control plane: configuration, members, trust in keys.
+        shares: Rates of the organisations.
+        claims: Claims of idempotency keys.
+        dispatcher: Knowledge of the backend servers.
+        refusals: Recent refusals.
+        open_requests: Callers' requests in progress.
+        stopping: Whether a stop was ordered.
+        callers_address: Address on which callers are served, once started.
+        admin_address: Address of the administration, once started.
+    """
+
+    def __init__(self, settings, store, *, plane=None, rng=None):
+        self.settings = settings
+        self.store = store
+        self.invariants = checks.Invariants()
+        self.metrics = metrics.Metrics(self.invariants)
+        self.plane = plane or plane_local.LocalPlane(
+            settings, store, self.invariants
+        )
+        self.shares = rates_local.LocalShares(self.plane)
+        self.claims = claims_local.LocalClaims()
+        self.dispatcher = dispatch.Dispatcher(
+            settings.name, self.invariants, self.metrics, rng
+        )
+        self.refusals = refusals.Refusals()
+        self.near_zones = frozenset()
+        self.open_requests = 0
+        self.stopping = False
+        self.callers_address = None
+        self.admin_address = None
+        self._refusing = False
+        self._stop_ordered = anyio.Event()
+        self._idle = anyio.Event()
+        self._catalog = None
+
+    async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
+        """Serve until a stop was ordered and is done."""
+        async with anyio.create_task_group() as background:
+            await background.start(self.plane.run)
+            background.start_soon(self._follow_catalog)
+            background.start_soon(self._poll_reports)
+            async with anyio.create_task_group() as servers:
+                self.admin_address = await servers.start(
+                    _serve_http, admin.make_app(self), self.settings.admin
+                )
+                self.callers_address = await servers.start(
+                    _serve_http, app.make_app(self), self.settings.callers
+                )
+                LOG.info(
+                    'instance started',
+                    extra={
+                        'callers': self.callers_address,
+                        'admin': self.admin_address,
+                    },
+                )
+                task_status.started()
+                await self._stop_ordered.wait()
+                await self._drain()
+                servers.cancel_scope.cancel()
+            background.cancel_scope.cancel()
+        with anyio.move_on_after(1.0, shield=True):
+            await self.dispatcher.client.aclose()
+        LOG.info('instance stopped')
+
+    async def handle_signals(self, task_status=anyio.TASK_STATUS_IGNORED):
+        """Stop on SIGTERM or SIGINT; ignore SIGHUP and repetitions."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as received:
+            task_status.started()
+            async for number in received:
+                LOG.info('signal received', extra={'signal': number})
+                if number is not signal.SIGHUP:
+                    self.order_stop()
+
+    def order_stop(self):
+        """Begin the graceful stop; has no effect the second time."""
+        self.stopping = True
+        self._stop_ordered.set()
+
+    async def _drain(self):
+        lag_s = self.settings.balancer_lag_s
+        LOG.info('stop ordered', extra={'balancer_lag_s': lag_s})
+        await anyio.sleep(lag_s)
+        self._refusing = True
+        if not self.open_requests:
+            self._idle.set()
+        with anyio.move_on_after(DRAIN_LIMIT_S) as scope:
+            await self._idle.wait()
+        if scope.cancelled_caught:
+            LOG.warning(
+                'requests outlast the stop',
+                extra={'open_requests': self.open_requests},
+            )
+        leave = getattr(self.plane, 'leave', None)
+        if leave is not None:
+            await leave()
+
+    def not_ready_reason(self):
+        """Return why the instance is not ready, or None if it is."""
+        if self.stopping:
+            return 'stopping'
+        if not self.plane.caught_up:
+            return 'configuration not confirmed yet'
+        return None
+
+    def check_admits(self):
+        """Refuse requests that the instance cannot take now.
+
+        Raises:
+            ServingError: If it is not caught up, stopping or full.
+        """
+        if self._refusing:
+            raise kinds.ServingError(
+                kinds.ErrorKind.SHUTTING_DOWN,
+                'this instance is stopping; send the request to another one',
+            )
+        if not self.plane.caught_up:
+            raise kinds.ServingError(
+                kinds.ErrorKind.NOT_READY,
+                'this instance has not caught up with the configuration; '
+                'send the request again later',
+            )
+        limit = self.settings.limits.max_open_requests
+        if self.open_requests > limit:
+            raise kinds.ServingError(
+                kinds.ErrorKind.OVERLOADED,
+                f'expected at most {limit} requests in progress, got more; '
+                'send the request again later',
+                retry_after_s=1,
+            )
+
+    def check_organisation(self, access, organisations):
+        """Assert that a request runs for the organisation of its key.
+
+        Raises:
+            InvariantError: If it does not.
+        """
+        entry = self.plane.config.catalog.keys.get(access.key_id)
+        self.invariants.check(
+            'request_runs_for_key_organisation',
+            access.organisation is not None
+            and (entry is None or entry.organisation.name == access.name)
+            and (not organisations or access.name in organisations),
+            key_id=access.key_id,
+            organisation=access.name,
+        )
+
+    @contextlib.contextmanager
+    def count_request(self):
+        """Count a request as open while the block runs."""
+        self.open_requests += 1
+        self.metrics.open_requests.set(self.open_requests)
+        try:
+            yield
+        finally:
+            self.open_requests -= 1
+            if self._refusing and not self.open_requests:
+                self._idle.set()
+            self.metrics.open_requests.set(self.open_requests)
+
+    def document_of_model(self, model):
+        """Return the document that offers a model."""
+        for _, document in sorted(self.plane.config.catalog.documents.items()):
+            if model in document.models:
+                return document
+        return schema.Document(service='none')
+
+    async def _follow_catalog(self):
+        while True:
+            catalog = self.plane.config.catalog
+            if catalog is not self._catalog:
+                self._catalog = catalog
+                self.dispatcher.table.declare(catalog.backend_servers)
+            await anyio.sleep(CATALOG_POLL_S)
+
+    async def _poll_reports(self):
+        while True:
+            async with anyio.create_task_group() as group:
+                for name, state in self.dispatcher.table.servers.items():
+                    if state.declared.kind is schema.ServerKind.ENGINE:
+                        group.start_soon(self._read_report, name, state)
+            await anyio.sleep(REPORT_POLL_S)
+
+    async def _read_report(self, name, state):
+        try:
+            report = await reports.fetch(
+                self.dispatcher.client, state.declared.address
+            )
+        except failures.AttemptError as exc:
+            LOG.debug(
+                'report not read',
+                extra={'backend_server': name, 'error': str(exc)},
+            )
+            return
+        self.dispatcher.record_report(name, report)
+
+
+async def _serve_http(
+    application, address, task_status=anyio.TASK_STATUS_IGNORED
+):
+    cfg = _HttpConfig()
+    cfg.bind = [address]
+    async with anyio.create_task_group() as group:
+        binds = await group.start(
+            functools.partial(hypercorn_trio.serve, mode='asgi'),
+            application,
+            cfg,
+        )
+        task_status.started(binds[0].removeprefix('http://'))
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/logs.py
@@ -0,0 +1,46 @@
+"""Structured logs, one key=value line for each event."""
+
+import logging
+import sys
+
+import logfmter
+
+FORMAT_KEYS = ('at', 'level', 'logger', 'event')
+MAPPING = {
+    'at': 'asctime',
+    'level': 'levelname',
+    'logger': 'name',
+    'event': 'msg',
+}
+
+# These log a line for each request or connection at level info.
+QUIET_LOGGERS = ('httpcore', 'httpx', 'hypercorn.access', 'websockets')
+
+
+def set_up(level, instance, stream=None):
+    """Send log records to a stream as key=value lines.
+
+    Args:
+        level: Lowest level of the logging module that is written.
+        instance: Name of the instance, added to each line.
+        stream: Text stream; standard error if None.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        logfmter.Logfmter(
+            keys=list(FORMAT_KEYS),
+            mapping=MAPPING,
+            datefmt='%Y-%m-%dT%H:%M:%S%z',
+        )
+    )
+
+    def add_instance(record):
+        record.instance = instance
+        return True
+
+    handler.addFilter(add_instance)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    for name in QUIET_LOGGERS:
+        logging.getLogger(name).setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to backend servers."""
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -0,0 +1,275 @@
+"""Choose backend servers and keep account of the attempts at them."""
+
+import contextlib
+import dataclasses
+import logging
+import random
+import secrets
+
+import anyio
+from wagtailtide_core.document import schema
+from wagtailtide_core.errors import kinds
+from wagtailtide_core.quarantine import crashes
+from wagtailtide_core.retries import budget
+from wagtailtide_core.routing import choose
+from wagtailtide_core.routing import load
+from wagtailtide_core.routing import table
+
+from wagtailtide_server.upstream import client
+from wagtailtide_server.upstream import failures
+from wagtailtide_server.upstream import reports
+
+LOG = logging.getLogger(__name__)
+
+_DOWN = frozenset(
+    {failures.FailureKind.CONNECTION_REFUSED, failures.FailureKind.BROKEN}
+)
+
+
+@dataclasses.dataclass
+class History:
+    """What is known of the attempts at one request.
+
+    Attributes:
+        may_have_run: Whether any attempt may have run it.
+    """
+
+    may_have_run: bool = False
+
+    @property
+    def fate(self):
+        """The fate of the request as a whole so far."""
+        if self.may_have_run:
+            return kinds.Fate.UNKNOWN
+        return kinds.Fate.NOT_RUN
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """What all attempts at one request have in common.
+
+    Attributes:
+        route: What a choice of server depends on.
+        mark: Fingerprint of the request.
+        history: What is known of the attempts.
+        secrets: Byte strings that no backend server may see.
+    """
+
+    route: choose.RouteRequest
+    mark: str
+    history: History
+    secrets: tuple[bytes, ...] = ()
+
+
+def make_request_id():
+    """Return a new id of an attempt, not guessable by callers."""
+    return secrets.token_hex(12)
+
+
+class Dispatcher:
+    """Knowledge of the backend servers and the attempts in flight.
+
+    Attributes:
+        table: ServerTable.
+        crashes: CrashLedger.
+        budget: RetryBudget of the instance.
+        client: Connections to backend servers.
+        on_crash: Called with the CrashRecords that a crash changed.
+        on_draining: Called with the name of a server that said it drains.
+    """
+
+    def __init__(self, instance_name, invariants, metrics, rng=None):
+        self._name = instance_name
+        self._invariants = invariants
+        self._metrics = metrics
+        self._rng = rng or random.Random()
+        self._down = {}
+        self.table = table.ServerTable()
+        self.crashes = crashes.CrashLedger()
+        self.budget = budget.RetryBudget()
+        self.client = client.Client()
+        self.on_crash = lambda records: None
+        self.on_draining = lambda name: None
+
+    def choose(self, call, tried=frozenset()):
+        """Choose a server for a call.
+
+        Args:
+            call: The Call.
+            tried: Names of servers that must not be chosen.
+
+        Returns:
+            A Choice or NoServer.
+        """
+        now = anyio.current_time()
+        route = dataclasses.replace(call.route, exclude=frozenset(tried))
+        verdict = self.crashes.verdict(call.mark, now)
+        if verdict is crashes.Verdict.ISOLATED:
+            occupied = self.crashes.servers_with_other_suspects(call.mark, now)
+            route = dataclasses.replace(route, occupied=occupied)
+        return choose.choose_server(route, self.table, now, self._rng)
+
+    @contextlib.asynccontextmanager
+    async def open(self, name, call, attempt):
+        """Make one attempt at a server and give its Response.
+
+        Args:
+            name: Name of the server.
+            call: The Call.
+            attempt: The client.Attempt.
+
+        Raises:
+            AttemptError: If the attempt failed.
+        """
+        state = self.table.servers[name]
+        self._check(name, state, call, attempt)
+        state.breaker.record_attempt(anyio.current_time())
+        state.estimate.record_sent()
+        sent = False
+        broken_at = None
+        known_fate = None
+
+        def record_sending():
+            nonlocal sent
+            if not sent:
+                self.crashes.record_started(call.mark, name)
+            sent = True
+
+        try:
+            async with self.client.open(attempt, record_sending) as response:
+                self._record_reached(name, state, response)
+                yield response
+            self._count(state, 'answered')
+        except failures.AttemptError as exc:
+            self._count(state, exc.kind.value)
+            if exc.kind is failures.FailureKind.BROKEN:
+                broken_at = anyio.current_time()
+            known_fate = exc.fate
+            self._learn(name, state, call, exc)
+            raise
+        finally:
+            state.estimate.record_finished()
+            if sent:
+                self.crashes.record_ended(call.mark, name, broken_at)
+            if sent and known_fate is not kinds.Fate.NOT_RUN:
+                call.history.may_have_run = True
+
+    def _check(self, name, state, call, attempt):
+        self._invariants.check(
+            'leaving_server_gets_no_new_work',
+            not state.stopping,
+            server=name,
+        )
+        seen = [attempt.target, *(v for _, v in attempt.headers), attempt.body]
+        self._invariants.check(
+            'key_stays_here',
+            not any(key in part for key in call.secrets for part in seen),
+            server=name,
+        )
+
+    def _count(self, state, outcome):
+        self._metrics.attempts.labels(state.declared.kind, outcome).inc()
+
+    def _record_reached(self, name, state, response):
+        state.breaker.record_success()
+        number, down = self._down.get(name, (0, False))
+        if down:
+            self._down[name] = (number + 1, False)
+        stated = response.load()
+        if stated is not None:
+            running, waiting = stated
+            state.estimate.record_report(
+                load.LoadReport(running, waiting, anyio.current_time())
+            )
+
+    def _learn(self, name, state, call, exc):
+        now = anyio.current_time()
+        if exc.kind in failures.NEVER_CONNECTED:
+            state.breaker.record_failure(now)
+        if exc.kind is failures.FailureKind.CONNECTION_REFUSED:
+            self.record_crash(name, state)
+        if exc.refusal == 'draining':
+            self.set_draining(name, True)
+            self.on_draining(name)
+        elif exc.refusal == 'model_not_resident' and call.route.model:
+            self.table.forget_model(name, call.route.model)
+
+    def set_draining(self, name, draining):
+        """Record whether a server says that it is stopping."""
+        state = self.table.servers[name]
+        state.draining = draining
+        self.crashes.record_stopping(name, state.stopping)
+
+    def set_leaving(self, name, leaving):
+        """Record whether the platform lists a server as leaving."""
+        state = self.table.servers[name]
+        state.leaving = leaving
+        self.crashes.record_stopping(name, state.stopping)
+
+    def record_crash(self, name, state):
+        """Attribute the end of a server's process to what ran there."""
+        boot_id = state.boot_id
+        if boot_id is None:
+            # A plain service has no boot id: number its crashes as seen
+            # from here.
+            number, _ = self._down.get(name, (0, False))
+            self._down[name] = (number, True)
+            boot_id = f'{self._name}/{number}'
+        records = self.crashes.record_crash(
+            name, boot_id, anyio.current_time()
+        )
+        if records:
+            self._metrics.crashes.inc()
+            LOG.warning(
+                'backend server crashed with requests in flight',
+                extra={
+                    'backend_server': name,
+                    'boot_id': boot_id,
+                    'requests': len(records),
+                },
+            )
+            self.on_crash(records)
+
+    def record_report(self, name, report):
+        """Take over an engine's report."""
+        state = self.table.servers.get(name)
+        if state is None:
+            return
+        if state.boot_id not in (None, report.boot_id):
+            self.record_crash(name, state)
+            state.estimate = load.LoadEstimate()
+        state.boot_id = report.boot_id
+        self.set_draining(name, report.draining)
+        self.table.set_resident(name, report.models, report.adapters)
+        state.estimate.record_report(
+            load.LoadReport(report.running, report.waiting, report.as_of)
+        )
+
+    async def confirm_break(self, name):
+        """Find out whether a broken connection was a crash.
+
+        Asking before the request is sent again keeps a request that crashes
+        servers from reaching the next one unrecognised.
+        """
+        state = self.table.servers.get(name)
+        if state is None or state.stopping:
+            return
+        try:
+            if state.declared.kind is schema.ServerKind.ENGINE:
+                report = await reports.fetch(
+                    self.client, state.declared.address
+                )
+                self.record_report(name, report)
+            else:
+                await self.client.probe(state.declared.address)
+        except failures.AttemptError as exc:
+            # A listener that resets connections right after one broke is
+            # taken down just as one that refuses them.
+            if exc.kind in _DOWN:
+                state.breaker.record_failure(anyio.current_time())
+                self.record_crash(name, state)
+
+    def record_completed(self, call):
+        """Note that a request ran to its end."""
+        self.budget.record_success()
+        self.crashes.record_completed(call.mark)
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -0,0 +1,317 @@
+"""Streams from model engines that are resumed when they break."""
+
+import dataclasses
+import json
+
+import anyio
+from wagtailtide_core.errors import kinds
+from wagtailtide_core.quarantine import crashes
+from wagtailtide_core.routing import choose
+
+from wagtailtide_server.upstream import client
+from wagtailtide_server.upstream import dispatch
+from wagtailtide_server.upstream import failures
+from wagtailtide_server.upstream import headers
+from wagtailtide_server.upstream import sse
+
+# Engines send a comment each second, so three missed ones mean silence.
+SILENCE_S = 3.0
+RESUME_LIMIT = 5
+ATTEMPT_LIMIT = 12
+
+# A server that is restarting or a model that is being moved is usually back
+# within this time; a started stream is worth waiting for.
+WAIT_FOR_SERVER_S = 10.0
+POLL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelCall:
+    """A request to a model.
+
+    Attributes:
+        call: What all attempts have in common.
+        target: Path at the engine.
+        received: The caller's headers.
+        body: JSON object for the engine, without resume_offset.
+    """
+
+    call: dispatch.Call
+    target: bytes
+    received: list[tuple[bytes, bytes]]
+    body: dict
+
+
+class ModelStream:
+    """Deliver the events of one request, over as many attempts as needed.
+
+    Attributes:
+        next_offset: Offset of the token that the caller needs next.
+        usage: Token counts that the engine stated, or None.
+    """
+
+    def __init__(self, dispatcher, model_call, emit, metrics):
+        """Create the stream.
+
+        Args:
+            dispatcher: The Dispatcher.
+            model_call: The ModelCall.
+            emit: Coroutine function that is given each event's JSON object.
+            metrics: The Metrics.
+        """
+        self._dispatcher = dispatcher
+        self._model_call = model_call
+        self._emit = emit
+        self._metrics = metrics
+        self._tried = set()
+        self._attempts = 0
+        self._resumes = 0
+        self._last = None
+        self.next_offset = 0
+        self.usage = None
+
+    async def run(self):
+        """Deliver the whole answer.
+
+        Raises:
+            ServingError: If it cannot be delivered.
+        """
+        call = self._model_call.call
+        while True:
+            name = await self._choose()
+            before = self.next_offset
+            try:
+                await self._attempt(name)
+            except failures.AttemptError as exc:
+                self._tried.add(name)
+                if exc.kind is failures.FailureKind.BROKEN:
+                    await self._dispatcher.confirm_break(name)
+                self._decide(exc, progressed=self.next_offset > before)
+            else:
+                self._dispatcher.record_completed(call)
+                return
+
+    async def _choose(self):
+        call = self._model_call.call
+        check_quarantine(self._dispatcher, call)
+        waited_until = anyio.current_time() + WAIT_FOR_SERVER_S
+        while True:
+            chosen = self._dispatcher.choose(call, self._tried)
+            if isinstance(chosen, choose.NoServer) and self._tried:
+                # A connection may have been silent or broken although the
+                # server works; try those servers again.
+                self._tried.clear()
+                chosen = self._dispatcher.choose(call)
+            if isinstance(chosen, choose.Choice):
+                return chosen.server
+            started = self.next_offset > 0 or self._attempts > 0
+            if not started or anyio.current_time() >= waited_until:
+                raise self._no_server(chosen)
+            await anyio.sleep(POLL_S)
+
+    def _no_server(self, none):
+        fate = self._model_call.call.history.fate
+        if self.next_offset > 0:
+            return kinds.ServingError(
+                kinds.ErrorKind.STREAM_BROKEN,
+                'the backend server failed and no other one can resume the '
+                'stream; send the request again',
+            )
+        name, version = self._model_call.call.route.model
+        if not none.excluded:
+            return kinds.ServingError(
+                kinds.ErrorKind.MODEL_LOADING,
+                f'model {name}@{version} is not resident on any backend '
+                'server; send the request again later',
+                fate=fate,
+                retry_after_s=2,
+            )
+        reasons = sorted({e.reason.value for e in none.excluded})
+        return kinds.ServingError(
+            kinds.ErrorKind.NO_BACKEND_SERVER,
+            f'no backend server with model {name}@{version} can take the '
+            f'request ({", ".join(reasons)}); send it again later',
+            fate=fate,
+        )
+
+    def _decide(self, exc, progressed):
+        """Return if the request goes on after a failure, else raise."""
+        self._attempts += 1
+        if progressed:
+            self._resumes += 1
+            if self._resumes > RESUME_LIMIT:
+                raise self._final_error(exc)
+            self._metrics.retries.labels('resume').inc()
+            return
+        if _is_callers_fault(exc):
+            raise kinds.ServingError(
+                kinds.ErrorKind.MALFORMED_REQUEST,
+                f'the model engine refused the request: {exc.detail}',
+                fate=self._model_call.call.history.fate,
+            )
+        if self._attempts >= ATTEMPT_LIMIT:
+            raise self._final_error(exc)
+        # A server that refused before running anything and is no longer a
+        # candidate costs the fleet no work, so moving on is not a retry.
+        if exc.refusal in ('draining', 'model_not_resident'):
+            self._metrics.retries.labels('moved').inc()
+            return
+        if not self._dispatcher.budget.try_spend():
+            raise self._final_error(exc)
+        self._metrics.retries.labels('retry').inc()
+
+    def _final_error(self, exc):
+        if self.next_offset > 0:
+            return kinds.ServingError(
+                kinds.ErrorKind.STREAM_BROKEN,
+                f'the stream broke ({exc.detail}) and the resume limit is '
+                'reached; send the request again',
+            )
+        return error_of_failure(exc, self._model_call.call.history.fate)
+
+    async def _attempt(self, name):
+        request_id = dispatch.make_request_id()
+        body = self._model_call.body
+        if self.next_offset:
+            body = {**body, 'resume_offset': self.next_offset}
+        call = self._model_call.call
+        state = self._dispatcher.table.servers[name]
+        attempt = client.Attempt(
+            address=state.declared.address,
+            method='POST',
+            target=self._model_call.target,
+            headers=headers.for_backend_server(
+                self._model_call.received, request_id, call.secrets
+            ),
+            body=json.dumps(body, separators=(',', ':')).encode(),
+            request_id=request_id,
+            fresh=self._attempts > 0,
+            silence_s=SILENCE_S,
+        )
+        async with self._dispatcher.open(name, call, attempt) as response:
+            if response.status != 200:
+                raise await response.read_refusal()
+            await self._read_events(response, request_id)
+
+    async def _read_events(self, response, request_id):
+        self._last = None
+        parser = sse.Parser()
+        while (chunk := await response.read_chunk()) is not None:
+            try:
+                events = parser.feed(chunk)
+            except sse.EventTooLongError as exc:
+                raise _wrong(str(exc)) from exc
+            for event in events:
+                if event.data == '[DONE]' and self._last is not None:
+                    await self._emit(self._last)
+                    await _finish(response)
+                    return
+                await self._take(event, request_id)
+        raise failures.AttemptError(
+            failures.FailureKind.BROKEN,
+            kinds.Fate.UNKNOWN,
+            'the stream ended without [DONE]',
+        )
+
+    async def _take(self, event, request_id):
+        try:
+            value = json.loads(event.data)
+        except ValueError as exc:
+            raise _wrong('an event is not JSON') from exc
+        if not isinstance(value, dict):
+            raise _wrong('an event is not a JSON object')
+        if 'error' in value:
+            raise _stated_error(value['error'])
+        if value.get('id') != request_id:
+            raise _wrong(
+                f'expected events of {request_id}, got {value.get("id")!r}'
+            )
+        if value.get('offset') != self.next_offset:
+            raise _wrong(
+                f'expected offset {self.next_offset}, '
+                f'got {value.get("offset")!r}'
+            )
+        if isinstance(value.get('usage'), dict):
+            # Held until the end marker: a stream that breaks between the two
+            # is resumed, which sends this event again.
+            self.usage = value['usage']
+            self._last = value
+            return
+        self.next_offset += 1
+        await self._emit(value)
+
+
+async def _finish(response):
+    # Reading to the end lets the connection be used again; the answer is
+    # whole already, so a failure here does not matter.
+    try:
+        while await response.read_chunk() is not None:
+            pass
+    except failures.AttemptError:
+        return
+
+
+def _wrong(detail):
+    return failures.AttemptError(
+        failures.FailureKind.WRONG_RESPONSE, kinds.Fate.UNKNOWN, detail
+    )
+
+
+def _stated_error(error):
+    error = error if isinstance(error, dict) else {}
+    return failures.AttemptError(
+        failures.FailureKind.ERROR_STATUS,
+        kinds.Fate.UNKNOWN,
+        str(error.get('message', 'the engine reported an error'))[:200],
+        refusal=str(error.get('kind')),
+    )
+
+
+def _is_callers_fault(exc):
+    return (
+        exc.kind is failures.FailureKind.ERROR_STATUS
+        and exc.status is not None
+        and 400 <= exc.status < 500
+        and exc.status not in (408, 409, 429)
+    )
+
+
+def check_quarantine(dispatcher, call):
+    """Refuse a request that has crashed too many servers.
+
+    Raises:
+        ServingError: If the request is quarantined.
+    """
+    now = anyio.current_time()
+    if dispatcher.crashes.verdict(call.mark, now) is crashes.Verdict.REFUSED:
+        known = sorted(dispatcher.crashes.crashes_of(call.mark, now))
+        listed = ', '.join(f'{c.server} ({c.boot_id})' for c in known)
+        raise kinds.ServingError(
+            kinds.ErrorKind.REQUEST_QUARANTINED,
+            f'this request ran on backend servers that crashed: {listed}; '
+            'do not send it again unchanged',
+            fate=call.history.fate,
+        )
+
+
+def error_of_failure(exc, fate):
+    """Return the caller's error for a request whose last attempt failed.
+
+    Args:
+        exc: The AttemptError.
+        fate: Fate of the request over all attempts.
+    """
+    kind = kinds.ErrorKind.BACKEND_SERVER_ERROR
+    if exc.kind is failures.FailureKind.SILENT:
+        kind = kinds.ErrorKind.BACKEND_SERVER_SILENT
+    elif exc.kind in failures.NEVER_CONNECTED:
+        kind = kinds.ErrorKind.NO_BACKEND_SERVER
+    elif exc.refusal == 'over_capacity':
+        kind = kinds.ErrorKind.OVERLOADED
+    retry_after_s = 1 if kind is kinds.ErrorKind.OVERLOADED else None
+    return kinds.ServingError(
+        kind,
+        f'the backend server failed: {exc.detail}; send the request again',
+        fate=fate,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/packages/server/tests/harness.py
@@ -0,0 +1,205 @@
+"""One instance with stand-ins for the platform and backend servers."""
+
+import contextlib
+import json
+import random
+
+import anyio
+import httpx
+from wagtailtide_core.keys import keys
+from wagtailtide_server import instance
+from wagtailtide_server import settings
+from wagtailtide_server.platform import client
+from wagtailtide_testing import serving
+from wagtailtide_testing.standins import engine
+from wagtailtide_testing.standins import ledger
+from wagtailtide_testing.standins import platform
+
+MODEL_KEY = 'letters@1'
+MODEL_BYTES = 10_000_000_000
+
+
+class Deployment:
+    """Stand-ins and one instance, with a document for all of them."""
+
+    def __init__(self, engines=2, **engine_settings):
+        rng = random.Random(7)
+        self.key, entry = keys.make_key('clerk', rng)
+        self.other_key, other = keys.make_key('dealer', rng)
+        self.platform = platform.Platform()
+        self.ledger = ledger.Ledger(rng=rng)
+        self.engines = [
+            engine.Engine(
+                engine.EngineSettings(
+                    models=f'{MODEL_KEY}={MODEL_BYTES}',
+                    fetches_adapters=True,
+                    **engine_settings,
+                ),
+                rng=random.Random(index),
+            )
+            for index in range(engines)
+        ]
+        self.keys = {
+            'tiles': [_key_value(entry)],
+            'fans': [_key_value(other)],
+        }
+        self.addresses = {}
+        self.inst = None
+        self.version = None
+
+    def document(self, **changes):
+        servers = [
+            {
+                'name': name,
+                'kind': 'plain' if name == 'ledger' else 'engine',
+                'group': 'ledger' if name == 'ledger' else 'engines',
+                'address': address,
+                'zone': 'gulberg',
+                'memory_bytes': 0 if name == 'ledger' else 80_000_000_000,
+            }
+            for name, address in self.addresses.items()
+        ]
+        return {
+            'service': 'tiles',
+            'models': [
+                {
+                    'name': 'letters',
+                    'version': '1',
+                    'weights_bytes': MODEL_BYTES - 1,
+                    'kv_reserve_bytes': 1,
+                    'organisations': ['tiles'],
+                },
+                {
+                    'name': 'absent',
+                    'version': '1',
+                    'weights_bytes': 1,
+                    'kv_reserve_bytes': 1,
+                },
+            ],
+            'adapters': [
+                {'name': 'urdu', 'model': 'letters', 'bytes': 100_000_000}
+            ],
+            'organisations': [
+                {
+                    'name': name,
+                    'rate_tokens_per_s': 10_000,
+                    'burst_tokens': 100_000,
+                    'keys': held,
+                }
+                for name, held in self.keys.items()
+            ],
+            'routes': [
+                _route('/claims', ['GET'], idempotent=True),
+                _route('/issue', ['POST'], organisations=['tiles']),
+                _route('/public', ['GET'], open=True, idempotent=True),
+            ],
+            'backend_servers': servers,
+            **changes,
+        }
+
+    def publish(self, **changes):
+        value = json.dumps(self.document(**changes)).encode()
+        self.version = self.platform.objects.write(
+            'documents/tiles', value, self.version
+        )
+        self.platform.wake_watches()
+
+    @contextlib.asynccontextmanager
+    async def running(self, **limits):
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            apps = {
+                f'engine-{i}': engine.make_app(e)
+                for i, e in enumerate(self.engines)
+            }
+            apps['ledger'] = ledger.make_app(self.ledger)
+            for name, app in apps.items():
+                url = await enter(serving.serve(app))
+                self.addresses[name] = url.removeprefix('http://')
+            url = await enter(serving.serve(platform.make_app(self.platform)))
+            self.publish()
+            store = await enter(client.StoreClient(url, rng=random.Random(1)))
+            cfg = settings.parse(
+                {
+                    'name': 'a-1',
+                    'region': 'punjab',
+                    'zone': 'gulberg',
+                    'callers': '127.0.0.1:0',
+                    'admin': '127.0.0.1:0',
+                    'peers': '127.0.0.1:0',
+                    'platform': url,
+                    'limits': limits,
+                }
+            )
+            self.inst = instance.Instance(cfg, store, rng=random.Random(3))
+            group = await enter(anyio.create_task_group())
+            await group.start(self.inst.run)
+            caller = await enter(
+                httpx.AsyncClient(
+                    base_url=f'http://{self.inst.callers_address}',
+                    timeout=60,
+                    trust_env=False,
+                )
+            )
+            await self.wait_until(self._is_ready)
+            yield caller
+            group.cancel_scope.cancel()
+
+    def _is_ready(self):
+        servers = self.inst.dispatcher.table.servers
+        return (
+            self.inst.plane.caught_up
+            and servers
+            and all(
+                state.boot_id
+                for name, state in servers.items()
+                if name != 'ledger'
+            )
+        )
+
+    async def wait_until(self, condition):
+        with anyio.fail_after(30):
+            while True:
+                if condition():
+                    return
+                await anyio.sleep(0.05)
+
+    def auth(self, key=None):
+        return {'Authorization': f'Bearer {key or self.key}'}
+
+    def seen_by_backend_servers(self):
+        recorders = [e.recorder for e in self.engines]
+        recorders.append(self.ledger.recorder)
+        return [req for r in recorders for req in r.requests]
+
+
+def _key_value(entry):
+    return {'id': entry.id, 'salt': entry.salt, 'hash': entry.hash}
+
+
+def _route(path, methods, **fields):
+    return {'path': path, 'methods': methods, 'backend': 'ledger', **fields}
+
+
+def completion(prompt='write a letter', **fields):
+    return {
+        'model': 'letters:urdu',
+        'prompt': prompt,
+        'max_tokens': 20,
+        'stream': True,
+        **fields,
+    }
+
+
+def events_of(text):
+    """Return the data of each event and the texts joined."""
+    data = [
+        line.removeprefix('data: ')
+        for line in text.splitlines()
+        if line.startswith('data: ')
+    ]
+    values = [json.loads(d) for d in data if d != '[DONE]']
+    joined = ''.join(
+        choice['text'] for v in values for choice in v.get('choices', ())
+    )
+    return data, joined
