--- a/packages/server/src/wagtailtide_server/http/passthrough.py
+++ b/packages/server/src/wagtailtide_server/http/passthrough.py
@@ -9,7 +9,7 @@
 from wagtailtide_core.quarantine import crashes
 from wagtailtide_core.routing import choose
 
-from wagtailtide_server import claims_local
+from wagtailtide_server.claims import service
 from wagtailtide_server.http import access as accesses
 from wagtailtide_server.http import checks
 from wagtailtide_server.upstream import dispatch
@@ -19,7 +19,7 @@
 
 LOG = logging.getLogger(__name__)
 
-_Kind = claims_local.ClaimResultKind
+_Kind = service.AnswerKind
 
 
 async def serve(inst, exchange, route):
@@ -173,12 +173,12 @@
             answer = await _run_within(inst, plain_call, deadline_at)
         except kinds.ServingError as exc:
             if exc.fate is kinds.Fate.NOT_RUN:
-                await inst.claims.release(result.claim)
+                inst.claims.release(result.holding)
             else:
-                await inst.claims.record(result.claim, None)
+                inst.claims.record_unknown(result.holding)
             raise
         except BaseException:
-            await inst.claims.record(result.claim, None)
+            inst.claims.record_unknown(result.holding)
             raise
         outcome = claims_model.Outcome(
             answer.status,
@@ -189,7 +189,7 @@
             ),
             answer.body,
         )
-        await inst.claims.record(result.claim, outcome)
+        await inst.claims.record(result.holding, outcome)
     return answer
 
 
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import logging
+import random
 import signal
 import socket
 
@@ -13,11 +14,11 @@
 from wagtailtide_core.errors import kinds
 from wagtailtide_core.invariants import checks
 
-from wagtailtide_server import claims_local
 from wagtailtide_server import metrics
 from wagtailtide_server import plane_local
 from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
+from wagtailtide_server.claims import service as claims_service
 from wagtailtide_server.http import admin
 from wagtailtide_server.http import app
 from wagtailtide_server.upstream import dispatch
@@ -32,6 +33,10 @@
 # The longest that a request may run on after a stop was ordered.
 DRAIN_LIMIT_S = 600.0
 
+# Outcomes that the store does not take within this time are lost with the
+# process; their claims are then answered as unknown.
+RECORD_LIMIT_S = 5.0
+
 # The kernel gives a connection up when its peer has taken nothing for this
 # long: the HTTP server writes without a timeout of its own.
 WRITE_TIMEOUT_MS = 30_000
@@ -88,7 +93,15 @@
             settings, store, self.invariants
         )
         self.shares = rates_local.LocalShares(self.plane)
-        self.claims = claims_local.LocalClaims()
+        self.claims = claims_service.ClaimService(
+            store=store,
+            peers=self.plane.peers,
+            coordinator_of=self.plane.coordinator_of,
+            instance=settings.name,
+            boot=lambda: self.plane.boot,
+            invariants=self.invariants,
+            rng=random.SystemRandom(),
+        )
         self.dispatcher = dispatch.Dispatcher(
             settings.name, self.invariants, self.metrics, rng
         )
@@ -109,6 +122,7 @@
             await background.start(self.plane.run)
             background.start_soon(self._follow_catalog)
             background.start_soon(self._poll_reports)
+            background.start_soon(self.claims.run)
             async with anyio.create_task_group() as servers:
                 self.admin_address = await servers.start(
                     _serve_http, admin.make_app(self), self.settings.admin
@@ -162,6 +176,8 @@
                 'requests outlast the stop',
                 extra={'open_requests': self.open_requests},
             )
+        with anyio.move_on_after(RECORD_LIMIT_S):
+            await self.claims.record_pending()
         leave = getattr(self.plane, 'leave', None)
         if leave is not None:
             await leave()
--- a/packages/server/src/wagtailtide_server/plane_local.py
+++ b/packages/server/src/wagtailtide_server/plane_local.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import logging
+import secrets
 
 import anyio
 import json5
@@ -34,6 +35,14 @@
         self.catalog = catalog.EMPTY
 
 
+class _NoPeers:
+    async def call(self, name, _op, _body, _timeout_s):
+        raise LookupError(f'no link to {name}')
+
+    def register(self, _op, _handler):
+        pass
+
+
 class LocalPlane:
     """Documents of the store, read each second."""
 
@@ -41,6 +50,11 @@
         self._store = store
         self._confirmed_at = None
         self.config = _Config()
+        self.peers = _NoPeers()
+        self.boot = secrets.randbits(48)
+
+    def coordinator_of(self, _partition):
+        """Return None: no other instance is known."""
 
     @property
     def caught_up(self):
