--- /dev/null
+++ b/packages/core/src/wagtailtide_core/membership/view.py
@@ -0,0 +1,181 @@
+"""Members of the fleet as one instance sees them."""
+
+import dataclasses
+import enum
+
+SUSPICION_S = 3.0
+REMOVE_AFTER_S = 60.0
+
+
+class State(enum.IntEnum):
+    """States of a member; of one incarnation the higher one wins."""
+
+    LIVE = 0
+    LEAVING = 1
+    SUSPECT = 2
+    FAILED = 3
+    LEFT = 4
+
+
+PRESENT = frozenset((State.LIVE, State.LEAVING, State.SUSPECT))
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """What is known of a member.
+
+    Attributes:
+        name: Name of the instance.
+        address: ``ip:port`` for peers.
+        zone: Availability zone.
+        region: Region.
+        incarnation: Number that the member raises to refute a suspicion.
+        state: State.
+    """
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    incarnation: int
+    state: State = State.LIVE
+
+    @property
+    def order(self):
+        """Order in which statements about a member override each other."""
+        return (self.incarnation, int(self.state))
+
+    @property
+    def present(self):
+        """Whether it gets links."""
+        return self.state in PRESENT
+
+
+@dataclasses.dataclass
+class _Entry:
+    member: Member
+    since: float
+
+
+class MemberView:
+    """Merge of all statements about members, including this one.
+
+    Attributes:
+        me: This instance's own member.
+    """
+
+    def __init__(self, me, now):
+        self.me = me
+        self._entries = {me.name: _Entry(me, now)}
+        self._listed = None
+
+    def __iter__(self):
+        return iter([entry.member for entry in self._entries.values()])
+
+    def get(self, name):
+        """Return a member, or None."""
+        entry = self._entries.get(name)
+        return entry.member if entry else None
+
+    def peers(self):
+        """Return the other members that get links, by name."""
+        return {
+            member.name: member
+            for member in self
+            if member.present and member.name != self.me.name
+        }
+
+    def live(self):
+        """Return the live members, this one included, by name."""
+        return {m.name: m for m in self if m.state == State.LIVE}
+
+    def failed(self):
+        """Return the failed members."""
+        return [m for m in self if m.state == State.FAILED]
+
+    def zones(self):
+        """Return the zones that have members which have not left.
+
+        Failed members count: one that is only cut off may still reach the
+        store, which matters to the trust in keys.
+        """
+        return {m.zone for m in self if m.state != State.LEFT}
+
+    def merge(self, member, now, age_s=0.0):
+        """Take over a statement if it overrides what is known.
+
+        Args:
+            member: Statement about a member.
+            now: Current time in seconds.
+            age_s: Age of the statement in seconds.
+
+        Returns:
+            Whether it was taken over. A statement against this instance is
+            refuted instead; the caller spreads `me`.
+        """
+        if member.name == self.me.name:
+            return self._refute(member, now)
+        entry = self._entries.get(member.name)
+        if entry is None and not member.present and age_s >= REMOVE_AFTER_S:
+            # Removed here already; not to be brought back by a slower peer.
+            return False
+        if entry is not None and member.order <= entry.member.order:
+            return False
+        self._entries[member.name] = _Entry(member, now - age_s)
+        return True
+
+    def suspect(self, name, now):
+        """Mark a live member as suspect; return the member or None."""
+        return self._advance(name, State.SUSPECT, now)
+
+    def set_own_state(self, state, now):
+        """Change this instance's state, for example to LEAVING."""
+        self.me = dataclasses.replace(self.me, state=state)
+        self._entries[self.me.name] = _Entry(self.me, now)
+
+    def tick(self, now):
+        """Mark suspects as failed, and remove members gone for long.
+
+        Returns:
+            Members whose state changed.
+        """
+        changed = []
+        for entry in list(self._entries.values()):
+            member, age_s = entry.member, now - entry.since
+            if member.state == State.SUSPECT and age_s >= SUSPICION_S:
+                changed.append(self._advance(member.name, State.FAILED, now))
+            elif self._gone(member) and age_s >= REMOVE_AFTER_S:
+                del self._entries[member.name]
+        return changed
+
+    def set_list(self, listed_names):
+        """Take the names of a list that was just read."""
+        self._listed = frozenset(listed_names)
+
+    def forget_list(self):
+        """Record that the list cannot be read; nothing is removed by it."""
+        self._listed = None
+
+    def _gone(self, member):
+        if member.state == State.LEFT:
+            return True
+        if member.state != State.FAILED or self._listed is None:
+            return False
+        return member.name not in self._listed
+
+    def _advance(self, name, state, now):
+        entry = self._entries.get(name)
+        if entry is None or entry.member.state >= state:
+            return None
+        entry.member = dataclasses.replace(entry.member, state=state)
+        entry.since = now
+        return entry.member
+
+    def _refute(self, member, now):
+        if member.order <= self.me.order:
+            return False
+        self.me = dataclasses.replace(
+            self.me, incarnation=member.incarnation + 1
+        )
+        self._entries[self.me.name] = _Entry(self.me, now)
+        return True
