--- a/packages/core/src/wagtailtide_core/document/schema.py
+++ b/packages/core/src/wagtailtide_core/document/schema.py
@@ -13,7 +13,8 @@
 
 Name = pydantic.constr(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')
 PositiveInt = pydantic.conint(gt=0)
-PositiveFloat = pydantic.confloat(gt=0)
+# Infinity would lift a rate limit or a horizon without anyone noticing.
+PositiveFloat = pydantic.confloat(gt=0, allow_inf_nan=False)
 Path = pydantic.constr(pattern=r'^/[\x21-\x7e]{0,255}$')
 
 
@@ -267,6 +268,8 @@
 
     Attributes:
         service: Name of the service; the object's key ends with it.
+        zones: Availability zones that backend servers may name; empty means
+            that zones are not checked.
         models: Models offered.
         adapters: Adapters offered.
         organisations: Tenants.
@@ -286,3 +289,4 @@
     targets: Targets = Targets()
     weight_store: WeightStore = WeightStore()
     limits: Limits = Limits()
+    zones: tuple[Name, ...] = ()
