Add admission with classes, fair shares and deadlines

Cause: an instance had no queue; a flood of one organisation or of batch work took every place, and requests waited past their deadline.

--- /dev/null
+++ b/packages/core/src/wagtailtide_core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests: classes, fair shares and deadlines."""
