--- a/packages/core/src/wagtailtide_core/admission/fair_share.py
+++ b/packages/core/src/wagtailtide_core/admission/fair_share.py
@@ -97,7 +97,9 @@
             del running[organisation]
             if not running:
                 del self._in_service[pool]
-        if organisation in self._waiting_anywhere:
+        others_wait = len(self._waiting_anywhere) > 1
+        # Refunds from a time alone would put a newcomer at a disadvantage.
+        if organisation in self._waiting_anywhere and others_wait:
             deficit = self._deficits.get(organisation, 0.0)
             refund = max(estimated - actual, 0.0)
             self._deficits[organisation] = deficit + refund
