--- a/packages/core/src/wagtailtide_core/quarantine/crashes.py
+++ b/packages/core/src/wagtailtide_core/quarantine/crashes.py
@@ -129,7 +129,11 @@
         for mark, broken_at in self._broken.pop(server, {}).items():
             if now - broken_at <= BROKEN_ATTRIBUTION_S:
                 marks.add(mark)
-        return tuple(self._add(mark, {crash}, now) for mark in sorted(marks))
+        return tuple(
+            self._add(mark, {crash}, now)
+            for mark in sorted(marks)
+            if crash not in self.crashes_of(mark, now)
+        )
 
     def merge(self, mark, crashes, now):
         """Merge crashes that another instance saw.
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -45,6 +45,7 @@
         }
         self.addresses = {}
         self.inst = None
+        self.stopped = anyio.Event()
         self.version = None
 
     def document(self, **changes):
@@ -133,7 +134,7 @@
             )
             self.inst = instance.Instance(cfg, store, rng=random.Random(3))
             group = await enter(anyio.create_task_group())
-            await group.start(self.inst.run)
+            await group.start(self._run)
             caller = await enter(
                 httpx.AsyncClient(
                     base_url=f'http://{self.inst.callers_address}',
@@ -148,6 +149,17 @@
         if violated:
             raise AssertionError(f'invariants were violated: {violated}')
 
+    async def _run(self, task_status):
+        async with anyio.create_task_group() as group:
+            await group.start(self.inst.handle_signals)
+            await self.inst.run(task_status=task_status)
+            group.cancel_scope.cancel()
+        self.stopped.set()
+
+    async def ask_admin(self, path):
+        async with httpx.AsyncClient(trust_env=False) as admin:
+            return await admin.get(f'http://{self.inst.admin_address}{path}')
+
     def _is_ready(self):
         servers = self.inst.dispatcher.table.servers
         return (
