Bound what one failing or slow request can use

An engine that is full refuses a new request at once instead of after every retry; servers that failed are tried again after a jittered backoff; a body that does not arrive ends after 60 s; a stream without a usage report is charged for the prompt and the tokens that were delivered. An address that is in use ends the program with exit status 2 and one message.

--- a/packages/server/src/wagtailtide_server/http/completions.py
+++ b/packages/server/src/wagtailtide_server/http/completions.py
@@ -229,6 +229,7 @@
         self._access = access
         self._priority = priority
         self._arrived_at = arrived_at
+        self._prompt_tokens = req.tokens - req.max_tokens
         self._last_at = None
         self._error = None
         make = answers.StreamedAnswer if req.stream else answers.WholeAnswer
@@ -262,7 +263,7 @@
         if stream.usage is not None:
             true = stream.usage.get('total_tokens', 0)
         elif self._exchange.history.may_have_run:
-            true = charge.tokens
+            true = self._prompt_tokens + stream.next_offset
         self._inst.shares.settle(charge, true, anyio.current_time())
 
     async def _emit(self, value):
--- a/packages/server/src/wagtailtide_server/http/exchange.py
+++ b/packages/server/src/wagtailtide_server/http/exchange.py
@@ -10,6 +10,9 @@
 # can see the response instead of a reset connection.
 LINGER_S = 1.0
 
+# Bounds how long a caller can hold a request open without sending it.
+BODY_TIMEOUT_S = 60.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Head:
@@ -97,9 +100,8 @@
         while True:
             message = await self._receive()
             if message['type'] == 'http.disconnect':
-                self._body_read.set()
-                self._received.set()
                 self.disconnected.set()
+                self._body_read.set()
                 return
             self._size += len(message.get('body', b''))
             if self._size <= self._max_body_bytes:
@@ -115,14 +117,17 @@
         """Return the whole body.
 
         Raises:
-            ServingError: If it is too long.
+            ServingError: If it is too long or does not arrive.
         """
         declared = self.head.header(b'content-length') or '0'
         if declared.isdigit() and len(declared) > 18:
             declared = '9' * 18
         too_long = declared.isdigit() and int(declared) > self._max_body_bytes
         if not too_long:
-            await self._body_read.wait()
+            with anyio.move_on_after(BODY_TIMEOUT_S) as scope:
+                await self._body_read.wait()
+            if scope.cancelled_caught or not self._received.is_set():
+                self._check_arrived()
         if too_long or self._size > self._max_body_bytes:
             await self._linger()
             raise kinds.ServingError(
@@ -132,6 +137,14 @@
             )
         return b''.join(self._parts)
 
+    def _check_arrived(self):
+        if self._size <= self._max_body_bytes:
+            raise kinds.ServingError(
+                kinds.ErrorKind.MALFORMED_REQUEST,
+                f'expected the whole body within {BODY_TIMEOUT_S:g} s, got '
+                'a part of it; send the request again',
+            )
+
     async def _linger(self):
         with anyio.move_on_after(LINGER_S):
             await self._received.wait()
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -18,6 +18,7 @@
 from wagtailtide_server import plane_local
 from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
+from wagtailtide_server import settings as settings_module
 from wagtailtide_server.claims import service as claims_service
 from wagtailtide_server.http import admin
 from wagtailtide_server.http import app
@@ -287,6 +288,7 @@
 ):
     cfg = _HttpConfig()
     cfg.bind = [address]
+    _check_free(address)
     async with anyio.create_task_group() as group:
         binds = await group.start(
             functools.partial(hypercorn_trio.serve, mode='asgi'),
@@ -294,3 +296,20 @@
             cfg,
         )
         task_status.started(binds[0].removeprefix('http://'))
+
+
+def _check_free(address):
+    host, _, port = address.rpartition(':')
+    family = socket.AF_INET6 if '[' in host else socket.AF_INET
+    try:
+        socket.create_server(
+            (host.strip('[]'), int(port)), family=family
+        ).close()
+    except OSError as exc:
+        raise settings_module.SettingsError(
+            [
+                f'{address}: expected an address of this machine that is '
+                f'free, got: {exc.strerror}; change the address or stop what '
+                'uses it'
+            ]
+        ) from exc
--- a/packages/server/src/wagtailtide_server/logs.py
+++ b/packages/server/src/wagtailtide_server/logs.py
@@ -14,7 +14,12 @@
 }
 
 # These log a line for each request or connection at level info.
-QUIET_LOGGERS = ('httpcore', 'httpx', 'hypercorn.access', 'websockets')
+QUIET_LOGGERS = (
+    'httpcore',
+    'httpx',
+    'wagtailtide_server.hypercorn',
+    'websockets',
+)
 
 
 def set_up(level, instance, stream=None):
--- a/packages/server/src/wagtailtide_server/main.py
+++ b/packages/server/src/wagtailtide_server/main.py
@@ -55,12 +55,20 @@
     args = cappa.parse(Arguments, argv=argv, version=version)
     try:
         settings = settings_module.load(args.settings)
-    except settings_module.SettingsError as exc:
-        for problem in exc.problems:
+        logs.set_up(settings_module.logging_level(settings), settings.name)
+        anyio.run(run, settings, backend='trio')
+    except* settings_module.SettingsError as group:
+        for problem in _problems(group):
             sys.stderr.write(problem + '\n')
         sys.exit(EXIT_BAD_SETTINGS)
-    logs.set_up(settings_module.logging_level(settings), settings.name)
-    anyio.run(run, settings, backend='trio')
+
+
+def _problems(group):
+    for exc in group.exceptions:
+        if isinstance(exc, settings_module.SettingsError):
+            yield from exc.problems
+        else:
+            yield from _problems(exc)
 
 
 if __name__ == '__main__':
--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -116,6 +116,10 @@
             route = dataclasses.replace(route, occupied=occupied)
         return choose.choose_server(route, self.table, now, self._rng)
 
+    def jitter(self, longest_s):
+        """Return a random delay of at most the given seconds."""
+        return self._rng.uniform(0.0, longest_s)
+
     @contextlib.asynccontextmanager
     async def open(self, name, call, attempt):
         """Make one attempt at a server and give its Response.
@@ -193,6 +197,8 @@
 
     def _learn(self, name, state, call, exc):
         now = anyio.current_time()
+        if self.table.servers.get(name) is not state:
+            return
         if exc.kind in failures.NEVER_CONNECTED:
             state.breaker.record_failure(now)
         if exc.kind is failures.FailureKind.CONNECTION_REFUSED:
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -17,13 +17,17 @@
 # Engines send a comment each second, so three missed ones mean silence.
 SILENCE_S = 3.0
 RESUME_LIMIT = 5
-ATTEMPT_LIMIT = 12
+ATTEMPT_LIMIT = 6
 
 # A server that is restarting or a model that is being moved is usually back
 # within this time; a started stream is worth waiting for.
 WAIT_FOR_SERVER_S = 10.0
 POLL_S = 0.1
 
+# Wait before servers that failed are tried again, doubled each time.
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True)
 class ModelCall:
@@ -66,6 +70,7 @@
         self._tried = set()
         self._attempts = 0
         self._resumes = 0
+        self._failure = None
         self._last = None
         self.next_offset = 0
         self.usage = None
@@ -98,10 +103,8 @@
         while True:
             chosen = self._dispatcher.choose(call, self._tried)
             if isinstance(chosen, choose.NoServer) and self._tried:
-                # A connection may have been silent or broken although the
-                # server works; try those servers again.
-                self._tried.clear()
-                chosen = self._dispatcher.choose(call)
+                await self._back_off()
+                continue
             if isinstance(chosen, choose.Choice):
                 return chosen.server
             started = self.next_offset > 0 or self._attempts > 0
@@ -109,6 +112,20 @@
                 raise self._no_server(chosen)
             await anyio.sleep(POLL_S)
 
+    async def _back_off(self):
+        """Let the servers that failed be tried again.
+
+        A connection may have been silent or broken although its server
+        works. A server that is full stays full for longer than a new request
+        should wait.
+        """
+        full = self._failure.refusal == 'over_capacity'
+        if full and self.next_offset == 0:
+            raise self._final_error(self._failure)
+        self._tried.clear()
+        longest_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._attempts)
+        await anyio.sleep(self._dispatcher.jitter(longest_s))
+
     def _no_server(self, none):
         fate = self._model_call.call.history.fate
         if self.next_offset > 0:
@@ -137,6 +154,7 @@
     def _decide(self, exc, progressed):
         """Return if the request goes on after a failure, else raise."""
         self._attempts += 1
+        self._failure = exc
         if progressed:
             self._resumes += 1
             if self._resumes > RESUME_LIMIT:
--- a/packages/server/tests/http/test_failures.py
+++ b/packages/server/tests/http/test_failures.py
@@ -134,6 +134,31 @@
         self.assertEqual(again.json()['error']['fate'], 'not_run')
         self.assertEqual(other.status_code, 200, other.text)
 
+    @virtual_time.run_in_virtual_time
+    async def test_full_engines_refuse_at_once_and_truly(self):
+        deployment = harness.Deployment(max_waiting=0, slots=1, token_s=0.5)
+        async with (
+            deployment.running() as caller,
+            anyio.create_task_group() as group,
+        ):
+            for _ in range(2):
+                group.start_soon(stream, deployment, caller)
+            await anyio.sleep(1)
+            resp = await stream(deployment, caller)
+        self.assertEqual(resp.status_code, 503, resp.text)
+        error = resp.json()['error']
+        self.assertEqual(error['kind'], 'overloaded')
+        self.assertEqual(error['fate'], 'not_run')
+        self.assertIn('retry-after', resp.headers)
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_caller_that_waits_gets_keep_alive_comments(self):
+        deployment = harness.Deployment(prefill_token_s=2.0)
+        async with deployment.running() as caller:
+            resp = await stream(deployment, caller)
+        self.check_whole(resp)
+        self.assertIn(': keep-alive', resp.text)
+
     @virtual_time.run_in_virtual_time
     async def test_a_caller_that_leaves_cancels_its_request(self):
         deployment = harness.Deployment(token_s=0.25, engines=1)
--- a/packages/server/tests/test_settings.py
+++ b/packages/server/tests/test_settings.py
@@ -2,6 +2,7 @@
 import io
 import json
 import pathlib
+import socket
 import tempfile
 import unittest
 
@@ -104,6 +105,14 @@
         self.assertEqual(status, 2)
         self.assertIn('expected a readable settings file', err)
 
+    def test_an_address_in_use_ends_the_program(self):
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            address = f'127.0.0.1:{taken.getsockname()[1]}'
+            self.path.write_text(json.dumps({**GOOD, 'admin': address}))
+            status, err = run_main('--settings', str(self.path))
+        self.assertEqual(status, 2)
+        self.assertIn(f'{address}: expected an address', err)
+
     def test_two_problems_give_two_messages(self):
         value = {**GOOD, 'zone': 7, 'log_level': 'loud'}
         self.path.write_text(json.dumps(value))
