Split the largest modules by concern

Moves without a change of behaviour: what a failed attempt means for the caller (upstream/verdicts), parsing of model requests (http/model_requests), the HTTP server (http/serving) and the mapping of client exceptions (upstream/failures).

--- a/packages/server/src/wagtailtide_server/http/app.py
+++ b/packages/server/src/wagtailtide_server/http/app.py
@@ -12,6 +12,7 @@
 from wagtailtide_server.http import completions
 from wagtailtide_server.http import errors
 from wagtailtide_server.http import exchange as exchanges
+from wagtailtide_server.http import model_requests
 from wagtailtide_server.http import passthrough
 
 LOG = logging.getLogger(__name__)
@@ -84,7 +85,7 @@
     checks.check_head(head)
     exchange.request_id = checks.read_request_id(head) or exchange.request_id
     inst.check_admits()
-    if head.path in completions.PATHS:
+    if head.path in model_requests.PATHS:
         _check_method(head, 'POST')
         await completions.serve(inst, exchange)
         return 'model'
--- a/packages/server/src/wagtailtide_server/http/passthrough.py
+++ b/packages/server/src/wagtailtide_server/http/passthrough.py
@@ -15,7 +15,7 @@
 from wagtailtide_server.upstream import dispatch
 from wagtailtide_server.upstream import headers
 from wagtailtide_server.upstream import plain
-from wagtailtide_server.upstream import streams
+from wagtailtide_server.upstream import verdicts
 
 LOG = logging.getLogger(__name__)
 
@@ -48,7 +48,7 @@
     catalog = inst.plane.config.catalog
     checks.check_key_places_in_body(head, body, access.presented, catalog)
     call = _make_call(inst, exchange, access, route, body)
-    streams.check_quarantine(inst.dispatcher, call)
+    verdicts.check_quarantine(inst.dispatcher, call)
     if not route.open:
         inst.check_organisation(access, route.organisations)
     deadline_ms = wishes.deadline_ms or route.deadline_ms
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -1,15 +1,11 @@
 """State of one instance and its tasks."""
 
 import contextlib
-import functools
 import logging
 import random
 import signal
-import socket
 
 import anyio
-from hypercorn import config as hypercorn_config
-from hypercorn import trio as hypercorn_trio
 from wagtailtide_core.document import schema
 from wagtailtide_core.errors import kinds
 from wagtailtide_core.invariants import checks
@@ -18,10 +14,10 @@
 from wagtailtide_server import plane_local
 from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
-from wagtailtide_server import settings as settings_module
 from wagtailtide_server.claims import service as claims_service
 from wagtailtide_server.http import admin
 from wagtailtide_server.http import app
+from wagtailtide_server.http import serving
 from wagtailtide_server.upstream import dispatch
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import reports
@@ -38,34 +34,6 @@
 # process; their claims are then answered as unknown.
 RECORD_LIMIT_S = 5.0
 
-# The kernel gives a connection up when its peer has taken nothing for this
-# long: the HTTP server writes without a timeout of its own.
-WRITE_TIMEOUT_MS = 30_000
-
-
-class _HttpConfig(hypercorn_config.Config):
-    """Hypercorn's settings with a write timeout on its sockets."""
-
-    include_server_header = False
-    include_date_header = False
-    keep_alive_timeout = 75.0
-    graceful_timeout = 1.0
-    h11_max_incomplete_size = 32_768
-    accesslog = None
-    errorlog = logging.getLogger('wagtailtide_server.hypercorn')
-
-    def create_sockets(self):
-        """Create the listening sockets; accepted ones inherit options."""
-        sockets = super().create_sockets()
-        for sock in sockets.insecure_sockets:
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                WRITE_TIMEOUT_MS,
-            )
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sockets
-
 
 class Instance:
     """One instance.
@@ -126,10 +94,10 @@
             background.start_soon(self.claims.run)
             async with anyio.create_task_group() as servers:
                 self.admin_address = await servers.start(
-                    _serve_http, admin.make_app(self), self.settings.admin
+                    serving.serve, admin.make_app(self), self.settings.admin
                 )
                 self.callers_address = await servers.start(
-                    _serve_http, app.make_app(self), self.settings.callers
+                    serving.serve, app.make_app(self), self.settings.callers
                 )
                 LOG.info(
                     'instance started',
@@ -281,35 +249,3 @@
             )
             return
         self.dispatcher.record_report(name, report)
-
-
-async def _serve_http(
-    application, address, task_status=anyio.TASK_STATUS_IGNORED
-):
-    cfg = _HttpConfig()
-    cfg.bind = [address]
-    _check_free(address)
-    async with anyio.create_task_group() as group:
-        binds = await group.start(
-            functools.partial(hypercorn_trio.serve, mode='asgi'),
-            application,
-            cfg,
-        )
-        task_status.started(binds[0].removeprefix('http://'))
-
-
-def _check_free(address):
-    host, _, port = address.rpartition(':')
-    family = socket.AF_INET6 if '[' in host else socket.AF_INET
-    try:
-        socket.create_server(
-            (host.strip('[]'), int(port)), family=family
-        ).close()
-    except OSError as exc:
-        raise settings_module.SettingsError(
-            [
-                f'{address}: expected an address of this machine that is '
-                f'free, got: {exc.strerror}; change the address or stop what '
-                'uses it'
-            ]
-        ) from exc
--- a/packages/server/src/wagtailtide_server/upstream/client.py
+++ b/packages/server/src/wagtailtide_server/upstream/client.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import errno
 import json
 import re
 
@@ -88,7 +87,7 @@
         """
         if self._state.chunks is None:
             self._state.chunks = aiter(self._response.stream)
-        with _mapped_errors(self._state):
+        with failures.mapped_errors(self._state):
             return await anext(self._state.chunks, None)
 
     async def read_whole(self, limit_bytes=MAX_ANSWER_BYTES):
@@ -144,43 +143,6 @@
     chunks: object = None
 
 
-def _was_refused(exc):
-    seen = set()
-    pending = [exc]
-    while pending:
-        exc = pending.pop()
-        if exc is None or id(exc) in seen:
-            continue
-        seen.add(id(exc))
-        if getattr(exc, 'errno', None) == errno.ECONNREFUSED:
-            return True
-        pending += [exc.__cause__, exc.__context__]
-        pending += getattr(exc, 'exceptions', ())
-    return False
-
-
-@contextlib.contextmanager
-def _mapped_errors(state):
-    kind = failures.FailureKind
-    try:
-        yield
-    except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
-        refused = _was_refused(exc)
-        failed = kind.CONNECTION_REFUSED if refused else kind.CONNECT_FAILED
-        raise _failure(failed, state, exc) from exc
-    except (httpx.ReadTimeout, httpx.WriteTimeout) as exc:
-        raise _failure(kind.SILENT, state, exc) from exc
-    except httpx.TransportError as exc:
-        raise _failure(kind.BROKEN, state, exc) from exc
-
-
-def _failure(kind, state, exc):
-    detail = str(exc) or type(exc).__name__
-    return failures.AttemptError(
-        kind, fate.fate_of_failure(state.progress), detail
-    )
-
-
 class Client:
     """Connections to backend servers.
 
@@ -230,7 +192,7 @@
             state.progress = max(state.progress, reached)
 
         transport = self._fresh if attempt.fresh else self._pooled
-        with _mapped_errors(state):
+        with failures.mapped_errors(state):
             response = await transport.handle_async_request(
                 _build_request(attempt, trace)
             )
--- a/packages/server/src/wagtailtide_server/upstream/failures.py
+++ b/packages/server/src/wagtailtide_server/upstream/failures.py
@@ -1,6 +1,11 @@
 """How an attempt at a backend server can fail."""
 
+import contextlib
 import enum
+import errno
+
+import httpx
+from wagtailtide_core.retries import fate as fates
 
 
 class FailureKind(enum.StrEnum):
@@ -38,3 +43,43 @@
         self.detail = detail
         self.refusal = refusal
         self.status = status
+
+
+def _was_refused(exc):
+    seen = set()
+    pending = [exc]
+    while pending:
+        exc = pending.pop()
+        if exc is None or id(exc) in seen:
+            continue
+        seen.add(id(exc))
+        if getattr(exc, 'errno', None) == errno.ECONNREFUSED:
+            return True
+        pending += [exc.__cause__, exc.__context__]
+        pending += getattr(exc, 'exceptions', ())
+    return False
+
+
+@contextlib.contextmanager
+def mapped_errors(state):
+    """Turn exceptions of the HTTP client into AttemptErrors.
+
+    Args:
+        state: Object with the attempt's ``progress``.
+    """
+    kind = FailureKind
+    try:
+        yield
+    except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+        refused = _was_refused(exc)
+        failed = kind.CONNECTION_REFUSED if refused else kind.CONNECT_FAILED
+        raise _failure(failed, state, exc) from exc
+    except (httpx.ReadTimeout, httpx.WriteTimeout) as exc:
+        raise _failure(kind.SILENT, state, exc) from exc
+    except httpx.TransportError as exc:
+        raise _failure(kind.BROKEN, state, exc) from exc
+
+
+def _failure(kind, state, exc):
+    detail = str(exc) or type(exc).__name__
+    return AttemptError(kind, fates.fate_of_failure(state.progress), detail)
--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -11,7 +11,7 @@
 from wagtailtide_server.upstream import dispatch
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import headers
-from wagtailtide_server.upstream import streams
+from wagtailtide_server.upstream import verdicts
 
 # A call that has not been answered for this long is checked on with a probe
 # on a new connection.
@@ -68,7 +68,7 @@
         """
         call = self._plain_call.call
         while True:
-            streams.check_quarantine(self._dispatcher, call)
+            verdicts.check_quarantine(self._dispatcher, call)
             name = self._choose()
             try:
                 answer = await self._attempt_with_probe(name)
@@ -130,7 +130,7 @@
                 'have taken effect; look up its effect before sending it '
                 'again',
             )
-        raise streams.error_of_failure(exc, known)
+        raise verdicts.error_of_failure(exc, known)
 
     async def _attempt_with_probe(self, name):
         """Make an attempt and check on a silent one.
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -5,7 +5,6 @@
 
 import anyio
 from wagtailtide_core.errors import kinds
-from wagtailtide_core.quarantine import crashes
 from wagtailtide_core.routing import choose
 
 from wagtailtide_server.upstream import client
@@ -13,6 +12,7 @@
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import headers
 from wagtailtide_server.upstream import sse
+from wagtailtide_server.upstream import verdicts
 
 # Engines send a comment each second, so three missed ones mean silence.
 SILENCE_S = 3.0
@@ -98,7 +98,7 @@
 
     async def _choose(self):
         call = self._model_call.call
-        check_quarantine(self._dispatcher, call)
+        verdicts.check_quarantine(self._dispatcher, call)
         waited_until = anyio.current_time() + WAIT_FOR_SERVER_S
         while True:
             chosen = self._dispatcher.choose(call, self._tried)
@@ -161,7 +161,7 @@
                 raise self._final_error(exc)
             self._metrics.retries.labels('resume').inc()
             return
-        if _is_callers_fault(exc):
+        if verdicts.is_callers_fault(exc):
             raise kinds.ServingError(
                 kinds.ErrorKind.MALFORMED_REQUEST,
                 f'the model engine refused the request: {exc.detail}',
@@ -185,7 +185,8 @@
                 f'the stream broke ({exc.detail}) and the resume limit is '
                 'reached; send the request again',
             )
-        return error_of_failure(exc, self._model_call.call.history.fate)
+        fate = self._model_call.call.history.fate
+        return verdicts.error_of_failure(exc, fate)
 
     async def _attempt(self, name):
         request_id = dispatch.make_request_id()
@@ -218,7 +219,7 @@
             try:
                 events = parser.feed(chunk)
             except sse.EventTooLongError as exc:
-                raise _wrong(str(exc)) from exc
+                raise verdicts.wrong_response(str(exc)) from exc
             for event in events:
                 if event.data == '[DONE]' and self._last is not None:
                     await self._emit(self._last)
@@ -235,17 +236,17 @@
         try:
             value = json.loads(event.data)
         except ValueError as exc:
-            raise _wrong('an event is not JSON') from exc
+            raise verdicts.wrong_response('an event is not JSON') from exc
         if not isinstance(value, dict):
-            raise _wrong('an event is not a JSON object')
+            raise verdicts.wrong_response('an event is not a JSON object')
         if 'error' in value:
-            raise _stated_error(value['error'])
+            raise verdicts.stated_error(value['error'])
         if value.get('id') != request_id:
-            raise _wrong(
+            raise verdicts.wrong_response(
                 f'expected events of {request_id}, got {value.get("id")!r}'
             )
         if value.get('offset') != self.next_offset:
-            raise _wrong(
+            raise verdicts.wrong_response(
                 f'expected offset {self.next_offset}, '
                 f'got {value.get("offset")!r}'
             )
@@ -267,69 +268,3 @@
             pass
     except failures.AttemptError:
         return
-
-
-def _wrong(detail):
-    return failures.AttemptError(
-        failures.FailureKind.WRONG_RESPONSE, kinds.Fate.UNKNOWN, detail
-    )
-
-
-def _stated_error(error):
-    error = error if isinstance(error, dict) else {}
-    return failures.AttemptError(
-        failures.FailureKind.ERROR_STATUS,
-        kinds.Fate.UNKNOWN,
-        str(error.get('message', 'the engine reported an error'))[:200],
-        refusal=str(error.get('kind')),
-    )
-
-
-def _is_callers_fault(exc):
-    return (
-        exc.kind is failures.FailureKind.ERROR_STATUS
-        and exc.status is not None
-        and 400 <= exc.status < 500
-        and exc.status not in (408, 409, 429)
-    )
-
-
-def check_quarantine(dispatcher, call):
-    """Refuse a request that has crashed too many servers.
-
-    Raises:
-        ServingError: If the request is quarantined.
-    """
-    now = anyio.current_time()
-    if dispatcher.crashes.verdict(call.mark, now) is crashes.Verdict.REFUSED:
-        known = sorted(dispatcher.crashes.crashes_of(call.mark, now))
-        listed = ', '.join(f'{c.server} ({c.boot_id})' for c in known)
-        raise kinds.ServingError(
-            kinds.ErrorKind.REQUEST_QUARANTINED,
-            f'this request ran on backend servers that crashed: {listed}; '
-            'do not send it again unchanged',
-            fate=call.history.fate,
-        )
-
-
-def error_of_failure(exc, fate):
-    """Return the caller's error for a request whose last attempt failed.
-
-    Args:
-        exc: The AttemptError.
-        fate: Fate of the request over all attempts.
-    """
-    kind = kinds.ErrorKind.BACKEND_SERVER_ERROR
-    if exc.kind is failures.FailureKind.SILENT:
-        kind = kinds.ErrorKind.BACKEND_SERVER_SILENT
-    elif exc.kind in failures.NEVER_CONNECTED:
-        kind = kinds.ErrorKind.NO_BACKEND_SERVER
-    elif exc.refusal == 'over_capacity':
-        kind = kinds.ErrorKind.OVERLOADED
-    retry_after_s = 1 if kind is kinds.ErrorKind.OVERLOADED else None
-    return kinds.ServingError(
-        kind,
-        f'the backend server failed: {exc.detail}; send the request again',
-        fate=fate,
-        retry_after_s=retry_after_s,
-    )
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/upstream/verdicts.py
@@ -0,0 +1,76 @@
+"""What failed attempts mean for a request and its caller."""
+
+import anyio
+from wagtailtide_core.errors import kinds
+from wagtailtide_core.quarantine import crashes
+
+from wagtailtide_server.upstream import failures
+
+
+def wrong_response(detail):
+    """Return the failure of a response that is not the expected one."""
+    return failures.AttemptError(
+        failures.FailureKind.WRONG_RESPONSE, kinds.Fate.UNKNOWN, detail
+    )
+
+
+def stated_error(error):
+    """Return the failure for an error that an engine sent as an event."""
+    error = error if isinstance(error, dict) else {}
+    return failures.AttemptError(
+        failures.FailureKind.ERROR_STATUS,
+        kinds.Fate.UNKNOWN,
+        str(error.get('message', 'the engine reported an error'))[:200],
+        refusal=str(error.get('kind')),
+    )
+
+
+def is_callers_fault(exc):
+    """Return whether a backend server refused the request as wrong."""
+    return (
+        exc.kind is failures.FailureKind.ERROR_STATUS
+        and exc.status is not None
+        and 400 <= exc.status < 500
+        and exc.status not in (408, 409, 429)
+    )
+
+
+def check_quarantine(dispatcher, call):
+    """Refuse a request that has crashed too many servers.
+
+    Raises:
+        ServingError: If the request is quarantined.
+    """
+    now = anyio.current_time()
+    if dispatcher.crashes.verdict(call.mark, now) is crashes.Verdict.REFUSED:
+        known = sorted(dispatcher.crashes.crashes_of(call.mark, now))
+        listed = ', '.join(f'{c.server} ({c.boot_id})' for c in known)
+        raise kinds.ServingError(
+            kinds.ErrorKind.REQUEST_QUARANTINED,
+            f'this request ran on backend servers that crashed: {listed}; '
+            'do not send it again unchanged',
+            fate=call.history.fate,
+        )
+
+
+def error_of_failure(exc, fate):
+    """Return the caller's error for a request whose last attempt failed.
+
+    Args:
+        exc: The AttemptError.
+        fate: Fate of the request over all attempts.
+    """
+    kind = kinds.ErrorKind.BACKEND_SERVER_ERROR
+    if exc.kind is failures.FailureKind.SILENT:
+        kind = kinds.ErrorKind.BACKEND_SERVER_SILENT
+    elif exc.kind in failures.NEVER_CONNECTED:
+        kind = kinds.ErrorKind.NO_BACKEND_SERVER
+    elif exc.refusal == 'over_capacity':
+        kind = kinds.ErrorKind.OVERLOADED
+    retry_after_s = 1 if kind is kinds.ErrorKind.OVERLOADED else None
+    return kinds.ServingError(
+        kind,
+        f'the backend server failed: {exc.detail}; send the request again',
+        fate=fate,
+        retry_after_s=retry_after_s,
+    )
