--- a/packages/core/src/wagtailtide_core/document/check.py
+++ b/packages/core/src/wagtailtide_core/document/check.py
@@ -20,8 +20,6 @@
     '/v1/chat/completions',
     '/v1/completions',
     '/v1/models',
-    '/healthz',
-    '/readyz',
 )
 # Loads from the weight store are limited under this name.
 INTERNAL_ORGANISATION = 'weight-store'
