Resume streams elsewhere when the grace of a planned stop is over

A server counts as stopping when it says so or when the platform lists it as leaving. An event is counted as delivered only after it was passed on, so ending an attempt while the caller is slow loses none. With the ending of streams removed, test_a_stream_that_outlasts_the_grace_is_resumed fails.

--- a/packages/core/src/wagtailtide_core/routing/table.py
+++ b/packages/core/src/wagtailtide_core/routing/table.py
@@ -18,7 +18,8 @@
         boot_id: Identifier of its current process, or None.
         draining: Whether it said itself that it is stopping.
         leaving: Whether the platform's list says that it is leaving.
-        listed: Whether the platform's list has it.
+        stopping_since: Monotonic time in seconds at which its stop was
+            first seen, or None.
         estimate: Its estimated load.
         breaker: Its circuit breaker.
     """
@@ -29,7 +30,7 @@
     boot_id: str | None = None
     draining: bool = False
     leaving: bool = False
-    listed: bool = True
+    stopping_since: float | None = None
     estimate: load.LoadEstimate = dataclasses.field(
         default_factory=load.LoadEstimate
     )
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -227,6 +227,11 @@
             if catalog is not self._catalog:
                 self._catalog = catalog
                 self.dispatcher.table.declare(catalog.backend_servers)
+            leaving = self.plane.leaving
+            for name, state in self.dispatcher.table.servers.items():
+                if state.leaving != (name in leaving):
+                    self.dispatcher.set_leaving(name, name in leaving)
+            self.dispatcher.move_streams()
             await anyio.sleep(CATALOG_POLL_S)
 
     async def _poll_reports(self):
--- a/packages/server/src/wagtailtide_server/plane_local.py
+++ b/packages/server/src/wagtailtide_server/plane_local.py
@@ -51,6 +51,7 @@
         self._confirmed_at = None
         self.config = _Config()
         self.peers = _NoPeers()
+        self.leaving = frozenset()
         self.boot = secrets.randbits(48)
 
     def coordinator_of(self, _partition):
@@ -77,6 +78,11 @@
                 listing = await self._store.list('documents/')
                 self._apply(listing)
                 self._confirmed_at = sent_at
+                self.leaving = frozenset(
+                    server.name
+                    for server in await self._store.backend_servers()
+                    if server.state == 'leaving'
+                )
             except client.StoreError as exc:
                 LOG.warning('store not read', extra={'error': str(exc)})
             await anyio.sleep(POLL_S)
--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -17,6 +17,7 @@
 
 from wagtailtide_server.upstream import client
 from wagtailtide_server.upstream import failures
+from wagtailtide_server.upstream import moves
 from wagtailtide_server.upstream import reports
 
 LOG = logging.getLogger(__name__)
@@ -81,6 +82,7 @@
         crashes: CrashLedger.
         budget: RetryBudget of the instance.
         client: Connections to backend servers.
+        moves: Streams that may have to leave their server.
         on_crash: Called with the CrashRecords that a crash changed.
         on_draining: Called with the name of a server that said it drains.
     """
@@ -95,6 +97,7 @@
         self.crashes = crashes.CrashLedger()
         self.budget = budget.RetryBudget()
         self.client = client.Client()
+        self.moves = moves.Moves()
         self.on_crash = lambda records: None
         self.on_draining = lambda name: None
 
@@ -213,13 +216,36 @@
         """Record whether a server says that it is stopping."""
         state = self.table.servers[name]
         state.draining = draining
-        self.crashes.record_stopping(name, state.stopping)
+        self._record_stopping(name, state)
 
     def set_leaving(self, name, leaving):
         """Record whether the platform lists a server as leaving."""
         state = self.table.servers[name]
         state.leaving = leaving
+        self._record_stopping(name, state)
+
+    def _record_stopping(self, name, state):
         self.crashes.record_stopping(name, state.stopping)
+        if not state.stopping:
+            state.stopping_since = None
+        elif state.stopping_since is None:
+            state.stopping_since = anyio.current_time()
+            LOG.info(
+                'backend server is being stopped',
+                extra={
+                    'backend_server': name,
+                    'draining': state.draining,
+                    'leaving': state.leaving,
+                },
+            )
+
+    def move_streams(self):
+        """End streams on servers whose grace is over; they are resumed."""
+        now = anyio.current_time()
+        for state in self.table.servers.values():
+            count = self.moves.move_off(state, now)
+            if count:
+                self._metrics.retries.labels('grace_over').inc(count)
 
     def record_crash(self, name, state):
         """Attribute the end of a server's process to what ran there."""
--- a/packages/server/src/wagtailtide_server/upstream/failures.py
+++ b/packages/server/src/wagtailtide_server/upstream/failures.py
@@ -18,6 +18,7 @@
     WRONG_RESPONSE = 'wrong_response'
     REFUSED = 'refused'
     ERROR_STATUS = 'error_status'
+    MOVED = 'moved'
 
 
 NEVER_CONNECTED = frozenset(
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -155,6 +155,8 @@
         """Return if the request goes on after a failure, else raise."""
         self._attempts += 1
         self._failure = exc
+        if exc.kind is failures.FailureKind.MOVED:
+            return
         if progressed:
             self._resumes += 1
             if self._resumes > RESUME_LIMIT:
@@ -207,10 +209,11 @@
             fresh=self._attempts > 0,
             silence_s=SILENCE_S,
         )
-        async with self._dispatcher.open(name, call, attempt) as response:
-            if response.status != 200:
-                raise await response.read_refusal()
-            await self._read_events(response, request_id)
+        with self._dispatcher.moves.movable(name):
+            async with self._dispatcher.open(name, call, attempt) as response:
+                if response.status != 200:
+                    raise await response.read_refusal()
+                await self._read_events(response, request_id)
 
     async def _read_events(self, response, request_id):
         self._last = None
@@ -256,8 +259,10 @@
             self.usage = value['usage']
             self._last = value
             return
-        self.next_offset += 1
+        # Counted after it was passed on: an attempt may be ended while the
+        # caller is slow to take the event.
         await self._emit(value)
+        self.next_offset += 1
 
 
 async def _finish(response):
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -44,6 +44,7 @@
             'fans': [_key_value(other)],
         }
         self.addresses = {}
+        self.stop = {}
         self.inst = None
         self.stopped = anyio.Event()
         self.version = None
@@ -56,6 +57,7 @@
                 'group': 'ledger' if name == 'ledger' else 'engines',
                 'address': address,
                 'zone': 'gulberg',
+                'stop': self.stop,
                 'memory_bytes': 0 if name == 'ledger' else 80_000_000_000,
             }
             for name, address in self.addresses.items()
--- a/packages/server/tests/http/test_failures.py
+++ b/packages/server/tests/http/test_failures.py
@@ -134,6 +134,34 @@
         self.assertEqual(again.json()['error']['fate'], 'not_run')
         self.assertEqual(other.status_code, 200, other.text)
 
+    @virtual_time.run_in_virtual_time
+    async def test_a_stream_that_outlasts_the_grace_is_resumed(self):
+        deployment = harness.Deployment(token_s=1.0)
+        deployment.stop = {'grace_s': 3.0}
+        async with (
+            deployment.running() as caller,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(self._leave, deployment)
+            resp = await stream(deployment, caller)
+        self.check_whole(resp)
+        counts = [len(completions_at(e)) for e in deployment.engines]
+        self.assertEqual(counts, [1, 1])
+        self.assertEqual(deployment.inst.dispatcher.crashes.records(0), ())
+
+    async def _leave(self, deployment):
+        await anyio.sleep(1.5)
+        items = [
+            {'name': name, 'address': address, 'zone': 'gulberg'}
+            for name, address in deployment.addresses.items()
+        ]
+        for item, state in zip(items, deployment.engines, strict=False):
+            if state.jobs:
+                item['state'] = 'leaving'
+        deployment.platform.set_list(
+            'backend_servers', items, anyio.current_time()
+        )
+
     @virtual_time.run_in_virtual_time
     async def test_full_engines_refuse_at_once_and_truly(self):
         deployment = harness.Deployment(max_waiting=0, slots=1, token_s=0.5)
