Share the adapter store's limit of parallel fetches

A request for an adapter that is not resident on the chosen server takes a permit until its first token. The permit may have to be waited for, so the server is chosen again afterwards: with the choice kept, two requests that waited were both sent to the same engine, which test_full_engines_refuse_at_once_and_truly showed. Without permits test_adapter_fetches_stay_within_the_deployments_limit fails.

--- a/packages/core/src/wagtailtide_core/routing/table.py
+++ b/packages/core/src/wagtailtide_core/routing/table.py
@@ -96,6 +96,12 @@
         state.ready = ready
         state.adapters = frozenset(adapters)
 
+    def add_adapter(self, name, adapter):
+        """Record that an adapter is resident on a server."""
+        state = self.servers.get(name)
+        if state is not None and adapter not in state.adapters:
+            state.adapters |= {adapter}
+
     def forget_model(self, name, model):
         """Record that a server said that a model is not resident."""
         state = self.servers[name]
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -227,6 +227,9 @@
             if catalog is not self._catalog:
                 self._catalog = catalog
                 self.dispatcher.table.declare(catalog.backend_servers)
+            self.dispatcher.permits.set_share(
+                _parallel_fetches(catalog), self.plane.live_instances
+            )
             leaving = self.plane.leaving
             for name, state in self.dispatcher.table.servers.items():
                 if state.leaving != (name in leaving):
@@ -254,3 +257,11 @@
             )
             return
         self.dispatcher.record_report(name, report)
+
+
+def _parallel_fetches(catalog):
+    limits = [
+        document.weight_store.parallel_adapter_fetches
+        for document in catalog.documents.values()
+    ]
+    return min(limits, default=1)
--- a/packages/server/src/wagtailtide_server/plane_local.py
+++ b/packages/server/src/wagtailtide_server/plane_local.py
@@ -52,6 +52,7 @@
         self.config = _Config()
         self.peers = _NoPeers()
         self.leaving = frozenset()
+        self.live_instances = 1
         self.boot = secrets.randbits(48)
 
     def coordinator_of(self, _partition):
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/upstream/adapters.py
@@ -0,0 +1,54 @@
+"""Permits to make engines fetch adapters."""
+
+import anyio
+
+
+class AdapterPermits:
+    """The instance's share of the deployment's parallel adapter fetches.
+
+    Beyond a number of parallel fetches in the whole deployment each one takes
+    proportionally longer, so instances divide that number among themselves.
+    """
+
+    def __init__(self):
+        self._limiter = anyio.CapacityLimiter(1)
+
+    @property
+    def in_use(self):
+        """Permits that are held."""
+        return self._limiter.borrowed_tokens
+
+    def set_share(self, parallel_fetches, live_instances):
+        """Divide the deployment's limit.
+
+        Args:
+            parallel_fetches: Fetches in flight in the whole deployment.
+            live_instances: Instances that share them.
+        """
+        share = max(1, parallel_fetches // max(1, live_instances))
+        if share != self._limiter.total_tokens:
+            self._limiter.total_tokens = share
+
+    def try_acquire(self):
+        """Return a function that gives a permit back, or None."""
+        holder = object()
+        try:
+            self._limiter.acquire_on_behalf_of_nowait(holder)
+        except anyio.WouldBlock:
+            return None
+        return self._make_release(holder)
+
+    async def acquire(self):
+        """Wait for a permit and return a function that gives it back."""
+        holder = object()
+        await self._limiter.acquire_on_behalf_of(holder)
+        return self._make_release(holder)
+
+    def _make_release(self, holder):
+        def release():
+            nonlocal holder
+            if holder is not None:
+                self._limiter.release_on_behalf_of(holder)
+                holder = None
+
+        return release
--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -15,6 +15,7 @@
 from wagtailtide_core.routing import load
 from wagtailtide_core.routing import table
 
+from wagtailtide_server.upstream import adapters
 from wagtailtide_server.upstream import client
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import moves
@@ -82,6 +83,7 @@
         crashes: CrashLedger.
         budget: RetryBudget of the instance.
         client: Connections to backend servers.
+        permits: Permits to make engines fetch adapters.
         moves: Streams that may have to leave their server.
         on_crash: Called with the CrashRecords that a crash changed.
         on_draining: Called with the name of a server that said it drains.
@@ -98,6 +100,7 @@
         self.budget = budget.RetryBudget()
         self.client = client.Client()
         self.moves = moves.Moves()
+        self.permits = adapters.AdapterPermits()
         self.on_crash = lambda records: None
         self.on_draining = lambda name: None
 
--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -199,6 +199,14 @@
         request_id = dispatch.make_request_id()
         plain = self._plain_call
         state = self._dispatcher.table.servers[name]
+        if state.stopping:
+            # Learned since the server was chosen, or before a hedge.
+            raise failures.AttemptError(
+                failures.FailureKind.REFUSED,
+                kinds.Fate.NOT_RUN,
+                'the backend server is being stopped',
+                refusal='draining',
+            )
         attempt = client.Attempt(
             address=state.declared.address,
             method=plain.method,
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -71,6 +71,9 @@
         self._attempts = 0
         self._resumes = 0
         self._failure = None
+        self._serving = None
+        self._end_fetch = _nothing
+        self._has_permit = False
         self._last = None
         self.next_offset = 0
         self.usage = None
@@ -81,6 +84,12 @@
         Raises:
             ServingError: If it cannot be delivered.
         """
+        try:
+            await self._run()
+        finally:
+            self._end_fetch()
+
+    async def _run(self):
         call = self._model_call.call
         while True:
             name = await self._choose()
@@ -106,12 +115,31 @@
                 await self._back_off()
                 continue
             if isinstance(chosen, choose.Choice):
-                return chosen.server
+                if self._may_fetch(chosen.server):
+                    return chosen.server
+                # What is known of the servers changes while this waits, so
+                # the choice is made again.
+                self._end_fetch = await self._dispatcher.permits.acquire()
+                self._has_permit = True
+                continue
             started = self.next_offset > 0 or self._attempts > 0
             if not started or anyio.current_time() >= waited_until:
                 raise self._no_server(chosen)
             await anyio.sleep(POLL_S)
 
+    def _may_fetch(self, name):
+        """Return whether a permit to fetch is held or not needed."""
+        adapter = self._model_call.call.route.adapter
+        state = self._dispatcher.table.servers[name]
+        if adapter is None or adapter in state.adapters or self._has_permit:
+            return True
+        release = self._dispatcher.permits.try_acquire()
+        if release is None:
+            return False
+        self._end_fetch = release
+        self._has_permit = True
+        return True
+
     async def _back_off(self):
         """Let the servers that failed be tried again.
 
@@ -210,10 +238,15 @@
             silence_s=SILENCE_S,
         )
         with self._dispatcher.moves.movable(name):
-            async with self._dispatcher.open(name, call, attempt) as response:
-                if response.status != 200:
-                    raise await response.read_refusal()
-                await self._read_events(response, request_id)
+            await self._exchange(name, attempt)
+
+    async def _exchange(self, name, attempt):
+        call = self._model_call.call
+        async with self._dispatcher.open(name, call, attempt) as response:
+            if response.status != 200:
+                raise await response.read_refusal()
+            self._serving = name
+            await self._read_events(response, attempt.request_id)
 
     async def _read_events(self, response, request_id):
         self._last = None
@@ -253,6 +286,7 @@
                 f'expected offset {self.next_offset}, '
                 f'got {value.get("offset")!r}'
             )
+        self._note_adapter()
         if isinstance(value.get('usage'), dict):
             # Held until the end marker: a stream that breaks between the two
             # is resumed, which sends this event again.
@@ -264,6 +298,19 @@
         await self._emit(value)
         self.next_offset += 1
 
+    def _note_adapter(self):
+        # A token proves that the adapter is there; reports say so later.
+        adapter = self._model_call.call.route.adapter
+        if adapter is not None and self._serving is not None:
+            self._dispatcher.table.add_adapter(self._serving, adapter)
+            self._end_fetch()
+            self._has_permit = False
+        self._serving = None
+
+
+def _nothing():
+    pass
+
 
 async def _finish(response):
     # Reading to the end lets the connection be used again; the answer is
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -45,6 +45,8 @@
         }
         self.addresses = {}
         self.stop = {}
+        self.adapters = ['urdu']
+        self.weight_store = {}
         self.inst = None
         self.stopped = anyio.Event()
         self.version = None
@@ -80,7 +82,8 @@
                 },
             ],
             'adapters': [
-                {'name': 'urdu', 'model': 'letters', 'bytes': 100_000_000}
+                {'name': name, 'model': 'letters', 'bytes': 100_000_000}
+                for name in self.adapters
             ],
             'organisations': [
                 {
@@ -97,6 +100,7 @@
                 _route('/public', ['GET'], open=True, idempotent=True),
             ],
             'backend_servers': servers,
+            'weight_store': self.weight_store,
             **changes,
         }
 
--- a/packages/server/tests/http/test_failures.py
+++ b/packages/server/tests/http/test_failures.py
@@ -3,6 +3,7 @@
 
 import anyio
 from wagtailtide_testing import virtual_time
+from wagtailtide_testing.standins import stores
 from wagtailtide_testing.standins import tokens
 
 from tests import harness
@@ -134,6 +135,31 @@
         self.assertEqual(again.json()['error']['fate'], 'not_run')
         self.assertEqual(other.status_code, 200, other.text)
 
+    @virtual_time.run_in_virtual_time
+    async def test_adapter_fetches_stay_within_the_deployments_limit(self):
+        # Guards against a burst for new adapters that makes every fetch in
+        # the deployment slow.
+        shared = stores.AdapterStore(knee=4, min_s=0.5, max_s=0.5)
+        deployment = harness.Deployment(adapter_bytes=1_000, slots=64)
+        deployment.adapters = [f'a{n}' for n in range(12)]
+        deployment.weight_store = {'parallel_adapter_fetches': 4}
+        for state in deployment.engines:
+            state.adapters = shared
+        async with (
+            deployment.running() as caller,
+            anyio.create_task_group() as group,
+        ):
+            for name in deployment.adapters:
+                group.start_soon(self._use, deployment, caller, name)
+        self.assertLessEqual(shared.most_in_flight, 4)
+        self.assertGreaterEqual(shared.most_in_flight, 2)
+
+    async def _use(self, deployment, caller, adapter):
+        resp = await stream(
+            deployment, caller, model=f'letters:{adapter}', max_tokens=2
+        )
+        self.assertEqual(resp.status_code, 200, resp.text)
+
     @virtual_time.run_in_virtual_time
     async def test_a_stream_that_outlasts_the_grace_is_resumed(self):
         deployment = harness.Deployment(token_s=1.0)
