Add the control plane: configuration, membership and spread tasks

Cause: each instance needs the newest configuration, the members and a decision on key trust, with and without the platform.

The test now stops waiting after 10 s.

--- /dev/null
+++ b/packages/server/src/wagtailtide_server/control/membership.py
@@ -0,0 +1,206 @@
+"""Read the platform's list, keep links, and notice failures and stalls."""
+
+import dataclasses
+import logging
+
+import anyio
+from wagtailtide_core.gossip import members
+from wagtailtide_core.membership import detector
+from wagtailtide_core.membership import overlay
+from wagtailtide_core.membership import view as views
+
+from wagtailtide_server.peers import listener
+from wagtailtide_server.platform import client
+
+LOG = logging.getLogger(__name__)
+
+LIST_INTERVAL_S = 5.0
+LIST_TRUSTED_S = 15.0
+LINKS_INTERVAL_S = 0.25
+REDIAL_S = 1.0
+PROBE_FAILED_S = 5.0
+UNUSED_LINK_S = 10.0
+
+
+class Membership:
+    """Tasks that keep the member view and the links.
+
+    Attributes:
+        listed: Names in the last list read, or None.
+    """
+
+    def __init__(self, plane, settings, store, rng):
+        self._plane = plane
+        self._settings = settings
+        self._store = store
+        self._rng = rng
+        self._dialling = {}
+        self._opened_at = {}
+        self.listed = None
+        self.seeds_tried = not settings.seed_peers
+
+    async def read_list(self):
+        """Read the list until cancelled."""
+        read_at = anyio.current_time()
+        while True:
+            try:
+                listed = await self._store.instances()
+                read_at = anyio.current_time()
+                self._take_list(listed)
+            except client.StoreError as exc:
+                LOG.info('list not read', extra={'error': str(exc)})
+                if anyio.current_time() - read_at > LIST_TRUSTED_S:
+                    self._plane.view.forget_list()
+            jitter = self._rng.uniform(0.8, 1.2)
+            await anyio.sleep(LIST_INTERVAL_S * jitter)
+
+    async def keep_links(self):
+        """Open, replace and close links until cancelled."""
+        while True:
+            now = anyio.current_time()
+            for member in self._plane.view.tick(now):
+                self._spread(member)
+            self._open_missing(now)
+            self._check_links(now)
+            await anyio.sleep(LINKS_INTERVAL_S)
+
+    async def watch_loop(self):
+        """Notice that the event loop stalled, until cancelled."""
+        interval_s = 0.5
+        stall = detector.StallDetector(interval_s, anyio.current_time())
+        while True:
+            await anyio.sleep(interval_s)
+            if stall.tick(anyio.current_time()):
+                LOG.warning('the event loop stalled; resynchronising')
+                self._plane.require_resync()
+
+    def on_link(self, link):
+        """Take what a new link tells of its peer."""
+        now = anyio.current_time()
+        self._opened_at[link] = now
+        peer = link.peer
+        member = views.Member(
+            peer.name, peer.address, peer.zone, peer.region, peer.incarnation
+        )
+        if self._plane.view.merge(member, now):
+            self._spread(member)
+
+    def on_link_closed(self, link):
+        """Find out whether the peer of a closed link is gone."""
+        self._opened_at.pop(link, None)
+        name = link.name
+        if name in self._plane.view.peers() and not self._plane.links_to(name):
+            self._dial(name)
+
+    def merge(self, member, age_s):
+        """Take over a statement that was received about a member."""
+        view, now = self._plane.view, anyio.current_time()
+        changed = view.merge(member, now, age_s)
+        if changed and member.name == view.me.name:
+            LOG.warning(
+                'refuting a suspicion',
+                extra={'incarnation': view.me.incarnation},
+            )
+            self._spread(view.me)
+
+    def _take_list(self, listed):
+        view, now = self._plane.view, anyio.current_time()
+        self.listed = frozenset(item.name for item in listed)
+        view.set_list(self.listed)
+        for item in listed:
+            if item.name != view.me.name and view.get(item.name) is None:
+                # Incarnation 0 gives way to all that the member says.
+                view.merge(
+                    views.Member(item.name, item.address, item.zone, '', 0),
+                    now,
+                )
+
+    def _open_missing(self, now):
+        view = self._plane.view
+        peers = view.peers()
+        for name in overlay.links_to_open(view.me.name, peers):
+            if not self._plane.links_to(name):
+                self._dial(name)
+        for member in view.failed():
+            if now - self._dialling.get(member.name, -1e9) >= PROBE_FAILED_S:
+                self._dial(member.name)
+        if not peers and not self._plane.links_to(None):
+            for address in self._settings.seed_peers:
+                self._dial(address, seed=True)
+
+    def _dial(self, name, seed=False):
+        now = anyio.current_time()
+        if now - self._dialling.get(name, -1e9) < REDIAL_S:
+            return
+        self._dialling[name] = now
+        self._plane.tasks.start_soon(self._open, name, seed)
+
+    async def _open(self, name, seed):
+        member = None if seed else self._plane.view.get(name)
+        if member is None and not seed:
+            return
+        address = name if seed else member.address
+        try:
+            expected = None if seed else name
+            await self._plane.peers.open_link(address, expected)
+        except listener.OpenFailed as exc:
+            LOG.info('link not opened', extra={'error': str(exc)})
+            if not seed:
+                self._suspect(name)
+        finally:
+            self.seeds_tried = self.seeds_tried or seed
+
+    def _suspect(self, name):
+        if self._plane.peers.link_to(name) is not None:
+            return
+        suspect = self._plane.view.suspect(name, anyio.current_time())
+        if suspect is not None:
+            LOG.warning('member suspected', extra={'member': name})
+            self._spread(suspect)
+
+    def _check_links(self, now):
+        wanted = overlay.links_to_open(
+            self._plane.view.me.name, self._plane.view.peers()
+        )
+        for link in self._plane.links_to(None):
+            if link.health.check(now) is detector.LinkAction.OPEN_BESIDE:
+                self._plane.tasks.start_soon(self._replace, link)
+            age_s = now - self._opened_at.get(link, now)
+            unused = link.opened_here and link.name not in wanted
+            if unused and age_s >= UNUSED_LINK_S:
+                link.close()
+        self._close_doubles(now)
+
+    def _close_doubles(self, now):
+        me = self._plane.view.me.name
+        for name in self._plane.peers.names():
+            found = [x for x in self._plane.links_to(name) if x.usable(now)]
+            # One side decides, so that the two do not close both.
+            if len(found) > 1 and me < name:
+                for link in found[:-1]:
+                    link.close()
+
+    async def _replace(self, link):
+        """Open a connection beside a silent one, and drop that one."""
+        LOG.warning('link is silent', extra={'peer': link.name})
+        member = self._plane.view.get(link.name)
+        if member is not None:
+            self._plane.tasks.start_soon(self._open, link.name, False)
+            await anyio.sleep(detector.BESIDE_TIMEOUT_S)
+        if link.health.silent(anyio.current_time()):
+            link.close()
+
+    def _spread(self, member):
+        record = members.to_record(member)
+        self._plane.table.put(
+            record.kind,
+            record.id,
+            record.stamp,
+            record.value,
+            anyio.current_time(),
+        )
+
+
+def with_address(member, address):
+    """Return a member with another address."""
+    return dataclasses.replace(member, address=address)
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/control/plane.py
@@ -0,0 +1,241 @@
+"""Control plane of one instance: configuration, members, key trust."""
+
+import random
+import secrets
+
+import anyio
+from wagtailtide_core.config import freshness as freshnesses
+from wagtailtide_core.config import in_force
+from wagtailtide_core.gossip import members
+from wagtailtide_core.gossip import records
+from wagtailtide_core.gossip import table as tables
+from wagtailtide_core.keys import trust
+from wagtailtide_core.membership import overlay
+from wagtailtide_core.membership import view as views
+
+from wagtailtide_server.control import config_sync
+from wagtailtide_server.control import membership
+from wagtailtide_server.control import spread
+from wagtailtide_server.peers import frames
+from wagtailtide_server.peers import listener
+from wagtailtide_server.peers import rpc
+
+LEAVE_FLUSH_S = 0.5
+
+
+class ControlPlane:
+    """State shared by the control tasks, and their task group.
+
+    Attributes:
+        config: ConfigState; ``config.catalog`` is the index in force.
+        freshness: When the configuration was confirmed.
+        view: MemberView.
+        table: Gossip records.
+        peers: rpc.Peers, with ``call`` and ``register``.
+        boot: Random number of this process.
+        tasks: Task group of the control tasks.
+    """
+
+    def __init__(
+        self,
+        settings,
+        store,
+        invariants,
+        *,
+        rng=None,
+        open_stream=listener.open_tcp,
+    ):
+        self.boot = secrets.randbits(48)
+        self.config = in_force.ConfigState(invariants)
+        self.freshness = freshnesses.Freshness()
+        self.tasks = None
+        me = views.Member(
+            settings.name, settings.peers, settings.zone, settings.region, 1
+        )
+        # Replaced when it runs; no time has passed for an instance at rest.
+        self.view = views.MemberView(me, 0.0)
+        self.table = tables.Table(settings.region, 0.0)
+        rng = rng or random.Random(self.boot)
+        self.endpoint = listener.Endpoint(
+            self._identity, self._check_peer, open_stream
+        )
+        self.peers = rpc.Peers(self.endpoint, self._member_of, self, self)
+        self.config_sync = config_sync.ConfigSync(self, store, rng)
+        self.membership = membership.Membership(self, settings, store, rng)
+        self.spread = spread.Spread(self)
+        self.peers.register('document', self.config_sync.serve_document)
+        self._settings = settings
+        self._resync_from = None
+
+    @property
+    def caught_up(self):
+        """Whether the instance has what its peers and the store have."""
+        confirmed = self.freshness.confirmed_at
+        if self._resync_from is None or confirmed is None:
+            return False
+        if self.freshness.newer_exists(self.config.revision):
+            return False
+        synced = self.spread.synced_at
+        if synced is not None and synced >= self._resync_from:
+            return True
+        return not self._peers_expected() and confirmed >= self._resync_from
+
+    @property
+    def ready(self):
+        """Whether requests may be admitted."""
+        return self.caught_up
+
+    async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
+        """Run the control tasks until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            port = await tasks.start(
+                self.endpoint.listen, self._settings.peers, self.peers.serve
+            )
+            self._start_member(port)
+            for task in (
+                self.config_sync.run,
+                self.membership.read_list,
+                self.membership.keep_links,
+                self.membership.watch_loop,
+                self.spread.send_batches,
+                self.spread.send_digests,
+                self.spread.report_contact,
+            ):
+                tasks.start_soon(task)
+            task_status.started()
+
+    def start_soon(self, task, *args):
+        """Start a task in the plane's task group."""
+        self.tasks.start_soon(task, *args)
+
+    async def leave(self):
+        """Tell the peers that this instance is about to stop."""
+        self.view.set_own_state(views.State.LEFT, anyio.current_time())
+        self._put_own_record()
+        await anyio.sleep(LEAVE_FLUSH_S)
+
+    def require_resync(self):
+        """Admit nothing until a resync with a peer or the store."""
+        self._resync_from = anyio.current_time()
+        self.spread.request_resync()
+
+    def key_trust(self, now):
+        """Return trust.Trust: whether keys are trusted, and why."""
+        heard = [x.health.heard_at for x in self.links_to(None)]
+        evidence = trust.Evidence(
+            confirmed_at=self.freshness.confirmed_at,
+            store_answered_at=self.freshness.answered_at,
+            peer_heard_at=max(heard, default=None),
+            newer_exists=self.freshness.newer_exists(self.config.revision),
+            no_contact_reports=self._no_contact_reports(now),
+        )
+        partial_s = min(
+            (
+                document.limits.partial_key_trust_s
+                for document in self.config.catalog.documents.values()
+            ),
+            default=trust.TrustLimits.partial_s,
+        )
+        limits = trust.TrustLimits(partial_s=partial_s)
+        return trust.may_trust_keys(evidence, now, limits)
+
+    def coordinator_of(self, partition):
+        """Return the name of a claims partition's coordinator.
+
+        Returns:
+            The name, or None if it is this instance.
+        """
+        names = overlay.rendezvous(f'claims/{partition}', self.view.live(), 1)
+        return names[0] if names and names[0] != self.view.me.name else None
+
+    def links_to(self, name):
+        """Return the links to a peer, or to all for None."""
+        return self.peers.links_to(name)
+
+    def on_link(self, link):
+        """Handle a new link."""
+        self.membership.on_link(link)
+        self.spread.on_link(link)
+
+    def on_link_closed(self, link):
+        """Handle the end of a link."""
+        self.spread.on_link_closed(link)
+        self.membership.on_link_closed(link)
+
+    def on_frame(self, link, frame):
+        """Handle a frame with records or digests."""
+        self.spread.on_frame(link, frame)
+
+    def on_pong(self, _link, pong, sent_at):
+        """Use the confirmation that a peer's pong carries."""
+        self.freshness.hear_of(pong.revision)
+        if pong.confirmation_age_ms is None:
+            return
+        at = freshnesses.from_peer(sent_at, pong.confirmation_age_ms / 1000)
+        self.freshness.confirm_by_peer(at, pong.revision, self.config.revision)
+
+    def pong(self, n):
+        """Return the Pong to a ping."""
+        age_s = self.freshness.age_s(anyio.current_time())
+        # Rounded up, because the age is an upper bound.
+        age_ms = None if age_s is None else int(age_s * 1000) + 1
+        return frames.Pong(
+            n, age_ms, self.config.revision, self.view.me.incarnation
+        )
+
+    def _start_member(self, port):
+        host, _ = listener.split_address(self._settings.peers)
+        me = membership.with_address(self.view.me, f'{host}:{port}')
+        now = anyio.current_time()
+        self.view = views.MemberView(me, now)
+        self._resync_from = now
+        self._put_own_record()
+
+    def _put_own_record(self):
+        record = members.to_record(self.view.me)
+        self.table.put(
+            record.kind,
+            record.id,
+            record.stamp,
+            record.value,
+            anyio.current_time(),
+        )
+
+    def _peers_expected(self):
+        if self.membership.listed is None and not self.membership.seeds_tried:
+            return True
+        return bool(self.view.peers())
+
+    def _no_contact_reports(self, now):
+        reports = dict.fromkeys(self.view.zones())
+        me = self.view.me
+        age_s = self.freshness.contact_age_s(now)
+        if age_s is not None and age_s > spread.NO_CONTACT_S:
+            reports[me.zone] = now
+        for record in self.table.of_kind(records.Kind.ZONE_CONTACT, now):
+            zone = record.id.partition('/')[0]
+            at = now - record.age_s
+            if zone in reports and (reports[zone] or 0) < at:
+                reports[zone] = at
+        return reports
+
+    def _identity(self):
+        me = self.view.me
+        return frames.Welcome(
+            me.name, self.boot, me.incarnation, me.zone, me.region, me.address
+        )
+
+    def _check_peer(self, hello, host):
+        try:
+            declared, _ = listener.split_address(hello.address)
+        except ValueError:
+            return 'expected ip:port as address'
+        if declared != host:
+            return f'{hello.address} is not the address of {host}'
+        if hello.name == self.view.me.name:
+            return 'the name is in use by this instance'
+        return None
+
+    def _member_of(self, name):
+        return self.view.get(name)
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/control/spread.py
@@ -0,0 +1,147 @@
+"""Exchange records with peers over the links."""
+
+import itertools
+import logging
+
+import anyio
+from wagtailtide_core.gossip import members
+from wagtailtide_core.gossip import records
+from wagtailtide_core.gossip import resync
+
+from wagtailtide_server.peers import frames
+from wagtailtide_server.peers import link as links
+
+LOG = logging.getLogger(__name__)
+
+BATCH_S = 0.2
+# Repairs what a fault in the sending of changes may have left out.
+DIGEST_INTERVAL_S = 60.0
+CONTACT_INTERVAL_S = 1.0
+NO_CONTACT_S = 3.0
+RESYNC_RECORDS_PER_FRAME = 500
+
+
+class Spread:
+    """Sends and receives records and digests.
+
+    Attributes:
+        synced_at: When a full resync with a peer was last completed, counted
+            from its start; None for never.
+    """
+
+    def __init__(self, plane):
+        self._plane = plane
+        self._numbers = itertools.count(1)
+        self._contact_seq = itertools.count(1)
+        # When the digest was received that each want answers.
+        self._wants = {}
+        self.synced_at = None
+
+    async def send_batches(self):
+        """Send queued records until cancelled."""
+        while True:
+            await anyio.sleep(BATCH_S)
+            now = anyio.current_time()
+            for link in self._plane.links_to(None):
+                taken = self._plane.table.take(link, now)
+                if taken:
+                    self._send(link, frames.Records(tuple(taken)))
+
+    async def send_digests(self):
+        """Repeat the resync and drop what has expired, until cancelled."""
+        while True:
+            await anyio.sleep(DIGEST_INTERVAL_S)
+            self.request_resync()
+            self._plane.peers.close_idle()
+
+    async def report_contact(self):
+        """Report that the store is out of reach, until cancelled."""
+        while True:
+            await anyio.sleep(CONTACT_INTERVAL_S)
+            now = anyio.current_time()
+            self._plane.table.drop_expired(now)
+            age_s = self._plane.freshness.contact_age_s(now)
+            if age_s is None or age_s <= NO_CONTACT_S:
+                continue
+            me = self._plane.view.me
+            self._plane.table.put(
+                records.Kind.ZONE_CONTACT,
+                f'{me.zone}/{me.name}',
+                (me.incarnation, next(self._contact_seq)),
+                [round(age_s * 1000)],
+                now,
+            )
+
+    def request_resync(self):
+        """Exchange digests with all linked peers."""
+        for link in self._plane.links_to(None):
+            self._send_digest(link, ask=True)
+
+    def on_link(self, link):
+        """Start to send records on a new link."""
+        now = anyio.current_time()
+        self._plane.table.attach(link, link.peer.region, now)
+        self._send_digest(link, ask=False)
+
+    def on_link_closed(self, link):
+        """Stop to send records on a link."""
+        self._plane.table.detach(link)
+        self._wants.pop(link, None)
+
+    def on_frame(self, link, frame):
+        """Handle a frame other than heartbeats and calls."""
+        if isinstance(frame, frames.Records):
+            self._merge(link, frame)
+        elif isinstance(frame, frames.Digest):
+            self._answer_digest(link, frame)
+        elif isinstance(frame, frames.Want):
+            self._answer_want(link, frame)
+
+    def _send_digest(self, link, ask):
+        # An odd number asks the peer for its digest in return.
+        number = next(self._numbers) * 2 + (1 if ask else 0)
+        hashes = resync.digest(self._plane.table, anyio.current_time())
+        self._send(link, frames.Digest(number, hashes))
+
+    def _answer_digest(self, link, frame):
+        now = anyio.current_time()
+        mine = resync.digest(self._plane.table, now)
+        wanted = resync.differing(mine, frame.hashes)
+        self._wants.setdefault(link, {})[frame.n] = now
+        self._send(link, frames.Want(frame.n, tuple(wanted)))
+        if frame.n % 2:
+            self._send_digest(link, ask=False)
+
+    def _answer_want(self, link, frame):
+        found = resync.select(
+            self._plane.table, frame.buckets, anyio.current_time()
+        )
+        size = RESYNC_RECORDS_PER_FRAME
+        while len(found) > size:
+            self._send(link, frames.Records(tuple(found[:size])))
+            found = found[size:]
+        self._send(link, frames.Records(tuple(found), frame.n))
+
+    def _merge(self, link, frame):
+        now = anyio.current_time()
+        try:
+            self._dispatch(link, frame, now)
+        except ValueError as exc:
+            raise frames.FrameError(frames.BAD_FIELDS, str(exc)) from exc
+        started = self._wants.get(link, {}).pop(frame.last_of, None)
+        if started is not None:
+            self.synced_at = max(self.synced_at or started, started)
+
+    def _dispatch(self, link, frame, now):
+        for record in self._plane.table.merge(frame.items, link, now):
+            if record.kind == records.Kind.MEMBER:
+                member = members.from_record(record)
+                self._plane.membership.merge(member, record.age_s)
+            elif record.kind == records.Kind.CONFIG:
+                self._plane.config_sync.on_record(record, link.name)
+
+    def _send(self, link, frame):
+        try:
+            link.send(frame)
+        except (links.LinkClosed, frames.FrameError) as exc:
+            LOG.info('frame not sent', extra={'error': str(exc)})
--- a/packages/server/src/wagtailtide_server/peers/link.py
+++ b/packages/server/src/wagtailtide_server/peers/link.py
@@ -146,8 +146,7 @@
         try:
             return await self._conn.recv()
         except ws_exceptions.ConnectionClosed as exc:
-            # The library closes by itself when a message is above its limit.
-            if exc.sent is not None and exc.sent.code == 1009:
+            if closed_for_size(exc):
                 raise frames.FrameError(frames.TOO_BIG) from exc
             raise
 
@@ -187,8 +186,12 @@
 
     async def _write(self):
         async for data in self._waiting:
-            with anyio.fail_after(WRITE_TIMEOUT_S):
-                await self._conn.send(data)
+            try:
+                with anyio.fail_after(WRITE_TIMEOUT_S):
+                    await self._conn.send(data)
+            except ws_exceptions.ConnectionClosed:
+                # The reader knows why it was closed.
+                return
             self.sent_bytes += len(data)
 
     async def _ping(self):
@@ -200,6 +203,11 @@
             await anyio.sleep(detector.PING_INTERVAL_S)
 
 
+def closed_for_size(exc):
+    """Return whether the library closed because of a message's size."""
+    return exc.sent is not None and exc.sent.code == 1009
+
+
 class _Waiting:
     def __init__(self):
         self.event = anyio.Event()
--- a/packages/server/src/wagtailtide_server/peers/listener.py
+++ b/packages/server/src/wagtailtide_server/peers/listener.py
@@ -170,7 +170,11 @@
                 await conn.send(frames.encode(frames.Refused(exc.reason)))
                 await conn.aclose(1008, exc.reason)
             return
-        except (OSError, TimeoutError, ws_exceptions.ConnectionClosed):
+        except ws_exceptions.ConnectionClosed as exc:
+            if links.closed_for_size(exc):
+                self.bad_frames[frames.TOO_BIG] += 1
+            return
+        except (OSError, TimeoutError):
             return
         link = links.Link(conn, hello, False, hello.purpose == 'link')
         await self._serve(serve, link)
--- a/packages/server/tests/peers/test_rpc.py
+++ b/packages/server/tests/peers/test_rpc.py
@@ -113,7 +113,10 @@
         async with ws_client.connect(
             f'ws://{address}/', proxy=None, ping_interval=None
         ) as conn:
-            with contextlib.suppress(ws_exceptions.ConnectionClosed):
+            with (
+                anyio.move_on_after(10),
+                contextlib.suppress(ws_exceptions.ConnectionClosed),
+            ):
                 for message in messages:
                     await conn.send(message)
                 while True:
