--- /dev/null
+++ b/packages/core/src/wagtailtide_core/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases: sessions, observers, the roster of slots and server ownership."""
--- /dev/null
+++ b/packages/core/src/wagtailtide_core/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of organisations: buckets, shares, grants and the limiter."""
