Run on the control plane and share what is seen of backend servers

The local configuration reader is replaced by ControlPlane. Crash sets and draining servers go through the gossip table: a set is merged by union within an epoch, and a whole answer starts a new epoch with an empty set, so that a clearance is not undone by a late copy.

test_a_crash_seen_by_one_instance_counts_at_another: 3 crashes in all with two instances.

--- a/packages/core/src/wagtailtide_core/quarantine/crashes.py
+++ b/packages/core/src/wagtailtide_core/quarantine/crashes.py
@@ -97,10 +97,14 @@
             self._broken.setdefault(server, {})[mark] = broken_at
 
     def record_completed(self, mark):
-        """Clear a request that ran to its end."""
-        self._records.pop(mark, None)
+        """Clear a request that ran to its end.
+
+        Returns:
+            Whether crashes were recorded for it.
+        """
         for broken in self._broken.values():
             broken.pop(mark, None)
+        return self._records.pop(mark, None) is not None
 
     def record_stopping(self, server, stopping):
         """Note whether a server is in a planned stop."""
@@ -135,22 +139,24 @@
             if crash not in self.crashes_of(mark, now)
         )
 
-    def merge(self, mark, crashes, now):
-        """Merge crashes that another instance saw.
+    def adopt(self, mark, crashes, last_at):
+        """Take over the set that all instances have agreed on.
 
         Args:
             mark: Fingerprint of the request.
-            crashes: CrashIds.
-            now: Monotonic time in seconds.
-
-        Returns:
-            Whether anything was new.
+            crashes: CrashIds; empty if the request was cleared.
+            last_at: Monotonic time in seconds of the last crash.
         """
         known = self._records.get(mark)
-        if known is not None and crashes <= known.crashes:
-            return False
-        self._add(mark, crashes, now)
-        return True
+        if not crashes:
+            self._records.pop(mark, None)
+        elif known is None or known.crashes != crashes:
+            self._records[mark] = CrashRecord(mark, crashes, last_at)
+            self._drop_oldest()
+
+    def _drop_oldest(self):
+        while len(self._records) > MAX_RECORDS:
+            self._records.popitem(last=False)
 
     def _add(self, mark, crashes, now):
         known = self._records.pop(mark, None)
@@ -159,8 +165,7 @@
         before = known.crashes if known is not None else frozenset()
         record = CrashRecord(mark, before | frozenset(crashes), now)
         self._records[mark] = record
-        while len(self._records) > MAX_RECORDS:
-            self._records.popitem(last=False)
+        self._drop_oldest()
         return record
 
     def crashes_of(self, mark, now):
--- a/packages/core/src/wagtailtide_core/routing/table.py
+++ b/packages/core/src/wagtailtide_core/routing/table.py
@@ -20,6 +20,7 @@
         leaving: Whether the platform's list says that it is leaving.
         stopping_since: Monotonic time in seconds at which its stop was
             first seen, or None.
+        draining_stamp: Stamp of the last news of its draining.
         estimate: Its estimated load.
         breaker: Its circuit breaker.
     """
@@ -31,6 +32,7 @@
     draining: bool = False
     leaving: bool = False
     stopping_since: float | None = None
+    draining_stamp: tuple[int, int] | None = None
     estimate: load.LoadEstimate = dataclasses.field(
         default_factory=load.LoadEstimate
     )
--- a/packages/core/tests/quarantine/test_crashes.py
+++ b/packages/core/tests/quarantine/test_crashes.py
@@ -3,12 +3,18 @@
 
 import hypothesis
 from hypothesis import strategies
+from wagtailtide_core.gossip import records
+from wagtailtide_core.gossip import table as tables
 from wagtailtide_core.quarantine import crashes
 
 SERVERS = ('s1', 's2', 's3', 's4')
 CRASHER = 'crasher'
 
 
+def parse(texts):
+    return frozenset(crashes.CrashId(*text.split()) for text in texts)
+
+
 class Fleet:
     """Servers on which one request crashes, and a ledger that watches."""
 
@@ -108,18 +114,18 @@
     def test_merging_in_any_order_counts_each_crash_once(self, sets, rng):
         # Guards against refusing a request for one crash that several
         # instances reported.
+        table = tables.Table('region', 0.0)
+        texts = [[f's {n}' for n in sorted(part)] for part in sets]
+        for part in rng.sample(texts * 2, len(texts) * 2):
+            table.put(records.Kind.CRASH, 'r', (0, 0), part, 1.0)
+        (record,) = table.of_kind(records.Kind.CRASH, 1.0)
         ledger = crashes.CrashLedger()
-        ids = [
-            frozenset(crashes.CrashId('s', str(n)) for n in part)
-            for part in sets
-        ]
-        for part in rng.sample(ids * 2, len(ids) * 2):
-            ledger.merge('r', part, 1.0)
-        self.assertEqual(ledger.crashes_of('r', 1.0), frozenset().union(*ids))
+        ledger.adopt('r', parse(record.value), 1.0)
+        expected = parse({text for part in texts for text in part})
+        self.assertEqual(ledger.crashes_of('r', 1.0), expected)
 
     def test_records_expire_an_hour_after_the_last_crash(self):
         ledger = crashes.CrashLedger()
-        crash_ids = {crashes.CrashId('s', str(n)) for n in range(3)}
-        ledger.merge('r', crash_ids, 0.0)
+        ledger.adopt('r', parse(f's {n}' for n in range(3)), 0.0)
         self.assertIs(ledger.verdict('r', 3_600.0), crashes.Verdict.REFUSED)
         self.assertIs(ledger.verdict('r', 3_601.0), crashes.Verdict.FREE)
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -11,22 +11,18 @@
 from wagtailtide_core.invariants import checks
 
 from wagtailtide_server import metrics
-from wagtailtide_server import plane_local
 from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
 from wagtailtide_server.claims import service as claims_service
+from wagtailtide_server.control import plane as control_plane
 from wagtailtide_server.http import admin
 from wagtailtide_server.http import app
 from wagtailtide_server.http import serving
 from wagtailtide_server.upstream import dispatch
-from wagtailtide_server.upstream import failures
-from wagtailtide_server.upstream import reports
+from wagtailtide_server.upstream import watch
 
 LOG = logging.getLogger(__name__)
 
-CATALOG_POLL_S = 0.1
-REPORT_POLL_S = 1.0
-
 # The longest that a request may run on after a stop was ordered.
 DRAIN_LIMIT_S = 600.0
 
@@ -46,6 +42,7 @@
         shares: Rates of the organisations.
         claims: Claims of idempotency keys.
         dispatcher: Knowledge of the backend servers.
+        watch: Tasks that keep it current.
         refusals: Recent refusals.
         open_requests: Callers' requests in progress.
         stopping: Whether a stop was ordered.
@@ -53,13 +50,13 @@
         admin_address: Address of the administration, once started.
     """
 
-    def __init__(self, settings, store, *, plane=None, rng=None):
+    def __init__(self, settings, store, *, rng=None):
         self.settings = settings
         self.store = store
         self.invariants = checks.Invariants()
         self.metrics = metrics.Metrics(self.invariants)
-        self.plane = plane or plane_local.LocalPlane(
-            settings, store, self.invariants
+        self.plane = control_plane.ControlPlane(
+            settings, store, self.invariants, rng=rng
         )
         self.shares = rates_local.LocalShares(self.plane)
         self.claims = claims_service.ClaimService(
@@ -74,8 +71,8 @@
         self.dispatcher = dispatch.Dispatcher(
             settings.name, self.invariants, self.metrics, rng
         )
+        self.watch = watch.ServerWatch(self.dispatcher, self.plane, store, rng)
         self.refusals = refusals.Refusals()
-        self.near_zones = frozenset()
         self.open_requests = 0
         self.stopping = False
         self.callers_address = None
@@ -83,14 +80,12 @@
         self._refusing = False
         self._stop_ordered = anyio.Event()
         self._idle = anyio.Event()
-        self._catalog = None
 
     async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
         """Serve until a stop was ordered and is done."""
         async with anyio.create_task_group() as background:
             await background.start(self.plane.run)
-            background.start_soon(self._follow_catalog)
-            background.start_soon(self._poll_reports)
+            background.start_soon(self.watch.run)
             background.start_soon(self.claims.run)
             async with anyio.create_task_group() as servers:
                 self.admin_address = await servers.start(
@@ -147,9 +142,16 @@
             )
         with anyio.move_on_after(RECORD_LIMIT_S):
             await self.claims.record_pending()
-        leave = getattr(self.plane, 'leave', None)
-        if leave is not None:
-            await leave()
+        await self.plane.leave()
+
+    @property
+    def near_zones(self):
+        """Zones of the instance's region, as far as members tell."""
+        return frozenset(
+            member.zone
+            for member in self.plane.view
+            if member.region == self.settings.region
+        )
 
     def not_ready_reason(self):
         """Return why the instance is not ready, or None if it is."""
@@ -220,48 +222,3 @@
             if model in document.models:
                 return document
         return schema.Document(service='none')
-
-    async def _follow_catalog(self):
-        while True:
-            catalog = self.plane.config.catalog
-            if catalog is not self._catalog:
-                self._catalog = catalog
-                self.dispatcher.table.declare(catalog.backend_servers)
-            self.dispatcher.permits.set_share(
-                _parallel_fetches(catalog), self.plane.live_instances
-            )
-            leaving = self.plane.leaving
-            for name, state in self.dispatcher.table.servers.items():
-                if state.leaving != (name in leaving):
-                    self.dispatcher.set_leaving(name, name in leaving)
-            self.dispatcher.move_streams()
-            await anyio.sleep(CATALOG_POLL_S)
-
-    async def _poll_reports(self):
-        while True:
-            async with anyio.create_task_group() as group:
-                for name, state in self.dispatcher.table.servers.items():
-                    if state.declared.kind is schema.ServerKind.ENGINE:
-                        group.start_soon(self._read_report, name, state)
-            await anyio.sleep(REPORT_POLL_S)
-
-    async def _read_report(self, name, state):
-        try:
-            report = await reports.fetch(
-                self.dispatcher.client, state.declared.address
-            )
-        except failures.AttemptError as exc:
-            LOG.debug(
-                'report not read',
-                extra={'backend_server': name, 'error': str(exc)},
-            )
-            return
-        self.dispatcher.record_report(name, report)
-
-
-def _parallel_fetches(catalog):
-    limits = [
-        document.weight_store.parallel_adapter_fetches
-        for document in catalog.documents.values()
-    ]
-    return min(limits, default=1)
--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -86,7 +86,9 @@
         permits: Permits to make engines fetch adapters.
         moves: Streams that may have to leave their server.
         on_crash: Called with the CrashRecords that a crash changed.
-        on_draining: Called with the name of a server that said it drains.
+        on_cleared: Called with the fingerprint of a request that ran whole.
+        on_draining: Called with name and ServerState of a server that began
+            or ended to drain.
     """
 
     def __init__(self, instance_name, invariants, metrics, rng=None):
@@ -102,7 +104,8 @@
         self.moves = moves.Moves()
         self.permits = adapters.AdapterPermits()
         self.on_crash = lambda records: None
-        self.on_draining = lambda name: None
+        self.on_cleared = lambda mark: None
+        self.on_draining = lambda name, state: None
 
     def choose(self, call, tried=frozenset()):
         """Choose a server for a call.
@@ -211,15 +214,23 @@
             self.record_crash(name, state)
         if exc.refusal == 'draining':
             self.set_draining(name, True)
-            self.on_draining(name)
         elif exc.refusal == 'model_not_resident' and call.route.model:
             self.table.forget_model(name, call.route.model)
 
-    def set_draining(self, name, draining):
-        """Record whether a server says that it is stopping."""
+    def set_draining(self, name, draining, *, tell=True):
+        """Record whether a server says that it is stopping.
+
+        Args:
+            name: Name of the server.
+            draining: Whether it is.
+            tell: Whether the other instances have to be told.
+        """
         state = self.table.servers[name]
+        changed = state.draining != draining
         state.draining = draining
         self._record_stopping(name, state)
+        if changed and tell:
+            self.on_draining(name, state)
 
     def set_leaving(self, name, leaving):
         """Record whether the platform lists a server as leaving."""
@@ -316,4 +327,5 @@
     def record_completed(self, call):
         """Note that a request ran to its end."""
         self.budget.record_success()
-        self.crashes.record_completed(call.mark)
+        if self.crashes.record_completed(call.mark):
+            self.on_cleared(call.mark)
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -1,6 +1,7 @@
 """One instance with stand-ins for the platform and backend servers."""
 
 import contextlib
+import functools
 import json
 import random
 
@@ -125,40 +126,54 @@
                 self.addresses[name] = url.removeprefix('http://')
             url = await enter(serving.serve(platform.make_app(self.platform)))
             self.publish()
-            store = await enter(client.StoreClient(url, rng=random.Random(1)))
-            cfg = settings.parse(
-                {
-                    'name': 'a-1',
-                    'region': 'punjab',
-                    'zone': 'gulberg',
-                    'callers': '127.0.0.1:0',
-                    'admin': '127.0.0.1:0',
-                    'peers': '127.0.0.1:0',
-                    'platform': url,
-                    'limits': limits,
-                }
-            )
-            self.inst = instance.Instance(cfg, store, rng=random.Random(3))
             group = await enter(anyio.create_task_group())
-            await group.start(self._run)
-            caller = await enter(
-                httpx.AsyncClient(
-                    base_url=f'http://{self.inst.callers_address}',
-                    timeout=60,
-                    trust_env=False,
-                )
+            self.inst = await self._start(stack, group, url, 'a-1', limits)
+            caller = await enter(_caller(self.inst))
+            await self.wait_until(lambda: self._is_ready(self.inst))
+            self._start_another = functools.partial(
+                self._start, stack, group, url
             )
-            await self.wait_until(self._is_ready)
             yield caller
             group.cancel_scope.cancel()
         violated = dict(self.inst.invariants.violated)
         if violated:
             raise AssertionError(f'invariants were violated: {violated}')
 
-    async def _run(self, task_status):
+    async def _start(self, stack, group, url, name, limits=None, seeds=()):
+        store = await stack.enter_async_context(
+            client.StoreClient(url, rng=random.Random(1))
+        )
+        cfg = settings.parse(
+            {
+                'name': name,
+                'region': 'punjab',
+                'zone': 'gulberg',
+                'callers': '127.0.0.1:0',
+                'admin': '127.0.0.1:0',
+                'peers': '127.0.0.1:0',
+                'platform': url,
+                'seed_peers': list(seeds),
+                'limits': limits or {},
+            }
+        )
+        inst = instance.Instance(cfg, store, rng=random.Random(3))
+        await group.start(self._run, inst)
+        return inst
+
+    @contextlib.asynccontextmanager
+    async def another(self, name):
+        """Start one more instance that knows the first as a seed."""
+        seeds = [self.inst.plane.view.me.address]
+        inst = await self._start_another(name, seeds=seeds)
+        await self.wait_until(lambda: self._is_ready(inst))
+        async with _caller(inst) as caller:
+            yield caller
+
+    async def _run(self, inst, task_status):
         async with anyio.create_task_group() as group:
-            await group.start(self.inst.handle_signals)
-            await self.inst.run(task_status=task_status)
+            if inst.settings.name == 'a-1':
+                await group.start(inst.handle_signals)
+            await inst.run(task_status=task_status)
             group.cancel_scope.cancel()
         self.stopped.set()
 
@@ -166,10 +181,10 @@
         async with httpx.AsyncClient(trust_env=False) as admin:
             return await admin.get(f'http://{self.inst.admin_address}{path}')
 
-    def _is_ready(self):
-        servers = self.inst.dispatcher.table.servers
+    def _is_ready(self, inst):
+        servers = inst.dispatcher.table.servers
         return (
-            self.inst.plane.caught_up
+            inst.plane.caught_up
             and servers
             and all(
                 state.boot_id
@@ -194,6 +209,14 @@
         return [req for r in recorders for req in r.requests]
 
 
+def _caller(inst):
+    return httpx.AsyncClient(
+        base_url=f'http://{inst.callers_address}',
+        timeout=60,
+        trust_env=False,
+    )
+
+
 def _key_value(entry):
     return {'id': entry.id, 'salt': entry.salt, 'hash': entry.hash}
 
--- a/packages/server/tests/http/test_failures.py
+++ b/packages/server/tests/http/test_failures.py
@@ -205,6 +205,25 @@
         self.assertEqual(error['fate'], 'not_run')
         self.assertIn('retry-after', resp.headers)
 
+    @virtual_time.run_in_virtual_time
+    async def test_a_crash_seen_by_one_instance_counts_at_another(self):
+        # Guards against a caller that takes a crashing request from one
+        # instance to the next.
+        deployment = harness.Deployment(engines=5)
+        for state in deployment.engines:
+            state.set_faults(crash_on=PROMPT)
+        async with (
+            deployment.running() as caller,
+            deployment.another('a-2') as other_caller,
+        ):
+            await stream(deployment, caller)
+            await anyio.sleep(3)
+            resp = await stream(deployment, other_caller)
+        self.assertEqual(resp.status_code, 422, resp.text)
+        self.assertEqual(resp.json()['error']['fate'], 'not_run')
+        crashes = sum(e.record['crashes'] for e in deployment.engines)
+        self.assertEqual(crashes, 3)
+
     @virtual_time.run_in_virtual_time
     async def test_a_caller_that_waits_gets_keep_alive_comments(self):
         deployment = harness.Deployment(prefill_token_s=2.0)
