--- a/packages/core/src/wagtailtide_core/routing/table.py
+++ b/packages/core/src/wagtailtide_core/routing/table.py
@@ -18,7 +18,9 @@
         boot_id: Identifier of its current process, or None.
         draining: Whether it said itself that it is stopping.
         leaving: Whether the platform's list says that it is leaving.
-        listed: Whether the platform's list has it.
+        stopping_since: Monotonic time in seconds at which its stop was
+            first seen, or None.
+        draining_stamp: Stamp of the last news of its draining.
         estimate: Its estimated load.
         breaker: Its circuit breaker.
     """
@@ -29,7 +31,8 @@
     boot_id: str | None = None
     draining: bool = False
     leaving: bool = False
-    listed: bool = True
+    stopping_since: float | None = None
+    draining_stamp: tuple[int, int] | None = None
     estimate: load.LoadEstimate = dataclasses.field(
         default_factory=load.LoadEstimate
     )
@@ -95,6 +98,12 @@
         state.ready = ready
         state.adapters = frozenset(adapters)
 
+    def add_adapter(self, name, adapter):
+        """Record that an adapter is resident on a server."""
+        state = self.servers.get(name)
+        if state is not None and adapter not in state.adapters:
+            state.adapters |= {adapter}
+
     def forget_model(self, name, model):
         """Record that a server said that a model is not resident."""
         state = self.servers[name]
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -5,7 +5,6 @@
 
 import anyio
 from wagtailtide_core.errors import kinds
-from wagtailtide_core.quarantine import crashes
 from wagtailtide_core.routing import choose
 
 from wagtailtide_server.upstream import client
@@ -13,17 +12,22 @@
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import headers
 from wagtailtide_server.upstream import sse
+from wagtailtide_server.upstream import verdicts
 
 # Engines send a comment each second, so three missed ones mean silence.
 SILENCE_S = 3.0
 RESUME_LIMIT = 5
-ATTEMPT_LIMIT = 12
+ATTEMPT_LIMIT = 6
 
 # A server that is restarting or a model that is being moved is usually back
 # within this time; a started stream is worth waiting for.
 WAIT_FOR_SERVER_S = 10.0
 POLL_S = 0.1
 
+# Wait before servers that failed are tried again, doubled each time.
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True)
 class ModelCall:
@@ -66,6 +70,10 @@
         self._tried = set()
         self._attempts = 0
         self._resumes = 0
+        self._failure = None
+        self._serving = None
+        self._end_fetch = _nothing
+        self._has_permit = False
         self._last = None
         self.next_offset = 0
         self.usage = None
@@ -76,6 +84,12 @@
         Raises:
             ServingError: If it cannot be delivered.
         """
+        try:
+            await self._run()
+        finally:
+            self._end_fetch()
+
+    async def _run(self):
         call = self._model_call.call
         while True:
             name = await self._choose()
@@ -93,22 +107,53 @@
 
     async def _choose(self):
         call = self._model_call.call
-        check_quarantine(self._dispatcher, call)
+        verdicts.check_quarantine(self._dispatcher, call)
         waited_until = anyio.current_time() + WAIT_FOR_SERVER_S
         while True:
             chosen = self._dispatcher.choose(call, self._tried)
             if isinstance(chosen, choose.NoServer) and self._tried:
-                # A connection may have been silent or broken although the
-                # server works; try those servers again.
-                self._tried.clear()
-                chosen = self._dispatcher.choose(call)
+                await self._back_off()
+                continue
             if isinstance(chosen, choose.Choice):
-                return chosen.server
+                if self._may_fetch(chosen.server):
+                    return chosen.server
+                # What is known of the servers changes while this waits, so
+                # the choice is made again.
+                self._end_fetch = await self._dispatcher.permits.acquire()
+                self._has_permit = True
+                continue
             started = self.next_offset > 0 or self._attempts > 0
             if not started or anyio.current_time() >= waited_until:
                 raise self._no_server(chosen)
             await anyio.sleep(POLL_S)
 
+    def _may_fetch(self, name):
+        """Return whether a permit to fetch is held or not needed."""
+        adapter = self._model_call.call.route.adapter
+        state = self._dispatcher.table.servers[name]
+        if adapter is None or adapter in state.adapters or self._has_permit:
+            return True
+        release = self._dispatcher.permits.try_acquire()
+        if release is None:
+            return False
+        self._end_fetch = release
+        self._has_permit = True
+        return True
+
+    async def _back_off(self):
+        """Let the servers that failed be tried again.
+
+        A connection may have been silent or broken although its server
+        works. A server that is full stays full for longer than a new request
+        should wait.
+        """
+        full = self._failure.refusal == 'over_capacity'
+        if full and self.next_offset == 0:
+            raise self._final_error(self._failure)
+        self._tried.clear()
+        longest_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._attempts)
+        await anyio.sleep(self._dispatcher.jitter(longest_s))
+
     def _no_server(self, none):
         fate = self._model_call.call.history.fate
         if self.next_offset > 0:
@@ -137,13 +182,16 @@
     def _decide(self, exc, progressed):
         """Return if the request goes on after a failure, else raise."""
         self._attempts += 1
+        self._failure = exc
+        if exc.kind is failures.FailureKind.MOVED:
+            return
         if progressed:
             self._resumes += 1
             if self._resumes > RESUME_LIMIT:
                 raise self._final_error(exc)
             self._metrics.retries.labels('resume').inc()
             return
-        if _is_callers_fault(exc):
+        if verdicts.is_callers_fault(exc):
             raise kinds.ServingError(
                 kinds.ErrorKind.MALFORMED_REQUEST,
                 f'the model engine refused the request: {exc.detail}',
@@ -167,7 +215,8 @@
                 f'the stream broke ({exc.detail}) and the resume limit is '
                 'reached; send the request again',
             )
-        return error_of_failure(exc, self._model_call.call.history.fate)
+        fate = self._model_call.call.history.fate
+        return verdicts.error_of_failure(exc, fate)
 
     async def _attempt(self, name):
         request_id = dispatch.make_request_id()
@@ -188,10 +237,16 @@
             fresh=self._attempts > 0,
             silence_s=SILENCE_S,
         )
+        with self._dispatcher.moves.movable(name):
+            await self._exchange(name, attempt)
+
+    async def _exchange(self, name, attempt):
+        call = self._model_call.call
         async with self._dispatcher.open(name, call, attempt) as response:
             if response.status != 200:
                 raise await response.read_refusal()
-            await self._read_events(response, request_id)
+            self._serving = name
+            await self._read_events(response, attempt.request_id)
 
     async def _read_events(self, response, request_id):
         self._last = None
@@ -200,7 +255,7 @@
             try:
                 events = parser.feed(chunk)
             except sse.EventTooLongError as exc:
-                raise _wrong(str(exc)) from exc
+                raise verdicts.wrong_response(str(exc)) from exc
             for event in events:
                 if event.data == '[DONE]' and self._last is not None:
                     await self._emit(self._last)
@@ -217,28 +272,44 @@
         try:
             value = json.loads(event.data)
         except ValueError as exc:
-            raise _wrong('an event is not JSON') from exc
+            raise verdicts.wrong_response('an event is not JSON') from exc
         if not isinstance(value, dict):
-            raise _wrong('an event is not a JSON object')
+            raise verdicts.wrong_response('an event is not a JSON object')
         if 'error' in value:
-            raise _stated_error(value['error'])
+            raise verdicts.stated_error(value['error'])
         if value.get('id') != request_id:
-            raise _wrong(
+            raise verdicts.wrong_response(
                 f'expected events of {request_id}, got {value.get("id")!r}'
             )
         if value.get('offset') != self.next_offset:
-            raise _wrong(
+            raise verdicts.wrong_response(
                 f'expected offset {self.next_offset}, '
                 f'got {value.get("offset")!r}'
             )
+        self._note_adapter()
         if isinstance(value.get('usage'), dict):
             # Held until the end marker: a stream that breaks between the two
             # is resumed, which sends this event again.
             self.usage = value['usage']
             self._last = value
             return
-        self.next_offset += 1
+        # Counted after it was passed on: an attempt may be ended while the
+        # caller is slow to take the event.
         await self._emit(value)
+        self.next_offset += 1
+
+    def _note_adapter(self):
+        # A token proves that the adapter is there; reports say so later.
+        adapter = self._model_call.call.route.adapter
+        if adapter is not None and self._serving is not None:
+            self._dispatcher.table.add_adapter(self._serving, adapter)
+            self._end_fetch()
+            self._has_permit = False
+        self._serving = None
+
+
+def _nothing():
+    pass
 
 
 async def _finish(response):
@@ -249,69 +320,3 @@
             pass
     except failures.AttemptError:
         return
-
-
-def _wrong(detail):
-    return failures.AttemptError(
-        failures.FailureKind.WRONG_RESPONSE, kinds.Fate.UNKNOWN, detail
-    )
-
-
-def _stated_error(error):
-    error = error if isinstance(error, dict) else {}
-    return failures.AttemptError(
-        failures.FailureKind.ERROR_STATUS,
-        kinds.Fate.UNKNOWN,
-        str(error.get('message', 'the engine reported an error'))[:200],
-        refusal=str(error.get('kind')),
-    )
-
-
-def _is_callers_fault(exc):
-    return (
-        exc.kind is failures.FailureKind.ERROR_STATUS
-        and exc.status is not None
-        and 400 <= exc.status < 500
-        and exc.status not in (408, 409, 429)
-    )
-
-
-def check_quarantine(dispatcher, call):
-    """Refuse a request that has crashed too many servers.
-
-    Raises:
-        ServingError: If the request is quarantined.
-    """
-    now = anyio.current_time()
-    if dispatcher.crashes.verdict(call.mark, now) is crashes.Verdict.REFUSED:
-        known = sorted(dispatcher.crashes.crashes_of(call.mark, now))
-        listed = ', '.join(f'{c.server} ({c.boot_id})' for c in known)
-        raise kinds.ServingError(
-            kinds.ErrorKind.REQUEST_QUARANTINED,
-            f'this request ran on backend servers that crashed: {listed}; '
-            'do not send it again unchanged',
-            fate=call.history.fate,
-        )
-
-
-def error_of_failure(exc, fate):
-    """Return the caller's error for a request whose last attempt failed.
-
-    Args:
-        exc: The AttemptError.
-        fate: Fate of the request over all attempts.
-    """
-    kind = kinds.ErrorKind.BACKEND_SERVER_ERROR
-    if exc.kind is failures.FailureKind.SILENT:
-        kind = kinds.ErrorKind.BACKEND_SERVER_SILENT
-    elif exc.kind in failures.NEVER_CONNECTED:
-        kind = kinds.ErrorKind.NO_BACKEND_SERVER
-    elif exc.refusal == 'over_capacity':
-        kind = kinds.ErrorKind.OVERLOADED
-    retry_after_s = 1 if kind is kinds.ErrorKind.OVERLOADED else None
-    return kinds.ServingError(
-        kind,
-        f'the backend server failed: {exc.detail}; send the request again',
-        fate=fate,
-        retry_after_s=retry_after_s,
-    )
