--- a/packages/bench/src/wagtailtide_bench/ours.py
+++ b/packages/bench/src/wagtailtide_bench/ours.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+from wagtailtide_core.admission import capacity
 from wagtailtide_core.admission import queue
 from wagtailtide_core.document import schema
 from wagtailtide_core.rates import grants
@@ -20,13 +21,6 @@
 RESIDENCY_LAG_S = 0.5
 SLOTS_COUNT_S = 5.0
 
-# Estimated work, as a share of a server's slots, up to which a class is sent.
-FILL = {
-    workload.INTERACTIVE: 1.0,
-    workload.STANDARD: 1.0,
-    workload.BATCH: 1.0,
-}
-
 
 @dataclasses.dataclass
 class Waiting:
@@ -257,16 +251,14 @@
         now = self._world.loop.now
         model = (ticket.pool, 'v1')
         route = choose.RouteRequest(model=model, zone=inst.zone)
-        limit = FILL[ticket.priority_class]
-        ready = inst.table.with_model(model)
-        usable = [
-            s for s in ready if choose.exclusion_reason(route, s, now) is None
-        ]
-        if not usable:
+        if not any(
+            choose.exclusion_reason(route, state, now) is None
+            for state in inst.table.with_model(model)
+        ):
             self._world.load_on_miss(
                 model, keep_last_copy=True, may_unload=self._world.store_up
             )
-        return any(choose.estimate_work(route, s, now) < limit for s in usable)
+        return capacity.has_room(route, inst.table, ticket.priority_class, now)
 
     def _dispatch(self, index, waiting, tried=frozenset()):
         inst, req = self._instances[index], waiting.req
