--- a/packages/bench/src/wagtailtide_bench/main.py
+++ b/packages/bench/src/wagtailtide_bench/main.py
@@ -5,6 +5,7 @@
 
 import cappa
 
+from wagtailtide_bench import fits
 from wagtailtide_bench import report
 from wagtailtide_bench import runs
 from wagtailtide_bench import scenes
@@ -59,8 +60,8 @@
         )
         print(report.to_json(rows) if args.json else report.format_rows(rows))
     if 'slopes' in targets:
-        fits = slopes.measure_all()
-        print(report.to_json(fits) if args.json else slopes.format_fits(fits))
+        found = slopes.measure_all()
+        print(report.to_json(found) if args.json else fits.format_fits(found))
 
 
 if __name__ == '__main__':
