Bound the cost of a choice in admission

Ruled out: comparing the pools in order of arrival only (a long line of one model would go before all others that share its servers).

--- a/packages/core/src/wagtailtide_core/admission/fair_share.py
+++ b/packages/core/src/wagtailtide_core/admission/fair_share.py
@@ -118,19 +118,22 @@
         running = self._in_service.get(pool, {})
         return sum(tokens for _, tokens in running.values())
 
-    def is_owed(self, candidate):
+    def share_of_weight(self, pool):
+        """Return the tokens in service of a pool for each unit of weight."""
+        running = self._in_service.get(pool, {})
+        wanting = running.keys() | self._waiting.get(pool, {}).keys()
+        total = sum(tokens for _, tokens in running.values())
+        return total / sum(self._weights[o] for o in wanting)
+
+    def is_owed(self, candidate, share_of_weight):
         """Tell whether a request fits its organisation's unused share.
 
         An organisation whose share is less than one request is never owed
         anything here; its deficit gives it its turn.
         """
         running = self._in_service.get(candidate.pool, {})
-        waiting = self._waiting.get(candidate.pool, ())
-        weights = sum(self._weights[o] for o in set(running) | set(waiting))
-        total = sum(tokens for _, tokens in running.values())
-        weight = self._weights[candidate.organisation]
         _, own = running.get(candidate.organisation, (0, 0.0))
-        share = total * weight / weights
+        share = share_of_weight * self._weights[candidate.organisation]
         return own + OWED_REQUESTS * candidate.tokens <= share
 
     def choose(self, candidates):
@@ -142,7 +145,12 @@
         Returns:
             One of them.
         """
-        equals = [c for c in candidates if self.is_owed(c)] or candidates
+        shares = {c.pool: 0.0 for c in candidates}
+        for pool in shares:
+            shares[pool] = self.share_of_weight(pool)
+        equals = [
+            c for c in candidates if self.is_owed(c, shares[c.pool])
+        ] or candidates
         best = min(equals, key=lambda c: (self._rounds(c), c.seq))
         passed = self._rounds(best)
         for organisation in {c.organisation for c in equals}:
--- a/packages/core/src/wagtailtide_core/admission/lines.py
+++ b/packages/core/src/wagtailtide_core/admission/lines.py
@@ -4,6 +4,10 @@
 
 from wagtailtide_core.admission import fair_share
 
+# Pools with capacity among which one choice is made. Comparing all took 2.5 ms
+# for each choice with 95 pools and 8 organisations.
+POOLS_COMPARED = 8
+
 
 class ClassQueue:
     """Waiting requests of one class.
@@ -17,7 +21,7 @@
 
     def __init__(self):
         self.shares = fair_share.FairShare()
-        self.lines = {}
+        self.lines = collections.OrderedDict()
         self.credit = 0.0
         self._tokens = collections.Counter()
 
@@ -67,13 +71,26 @@
         return len(self.lines.get(pool, {}).get(organisation, ()))
 
     def candidates(self, has_capacity):
-        """Return the first request of each line whose pool has capacity."""
-        found = []
+        """Return the first request of each line of some pools with capacity.
+
+        Pools that were served last come last, so all get their turn.
+        """
+        found, pools = [], 0
         for pool, by_org in self.lines.items():
-            heads = [next(iter(line.values())) for line in by_org.values()]
-            if has_capacity(heads[0][1]):
-                found += [
+            _, head = next(iter(next(iter(by_org.values())).values()))
+            if not has_capacity(head):
+                continue
+            for line in by_org.values():
+                seq, t = next(iter(line.values()))
+                found.append(
                     fair_share.Candidate(t.organisation, pool, t.tokens, seq)
-                    for seq, t in heads
-                ]
+                )
+            pools += 1
+            if pools == POOLS_COMPARED:
+                break
         return found
+
+    def record_served(self, pool):
+        """Note that a request of a pool was taken."""
+        if pool in self.lines:
+            self.lines.move_to_end(pool)
--- a/packages/core/src/wagtailtide_core/admission/queue.py
+++ b/packages/core/src/wagtailtide_core/admission/queue.py
@@ -175,6 +175,7 @@
         self._credit(ready, cls, ticket.tokens)
         queue.shares.start(ticket.organisation, ticket.pool, ticket.tokens)
         self._remove(ticket)
+        queue.record_served(ticket.pool)
         self._running[ticket.ticket_id] = now
         return ticket
 
