Assert that a non-idempotent call runs at most once, and widen the dump

Each attempt at a keyed call passes the claim's own check and each attempt at any non-idempotent call the check non_idempotent_at_most_once. The dump shows members with their links, held claims by state, rates and adapter fetches.

--- a/packages/server/src/wagtailtide_server/dump.py
+++ b/packages/server/src/wagtailtide_server/dump.py
@@ -36,14 +36,16 @@
             request would go now; with ``organisation``, limits the refusals
             to its keys.
     """
+    now = anyio.current_time()
     value = {
         'status': make_status(inst),
         'backend_servers': _servers(inst),
         'quarantine': _quarantine(inst),
         'retry_budget': inst.dispatcher.budget.level,
-        'control': _call(inst.plane, 'dump'),
-        'rates': _call(inst.shares, 'dump'),
-        'claims': _call(inst.claims, 'dump'),
+        'adapter_fetches': inst.dispatcher.permits.in_use,
+        'members': _members(inst),
+        'rates': inst.shares.dump(now),
+        'claims': inst.claims.holdings.counts(),
         'refusals': inst.refusals.recent(_key_ids(inst, query)),
     }
     if 'model' in query or 'route' in query:
@@ -51,9 +53,18 @@
     return value
 
 
-def _call(part, name):
-    method = getattr(part, name, None)
-    return method() if method is not None else None
+def _members(inst):
+    return {
+        member.name: {
+            'state': member.state.name.lower(),
+            'incarnation': member.incarnation,
+            'zone': member.zone,
+            'region': member.region,
+            'address': member.address,
+            'linked': bool(inst.plane.links_to(member.name)),
+        }
+        for member in inst.plane.view
+    }
 
 
 def _key_ids(inst, query):
--- a/packages/server/src/wagtailtide_server/http/passthrough.py
+++ b/packages/server/src/wagtailtide_server/http/passthrough.py
@@ -1,5 +1,6 @@
 """Routes of the document that are passed through to plain services."""
 
+import dataclasses
 import hashlib
 import logging
 
@@ -167,6 +168,12 @@
     )
     if result.kind is not _Kind.GRANTED:
         return _answer_existing(result)
+    holdings = inst.claims.holdings
+    plain_call = dataclasses.replace(
+        plain_call,
+        begin_attempt=lambda: holdings.begin_attempt(result.holding),
+        attempt_not_run=lambda: holdings.attempt_not_run(result.holding),
+    )
     # The caller may go away, but the outcome must be recorded.
     with anyio.CancelScope(shield=True):
         try:
--- a/packages/server/src/wagtailtide_server/rates_local.py
+++ b/packages/server/src/wagtailtide_server/rates_local.py
@@ -64,3 +64,10 @@
         level, at = self._levels[charge.organisation]
         refund = max(0, charge.tokens - true_tokens)
         self._levels[charge.organisation] = (level + refund, at)
+
+    def dump(self, now):
+        """Return the level of each organisation's bucket in tokens."""
+        return {
+            name: {'level_tokens': level, 'age_s': round(now - at, 1)}
+            for name, (level, at) in self._levels.items()
+        }
--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -189,6 +189,18 @@
             server=name,
         )
 
+    def check_runs_once(self, call):
+        """Assert that no earlier attempt at a call may have run it.
+
+        Raises:
+            InvariantError: If one may have.
+        """
+        self._invariants.check(
+            'non_idempotent_at_most_once',
+            not call.history.may_have_run,
+            fingerprint=call.mark,
+        )
+
     def _count(self, state, outcome):
         self._metrics.attempts.labels(state.declared.kind, outcome).inc()
 
--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -1,5 +1,6 @@
 """Calls to plain services."""
 
+from collections.abc import Callable
 import dataclasses
 
 import anyio
@@ -31,6 +32,8 @@
         received: The caller's headers.
         body: Body as received.
         idempotent: Whether it may run twice.
+        begin_attempt: Called before each attempt; raises to stop it.
+        attempt_not_run: Called after an attempt that certainly did not run.
     """
 
     call: dispatch.Call
@@ -39,6 +42,8 @@
     received: list[tuple[bytes, bytes]]
     body: bytes
     idempotent: bool
+    begin_attempt: Callable[[], None] = lambda: None
+    attempt_not_run: Callable[[], None] = lambda: None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -218,9 +223,19 @@
             request_id=request_id,
             fresh=not plain.idempotent or self._attempts > 0,
         )
-        async with self._dispatcher.open(
-            name, plain.call, attempt
-        ) as response:
+        if not plain.idempotent:
+            self._dispatcher.check_runs_once(plain.call)
+        plain.begin_attempt()
+        try:
+            return await self._exchange(name, attempt)
+        except failures.AttemptError as exc:
+            if exc.fate is kinds.Fate.NOT_RUN:
+                plain.attempt_not_run()
+            raise
+
+    async def _exchange(self, name, attempt):
+        call = self._plain_call.call
+        async with self._dispatcher.open(name, call, attempt) as response:
             body = await response.read_whole()
             if response.status >= 400:
                 refusal = client.refusal_of(response.status, body)
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -127,22 +127,18 @@
             url = await enter(serving.serve(platform.make_app(self.platform)))
             self.publish()
             group = await enter(anyio.create_task_group())
-            self.inst = await self._start(stack, group, url, 'a-1', limits)
+            self.inst = await self._start(group, url, 'a-1', limits)
             caller = await enter(_caller(self.inst))
             await self.wait_until(lambda: self._is_ready(self.inst))
-            self._start_another = functools.partial(
-                self._start, stack, group, url
-            )
+            self._start_another = functools.partial(self._start, group, url)
             yield caller
             group.cancel_scope.cancel()
         violated = dict(self.inst.invariants.violated)
         if violated:
             raise AssertionError(f'invariants were violated: {violated}')
 
-    async def _start(self, stack, group, url, name, limits=None, seeds=()):
-        store = await stack.enter_async_context(
-            client.StoreClient(url, rng=random.Random(1))
-        )
+    async def _start(self, group, url, name, limits=None, seeds=()):
+        store = client.StoreClient(url, rng=random.Random(1))
         cfg = settings.parse(
             {
                 'name': name,
@@ -170,7 +166,8 @@
             yield caller
 
     async def _run(self, inst, task_status):
-        async with anyio.create_task_group() as group:
+        # The tasks end before the store's connections are closed.
+        async with inst.store, anyio.create_task_group() as group:
             if inst.settings.name == 'a-1':
                 await group.start(inst.handle_signals)
             await inst.run(task_status=task_status)
--- a/packages/server/tests/test_instance.py
+++ b/packages/server/tests/test_instance.py
@@ -83,6 +83,8 @@
                 'ledger': 'model_not_ready',
             },
         )
+        members = resp.json()['members']
+        self.assertEqual(members['a-1']['state'], 'live')
         (refusal,) = resp.json()['refusals']
         self.assertEqual(refusal['kind'], 'model_loading')
         self.assertEqual(other.json()['refusals'], [])
