--- a/packages/server/src/wagtailtide_server/http/completions.py
+++ b/packages/server/src/wagtailtide_server/http/completions.py
@@ -12,7 +12,7 @@
 from wagtailtide_server.http import answers
 from wagtailtide_server.http import checks
 from wagtailtide_server.http import model_requests
-from wagtailtide_server.upstream import dispatch
+from wagtailtide_server.upstream import calls
 from wagtailtide_server.upstream import streams
 from wagtailtide_server.upstream import verdicts
 
@@ -67,8 +67,8 @@
         near_zones=inst.near_zones,
     )
     mark = crashes.fingerprint(access.name, exchange.head.path, body)
-    exchange.history = dispatch.History()
-    return dispatch.Call(route, mark, exchange.history, access.secrets)
+    exchange.history = calls.History()
+    return calls.Call(route, mark, exchange.history, access.secrets)
 
 
 def _engine_body(req, priority):
--- a/packages/server/src/wagtailtide_server/http/passthrough.py
+++ b/packages/server/src/wagtailtide_server/http/passthrough.py
@@ -13,7 +13,7 @@
 from wagtailtide_server.claims import service
 from wagtailtide_server.http import access as accesses
 from wagtailtide_server.http import checks
-from wagtailtide_server.upstream import dispatch
+from wagtailtide_server.upstream import calls
 from wagtailtide_server.upstream import headers
 from wagtailtide_server.upstream import plain
 from wagtailtide_server.upstream import verdicts
@@ -96,8 +96,8 @@
     # Two requests without a body differ in their target.
     content = head.method.encode() + b' ' + head.target + b'\n' + body
     mark = crashes.fingerprint(access.name, route.path, content)
-    exchange.history = dispatch.History()
-    return dispatch.Call(request, mark, exchange.history, access.secrets)
+    exchange.history = calls.History()
+    return calls.Call(request, mark, exchange.history, access.secrets)
 
 
 async def _run(inst, exchange, access, route, wishes, plain_call, deadline_at):
--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -8,8 +8,8 @@
 from wagtailtide_core.retries import fate
 from wagtailtide_core.routing import choose
 
+from wagtailtide_server.upstream import calls
 from wagtailtide_server.upstream import client
-from wagtailtide_server.upstream import dispatch
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import headers
 from wagtailtide_server.upstream import verdicts
@@ -36,7 +36,7 @@
         attempt_not_run: Called after an attempt that certainly did not run.
     """
 
-    call: dispatch.Call
+    call: calls.Call
     method: str
     target: bytes
     received: list[tuple[bytes, bytes]]
@@ -201,7 +201,7 @@
         return None
 
     async def _attempt(self, name):
-        request_id = dispatch.make_request_id()
+        request_id = calls.make_request_id()
         plain = self._plain_call
         state = self._dispatcher.table.servers[name]
         if state.stopping:
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -7,8 +7,8 @@
 from wagtailtide_core.errors import kinds
 from wagtailtide_core.routing import choose
 
+from wagtailtide_server.upstream import calls
 from wagtailtide_server.upstream import client
-from wagtailtide_server.upstream import dispatch
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import headers
 from wagtailtide_server.upstream import sse
@@ -40,7 +40,7 @@
         body: JSON object for the engine, without resume_offset.
     """
 
-    call: dispatch.Call
+    call: calls.Call
     target: bytes
     received: list[tuple[bytes, bytes]]
     body: dict
@@ -219,7 +219,7 @@
         return verdicts.error_of_failure(exc, fate)
 
     async def _attempt(self, name):
-        request_id = dispatch.make_request_id()
+        request_id = calls.make_request_id()
         body = self._model_call.body
         if self.next_offset:
             body = {**body, 'resume_offset': self.next_offset}
