--- /dev/null
+++ b/packages/server/src/wagtailtide_server/control/session.py
@@ -0,0 +1,137 @@
+"""Renew this instance's session object in the store."""
+
+import logging
+
+import anyio
+from wagtailtide_core.document import schema
+from wagtailtide_core.leases import session as sessions
+
+from wagtailtide_server.platform import budget as budgets
+from wagtailtide_server.platform import client
+
+LOG = logging.getLogger(__name__)
+
+RENEW_S = 60.0
+RETRY_S = 5.0
+PREFIX = 'sessions/'
+
+
+class Session:
+    """The session object ``sessions/<instance name>`` and its leases.
+
+    Attributes:
+        name: Name of the instance.
+        boot: Number of this process.
+        rates: Lease of the rate slots.
+        ownership: Lease of the owned backend servers.
+        replaced: Whether a later start of the instance was seen; it never
+            acts again.
+    """
+
+    def __init__(self, plane, store, *, address, zone, name, rng):
+        self.name, self.boot = name, plane.boot
+        self.rates, self.ownership = sessions.Lease(), sessions.Lease()
+        self.replaced = False
+        self._plane, self._store, self._rng = plane, store, rng
+        self._address, self._zone = address, zone
+        self._version, self._counter = None, 0
+        self._has_read = False
+
+    async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
+        """Renew until cancelled or replaced."""
+        task_status.started()
+        while not self.replaced:
+            renewed = await self.renew()
+            pause = RENEW_S if renewed else RETRY_S
+            await anyio.sleep(pause * self._rng.uniform(0.9, 1.1))
+
+    async def renew(self):
+        """Renew once; return whether the store holds the renewal."""
+        try:
+            if not self._has_read:
+                await self._read_predecessor()
+            return await self._write()
+        except client.StoreError as exc:
+            LOG.warning('session not renewed', extra={'error': str(exc)})
+            return False
+
+    async def leave(self):
+        """Delete the object; what it covered was given up before."""
+        self.rates.end()
+        self.ownership.end()
+        if self._version is None or self.replaced:
+            return
+        try:
+            await self._store.delete(
+                PREFIX + self.name,
+                self._version,
+                activity=budgets.Activity.SESSION,
+            )
+        except client.StoreError as exc:
+            LOG.warning('session not deleted', extra={'error': str(exc)})
+
+    async def _read_predecessor(self):
+        current = await self._get()
+        self._version = current.version if current else None
+        self._has_read = True
+
+    async def _get(self):
+        return await self._store.get(
+            PREFIX + self.name, activity=budgets.Activity.SESSION
+        )
+
+    async def _write(self):
+        record = self._next_record()
+        sent_at = anyio.current_time()
+        self.rates.sending(sent_at, record.rate_horizon_s)
+        self.ownership.sending(sent_at, record.ownership_horizon_s)
+        try:
+            self._version = await self._store.put(
+                PREFIX + self.name,
+                record.encode(),
+                self._version,
+                activity=budgets.Activity.SESSION,
+            )
+        except (client.Conflict, client.WriteUnknown):
+            if not await self._settle(record):
+                return False
+        self._confirm(record, sent_at)
+        return True
+
+    def _next_record(self):
+        self._counter += 1
+        documents = self._plane.config.catalog.documents.values()
+        limits = [d.limits for d in documents] or [schema.Limits()]
+        return sessions.SessionRecord(
+            name=self.name,
+            boot=self.boot,
+            counter=self._counter,
+            address=self._address,
+            zone=self._zone,
+            rate_horizon_s=min(x.rate_horizon_s for x in limits),
+            ownership_horizon_s=min(x.ownership_horizon_s for x in limits),
+        )
+
+    async def _settle(self, record):
+        """Read the object; return whether it holds this renewal."""
+        current = await self._get()
+        if current is None:
+            self._version = None
+            return False
+        if current.version == self._version:
+            return False
+        if sessions.SessionRecord.decode(current.value).boot != self.boot:
+            # The peer port is bound by one process, so a later start of this
+            # instance means that this process should have ended.
+            self.replaced = True
+            self.rates.end()
+            self.ownership.end()
+            LOG.error('session replaced by a later start of the instance')
+            return False
+        self._version = current.version
+        return current.value == record.encode()
+
+    def _confirm(self, record, sent_at):
+        now = anyio.current_time()
+        self.rates.confirmed(sent_at, record.rate_horizon_s, now)
+        self.ownership.confirmed(sent_at, record.ownership_horizon_s, now)
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/control/shares.py
@@ -0,0 +1,196 @@
+"""Admit requests within the organisations' rates, with grants of peers."""
+
+import collections
+import logging
+import random
+
+import anyio
+from wagtailtide_core.errors import kinds
+from wagtailtide_core.leases import roster as rosters
+from wagtailtide_core.rates import bucket
+from wagtailtide_core.rates import grants as grants_
+from wagtailtide_core.rates import limiter as limiters
+
+from wagtailtide_server.control import roster
+
+LOG = logging.getLogger(__name__)
+
+GRANT_TIMEOUT_S = 0.5
+LEAVE_TIMEOUT_S = 5.0
+
+
+class Shares:
+    """Rates of the organisations on this instance.
+
+    Attributes:
+        limiter: RateLimiter.
+        keeper: RosterKeeper.
+        refused: Refusals by organisation.
+        refused_within_rate: Refusals by organisation while what this instance
+            admitted for it was within the instance's share of its rate.
+    """
+
+    def __init__(self, plane, store, session, *, rng=None, invariants=None):
+        rng = rng or random.Random(session.boot)
+        self.limiter = limiters.RateLimiter(invariants)
+        self.keeper = roster.RosterKeeper(
+            plane, store, session, self.limiter, rng, self._configure
+        )
+        self.refused = collections.Counter()
+        self.refused_within_rate = collections.Counter()
+        self._plane, self._session = plane, session
+        self._catalog, self._references = None, {}
+        self._calls = 0
+        plane.peers.register('grant', self._serve_grant)
+
+    async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
+        """Keep the session and the slots until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self._session.run)
+            tasks.start_soon(self.keeper.run)
+            task_status.started()
+
+    async def leave(self):
+        """Free the slots and delete the session."""
+        with anyio.move_on_after(LEAVE_TIMEOUT_S, shield=True):
+            await self.keeper.leave()
+            await self._session.leave()
+
+    async def admit(self, org_name, tokens, now):
+        """Charge an estimate, with grants if the own bucket is short.
+
+        Args:
+            org_name: Name of the organisation.
+            tokens: Prompt estimate plus the largest completion.
+            now: Time of the runtime's clock in seconds.
+
+        Returns:
+            limiter.Charge, to be settled.
+
+        Raises:
+            ServingError: RATE_EXCEEDED or REQUEST_ABOVE_BURST.
+        """
+        self._configure(now)
+        org = self._plane.config.catalog.organisations[org_name]
+        if tokens > org.burst_tokens:
+            raise kinds.ServingError(
+                kinds.ErrorKind.REQUEST_ABOVE_BURST,
+                f'expected at most {org.burst_tokens} tokens in one request, '
+                f'got {tokens}; ask for less',
+            )
+        result = self.limiter.admit(org_name, tokens, now)
+        if isinstance(result, limiters.Shortfall):
+            result = await self._admit_with_grants(org_name, tokens, result)
+        now = anyio.current_time()
+        if isinstance(result, limiters.Charge):
+            self._reference(org, now).charge(result.id, tokens, now)
+            return result
+        self._count_refusal(org, tokens, now)
+        raise kinds.ServingError(
+            kinds.ErrorKind.RATE_EXCEEDED,
+            f'expected at most {org.rate_tokens_per_s:g} tokens a second with '
+            f'the burst used up, {result.tokens} are missing; come back later',
+            retry_after_s=result.retry_after_s,
+        )
+
+    def settle(self, charge, true_tokens, now):
+        """Correct a charge to the true count; a second call has no effect."""
+        self.limiter.settle(charge, true_tokens, now)
+        reference = self._references.get(charge.org)
+        if reference is not None:
+            reference.settle(charge.id, true_tokens, now)
+
+    def dump(self):
+        """Return the state for the admin dump."""
+        return {
+            'slots': len(self.limiter.held),
+            'valid_until': self.limiter.valid_until,
+            'refused': dict(self.refused),
+            'refused_within_rate': dict(self.refused_within_rate),
+        }
+
+    async def _admit_with_grants(self, org_name, tokens, result):
+        received = []
+        self._calls += 1
+        for names in grants_.rounds(
+            self._donors(), self._plane.view.me.zone, self._calls
+        ):
+            ask = grants_.split(result.tokens, len(names))
+            async with anyio.create_task_group() as tasks:
+                for name in names:
+                    tasks.start_soon(self._ask, name, org_name, ask, received)
+            result = self.limiter.admit_with_grants(
+                org_name, tokens, tuple(received), anyio.current_time()
+            )
+            if isinstance(result, limiters.Charge):
+                break
+        return result
+
+    def _donors(self):
+        holders = {
+            rosters.session_name(holder)
+            for holder in self.keeper.roster.counts()
+        }
+        return sorted(
+            (name, member.zone)
+            for name, member in self._plane.view.live().items()
+            if name in holders and name != self._session.name
+        )
+
+    async def _ask(self, name, org_name, tokens, received):
+        sent_at = anyio.current_time()
+        self._calls += 1
+        key = (name, self._calls)
+        body = {'org': org_name, 'tokens': tokens}
+        try:
+            reply = await self._plane.peers.call(
+                name, 'grant', body, GRANT_TIMEOUT_S
+            )
+            given = min(int(reply['tokens']), tokens)
+        except Exception as exc:
+            # Without an answer there is no grant, whatever the cause.
+            LOG.debug('no grant', extra={'peer': name, 'error': repr(exc)})
+            return
+        if given > 0:
+            received.append(grants_.receive(key, given, sent_at))
+
+    async def _serve_grant(self, _caller, body):
+        now = anyio.current_time()
+        self._configure(now)
+        given = self.limiter.grant(
+            str(body['org']), int(body['tokens']), now, grants_.VALID_S
+        )
+        return {'tokens': given}
+
+    def _configure(self, now):
+        catalog = self._plane.config.catalog
+        if catalog is not self._catalog:
+            self._catalog = catalog
+            self.limiter.configure(catalog.organisations, now)
+            self._references = {
+                name: reference
+                for name, reference in self._references.items()
+                if name in catalog.organisations
+            }
+        self.keeper.apply(now)
+
+    def _reference(self, org, now):
+        """Return the bucket of what this instance alone may admit."""
+        reference = self._references.get(org.name)
+        if reference is None:
+            reference = self._references[org.name] = bucket.Bucket(now)
+        share = self.limiter.share(org.name)
+        rate = org.rate_tokens_per_s * share
+        if (rate, org.burst_tokens * share) != (
+            reference.rate,
+            reference.capacity,
+        ):
+            reference.resize(rate, org.burst_tokens * share, now)
+        return reference
+
+    def _count_refusal(self, org, tokens, now):
+        self.refused[org.name] += 1
+        reference = self._reference(org, now)
+        reference.advance(now)
+        if reference.level >= tokens:
+            self.refused_within_rate[org.name] += 1
--- a/packages/server/tests/control/test_config.py
+++ b/packages/server/tests/control/test_config.py
@@ -1,9 +1,9 @@
 import unittest
 
-import anyio
-from tests.control import fleet as fleets
 from wagtailtide_testing import virtual_time
 
+from tests.control import fleet as fleets
+
 
 class ConfigInForceTest(unittest.TestCase):
     """Guards against a change that is not in force everywhere in 11 s."""
