--- a/packages/server/src/wagtailtide_server/http/passthrough.py
+++ b/packages/server/src/wagtailtide_server/http/passthrough.py
@@ -1,5 +1,6 @@
 """Routes of the document that are passed through to plain services."""
 
+import dataclasses
 import hashlib
 import logging
 
@@ -12,7 +13,7 @@
 from wagtailtide_server.claims import service
 from wagtailtide_server.http import access as accesses
 from wagtailtide_server.http import checks
-from wagtailtide_server.upstream import dispatch
+from wagtailtide_server.upstream import calls
 from wagtailtide_server.upstream import headers
 from wagtailtide_server.upstream import plain
 from wagtailtide_server.upstream import verdicts
@@ -95,8 +96,8 @@
     # Two requests without a body differ in their target.
     content = head.method.encode() + b' ' + head.target + b'\n' + body
     mark = crashes.fingerprint(access.name, route.path, content)
-    exchange.history = dispatch.History()
-    return dispatch.Call(request, mark, exchange.history, access.secrets)
+    exchange.history = calls.History()
+    return calls.Call(request, mark, exchange.history, access.secrets)
 
 
 async def _run(inst, exchange, access, route, wishes, plain_call, deadline_at):
@@ -167,6 +168,12 @@
     )
     if result.kind is not _Kind.GRANTED:
         return _answer_existing(result)
+    holdings = inst.claims.holdings
+    plain_call = dataclasses.replace(
+        plain_call,
+        begin_attempt=lambda: holdings.begin_attempt(result.holding),
+        attempt_not_run=lambda: holdings.attempt_not_run(result.holding),
+    )
     # The caller may go away, but the outcome must be recorded.
     with anyio.CancelScope(shield=True):
         try:
