Test the control plane on loopback with the stand-in platform

Covers changes, reverts, key trust, silent links, crashes and pauses with 3 instances in virtual time. An instance without any version in force of a service asks peers for the one they hold when the newest is invalid; the test of a late start failed before ('not within 15 s').

--- a/packages/server/src/wagtailtide_server/control/config_sync.py
+++ b/packages/server/src/wagtailtide_server/control/config_sync.py
@@ -44,6 +44,7 @@
         """Watch or read the store until cancelled."""
         backoff = budget.Backoff(self._rng, maximum_s=2.0)
         while True:
+            await self._fetch_older()
             now = anyio.current_time()
             age = self._plane.freshness.age_s(now)
             stale = age is None or age > OWN_READ_AFTER_S
@@ -179,14 +180,22 @@
             if not await self._fetch_from_peers(service, sender, False):
                 await anyio.sleep(self._rng.uniform(0, BODY_JITTER_S))
                 await self._fetch_from_store(service)
-            if self._plane.config.document_of(service) is None:
-                # The newest is invalid; peers may hold an older valid one.
-                await self._fetch_from_peers(service, sender, True)
         except client.StoreError as exc:
             LOG.info('document not read', extra={'error': str(exc)})
         finally:
             self._fetching.discard(service)
 
+    async def _fetch_older(self):
+        """Get documents that are in force on peers from before a start.
+
+        The store has only the newest version, which may be invalid.
+        """
+        config = self._plane.config
+        names = sorted(self._plane.peers.names())
+        for service in list(config.invalid) if names else ():
+            if config.version_of(service) == 0:
+                await self._fetch_from_peers(service, names[0], True)
+
     async def _fetch_from_peers(self, service, sender, in_force):
         others = sorted(self._plane.peers.names() - {sender})
         for name in [sender, *others]:
--- a/packages/server/src/wagtailtide_server/peers/link.py
+++ b/packages/server/src/wagtailtide_server/peers/link.py
@@ -4,6 +4,7 @@
 import logging
 
 import anyio
+import trio
 from wagtailtide_core.membership import detector
 from websockets import exceptions as ws_exceptions
 
@@ -105,7 +106,13 @@
                         tasks.start_soon(self._ping)
                     await self._read(handle, on_pong, pong)
                     tasks.cancel_scope.cancel()
-        except* (ws_exceptions.ConnectionClosed, LinkClosed, OSError):
+        except* (
+            ws_exceptions.ConnectionClosed,
+            LinkClosed,
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ):
             pass
         finally:
             self.closed.set()
--- a/packages/server/src/wagtailtide_server/peers/listener.py
+++ b/packages/server/src/wagtailtide_server/peers/listener.py
@@ -16,7 +16,11 @@
 LOG = logging.getLogger(__name__)
 
 OPEN_TIMEOUT_S = 1.0
+# The library reports a connection that we abort as an internal error.
+_WS_LOG = logging.getLogger(f'{__name__}.websockets')
+_WS_LOG.setLevel(logging.CRITICAL)
 _OPTIONS = {
+    'logger': _WS_LOG,
     'compression': None,
     'open_timeout': OPEN_TIMEOUT_S,
     # Heartbeats of our own carry the confirmation age.
@@ -103,6 +107,8 @@
         except (
             OSError,
             TimeoutError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
             ws_exceptions.WebSocketException,
             frames.FrameError,
         ) as exc:
@@ -174,7 +180,7 @@
             if links.closed_for_size(exc):
                 self.bad_frames[frames.TOO_BIG] += 1
             return
-        except (OSError, TimeoutError):
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
         link = links.Link(conn, hello, False, hello.purpose == 'link')
         await self._serve(serve, link)
--- a/packages/server/tests/control/fleet.py
+++ b/packages/server/tests/control/fleet.py
@@ -14,6 +14,8 @@
 from wagtailtide_testing import serving
 from wagtailtide_testing.standins import platform
 
+# Shorter than the default of 300 s, so that tests take less time.
+PARTIAL_TRUST_S = 30.0
 ZONES = ('gulberg', 'anarkali', 'johar-town')
 
 
@@ -53,12 +55,14 @@
 
     Attributes:
         offline: Whether it cannot reach the platform.
+        fail_watches: Whether its watches get no answer.
     """
 
     def __init__(self, fleet, name, zone, seeds=()):
         self.fleet, self.name, self.zone = fleet, name, zone
         self.seeds = list(seeds)
         self.offline = False
+        self.fail_watches = False
         self.port = 0
         self.streams = []
         self.plane = None
@@ -122,6 +126,8 @@
     async def _read(self, *args, **options):
         if self._inst.offline:
             raise client.Unavailable('cut off')
+        if self._inst.fail_watches and args[0] == '/v1/watch':
+            raise client.Unavailable('no answer')
         return await super()._read(*args, **options)
 
 
@@ -132,6 +138,7 @@
         self.tasks, self.platform, self.served = tasks, state, served
         self.instances = []
         self._cut = set()
+        self.rng = random.Random(1)
 
     async def add(self, name, zone=None, seeds=()):
         zone = zone or ZONES[len(self.instances) % len(ZONES)]
@@ -151,6 +158,12 @@
     def is_cut(self, one, other):
         return one in self._cut or other in self._cut
 
+    async def take_offline(self, *instances):
+        """Cut instances off from the platform; wait for open watches."""
+        for inst in instances:
+            inst.offline = True
+        await anyio.sleep(2)
+
     def isolate(self, inst):
         """Cut one instance off from its peers, silently."""
         self._cut.add(inst.address)
@@ -159,17 +172,37 @@
                 if self.is_cut(other.address, address):
                     stream.silent = True
 
-    def write(self, version_text, service='tiles', withdrawn=False):
-        """Write a document as an operator does; return its version."""
+    def heal(self):
+        """End all cuts; connections that were cut stay silent."""
+        self._cut.clear()
+        for inst in self.instances:
+            inst.offline = False
+
+    def document_text(self, label, service='tiles', withdrawn=False):
         key = {'id': 'k1', 'salt': '00' * 8, 'hash': '00' * 32}
         org = {
-            'name': f'org-{version_text}',
+            'name': f'org-{label}',
             'rate_tokens_per_s': 1.0,
             'burst_tokens': 1,
             'keys': [{**key, 'withdrawn': withdrawn}],
         }
-        value = json.dumps({'service': service, 'organisations': [org]})
-        return self.write_raw(service, value.encode())
+        document = {
+            'service': service,
+            'organisations': [org],
+            'limits': {'partial_key_trust_s': PARTIAL_TRUST_S},
+        }
+        return json.dumps(document)
+
+    def delete(self, service):
+        key = f'documents/{service}'
+        held = self.platform.objects.get(key, 0)
+        self.platform.objects.write(key, None, held.version)
+        self.platform.wake_watches()
+
+    def write(self, version_text, service='tiles', withdrawn=False):
+        """Write a document as an operator does; return its version."""
+        text = self.document_text(version_text, service, withdrawn)
+        return self.write_raw(service, text.encode())
 
     def write_raw(self, service, value):
         key = f'documents/{service}'
@@ -193,8 +226,7 @@
     async def all_at(self, version, within_s=11, service='tiles'):
         return await self.until(
             lambda: all(
-                i.versions().get(service, 0) == version
-                for i in self.instances
+                i.versions().get(service, 0) == version for i in self.instances
             ),
             within_s,
         )
@@ -214,7 +246,11 @@
         for i in range(size):
             await fleet.add(f'inst-{i}')
         await fleet.until(
-            lambda: all(i.plane.caught_up for i in fleet.instances), 30
+            lambda: all(
+                i.plane.caught_up and len(i.plane.view.live()) == size
+                for i in fleet.instances
+            ),
+            30,
         )
         yield fleet
         tasks.cancel_scope.cancel()
