--- a/packages/server/src/wagtailtide_server/platform/client.py
+++ b/packages/server/src/wagtailtide_server/platform/client.py
@@ -205,6 +205,9 @@
         return await settle.put_settled(self, key, value, expected, **options)
 
     async def _reserve(self, activity, is_write):
+        # A stop closes the client while background tasks still use it.
+        if self._http.is_closed:
+            raise Unavailable('the client is closed')
         wait = self.budget.reserve(activity, is_write, anyio.current_time())
         if wait > MAX_BUDGET_WAIT_S:
             raise RateLimited(
