--- a/packages/server/tests/platform/test_client.py
+++ b/packages/server/tests/platform/test_client.py
@@ -100,6 +100,15 @@
         self.assertFalse(settled.written)
         self.assertFalse(settled.still_possible)
 
+    @virtual_time.run_in_virtual_time
+    async def test_a_closed_client_is_unavailable(self):
+        # Tasks that outlive the client during a stop must not crash it.
+        store = store_on(ScriptedPlatform())
+        await store.aclose()
+        for call in (store.get('k'), store.put('k', b'v', None)):
+            with self.assertRaises(client.Unavailable):
+                await call
+
 
 class BudgetTest(unittest.TestCase):
     """Guards against one instance using up the platform's rates."""
