--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -15,8 +15,10 @@
 from wagtailtide_core.routing import load
 from wagtailtide_core.routing import table
 
+from wagtailtide_server.upstream import adapters
 from wagtailtide_server.upstream import client
 from wagtailtide_server.upstream import failures
+from wagtailtide_server.upstream import moves
 from wagtailtide_server.upstream import reports
 
 LOG = logging.getLogger(__name__)
@@ -81,8 +83,12 @@
         crashes: CrashLedger.
         budget: RetryBudget of the instance.
         client: Connections to backend servers.
+        permits: Permits to make engines fetch adapters.
+        moves: Streams that may have to leave their server.
         on_crash: Called with the CrashRecords that a crash changed.
-        on_draining: Called with the name of a server that said it drains.
+        on_cleared: Called with the fingerprint of a request that ran whole.
+        on_draining: Called with name and ServerState of a server that began
+            or ended to drain.
     """
 
     def __init__(self, instance_name, invariants, metrics, rng=None):
@@ -95,8 +101,11 @@
         self.crashes = crashes.CrashLedger()
         self.budget = budget.RetryBudget()
         self.client = client.Client()
+        self.moves = moves.Moves()
+        self.permits = adapters.AdapterPermits()
         self.on_crash = lambda records: None
-        self.on_draining = lambda name: None
+        self.on_cleared = lambda mark: None
+        self.on_draining = lambda name, state: None
 
     def choose(self, call, tried=frozenset()):
         """Choose a server for a call.
@@ -205,21 +214,52 @@
             self.record_crash(name, state)
         if exc.refusal == 'draining':
             self.set_draining(name, True)
-            self.on_draining(name)
         elif exc.refusal == 'model_not_resident' and call.route.model:
             self.table.forget_model(name, call.route.model)
 
-    def set_draining(self, name, draining):
-        """Record whether a server says that it is stopping."""
+    def set_draining(self, name, draining, *, tell=True):
+        """Record whether a server says that it is stopping.
+
+        Args:
+            name: Name of the server.
+            draining: Whether it is.
+            tell: Whether the other instances have to be told.
+        """
         state = self.table.servers[name]
+        changed = state.draining != draining
         state.draining = draining
-        self.crashes.record_stopping(name, state.stopping)
+        self._record_stopping(name, state)
+        if changed and tell:
+            self.on_draining(name, state)
 
     def set_leaving(self, name, leaving):
         """Record whether the platform lists a server as leaving."""
         state = self.table.servers[name]
         state.leaving = leaving
+        self._record_stopping(name, state)
+
+    def _record_stopping(self, name, state):
         self.crashes.record_stopping(name, state.stopping)
+        if not state.stopping:
+            state.stopping_since = None
+        elif state.stopping_since is None:
+            state.stopping_since = anyio.current_time()
+            LOG.info(
+                'backend server is being stopped',
+                extra={
+                    'backend_server': name,
+                    'draining': state.draining,
+                    'leaving': state.leaving,
+                },
+            )
+
+    def move_streams(self):
+        """End streams on servers whose grace is over; they are resumed."""
+        now = anyio.current_time()
+        for state in self.table.servers.values():
+            count = self.moves.move_off(state, now)
+            if count:
+                self._metrics.retries.labels('grace_over').inc(count)
 
     def record_crash(self, name, state):
         """Attribute the end of a server's process to what ran there."""
@@ -287,4 +327,5 @@
     def record_completed(self, call):
         """Note that a request ran to its end."""
         self.budget.record_success()
-        self.crashes.record_completed(call.mark)
+        if self.crashes.record_completed(call.mark):
+            self.on_cleared(call.mark)
--- a/packages/server/tests/http/test_failures.py
+++ b/packages/server/tests/http/test_failures.py
@@ -3,6 +3,7 @@
 
 import anyio
 from wagtailtide_testing import virtual_time
+from wagtailtide_testing.standins import stores
 from wagtailtide_testing.standins import tokens
 
 from tests import harness
@@ -134,6 +135,59 @@
         self.assertEqual(again.json()['error']['fate'], 'not_run')
         self.assertEqual(other.status_code, 200, other.text)
 
+    @virtual_time.run_in_virtual_time
+    async def test_adapter_fetches_stay_within_the_deployments_limit(self):
+        # Guards against a burst for new adapters that makes every fetch in
+        # the deployment slow.
+        shared = stores.AdapterStore(knee=4, min_s=0.5, max_s=0.5)
+        deployment = harness.Deployment(adapter_bytes=1_000, slots=64)
+        deployment.adapters = [f'a{n}' for n in range(12)]
+        deployment.weight_store = {'parallel_adapter_fetches': 4}
+        for state in deployment.engines:
+            state.adapters = shared
+        async with (
+            deployment.running() as caller,
+            anyio.create_task_group() as group,
+        ):
+            for name in deployment.adapters:
+                group.start_soon(self._use, deployment, caller, name)
+        self.assertLessEqual(shared.most_in_flight, 4)
+        self.assertGreaterEqual(shared.most_in_flight, 2)
+
+    async def _use(self, deployment, caller, adapter):
+        resp = await stream(
+            deployment, caller, model=f'letters:{adapter}', max_tokens=2
+        )
+        self.assertEqual(resp.status_code, 200, resp.text)
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_stream_that_outlasts_the_grace_is_resumed(self):
+        deployment = harness.Deployment(token_s=1.0)
+        deployment.stop = {'grace_s': 3.0}
+        async with (
+            deployment.running() as caller,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(self._leave, deployment)
+            resp = await stream(deployment, caller)
+        self.check_whole(resp)
+        counts = [len(completions_at(e)) for e in deployment.engines]
+        self.assertEqual(counts, [1, 1])
+        self.assertEqual(deployment.inst.dispatcher.crashes.records(0), ())
+
+    async def _leave(self, deployment):
+        await anyio.sleep(1.5)
+        items = [
+            {'name': name, 'address': address, 'zone': 'gulberg'}
+            for name, address in deployment.addresses.items()
+        ]
+        for item, state in zip(items, deployment.engines, strict=False):
+            if state.jobs:
+                item['state'] = 'leaving'
+        deployment.platform.set_list(
+            'backend_servers', items, anyio.current_time()
+        )
+
     @virtual_time.run_in_virtual_time
     async def test_full_engines_refuse_at_once_and_truly(self):
         deployment = harness.Deployment(max_waiting=0, slots=1, token_s=0.5)
@@ -151,6 +205,25 @@
         self.assertEqual(error['fate'], 'not_run')
         self.assertIn('retry-after', resp.headers)
 
+    @virtual_time.run_in_virtual_time
+    async def test_a_crash_seen_by_one_instance_counts_at_another(self):
+        # Guards against a caller that takes a crashing request from one
+        # instance to the next.
+        deployment = harness.Deployment(engines=5)
+        for state in deployment.engines:
+            state.set_faults(crash_on=PROMPT)
+        async with (
+            deployment.running() as caller,
+            deployment.another('a-2') as other_caller,
+        ):
+            await stream(deployment, caller)
+            await anyio.sleep(3)
+            resp = await stream(deployment, other_caller)
+        self.assertEqual(resp.status_code, 422, resp.text)
+        self.assertEqual(resp.json()['error']['fate'], 'not_run')
+        crashes = sum(e.record['crashes'] for e in deployment.engines)
+        self.assertEqual(crashes, 3)
+
     @virtual_time.run_in_virtual_time
     async def test_a_caller_that_waits_gets_keep_alive_comments(self):
         deployment = harness.Deployment(prefill_token_s=2.0)
