Own engines, order loads and spread their state

Cause: loads and unloads need one owner for each engine, whose orders stay safe when they are lost, late, repeated or sent after a pause.

--- a/packages/core/src/wagtailtide_core/placement/memory.py
+++ b/packages/core/src/wagtailtide_core/placement/memory.py
@@ -113,6 +113,10 @@
         """
         self._set_state(order_id, orders.OrderState.REFUSED)
 
+    def not_sent(self, order_id):
+        """Note that an order was never sent."""
+        self._orders.pop(order_id, None)
+
     def unanswered(self, order_id):
         """Note that an order got no response and may still arrive."""
         self._set_state(order_id, orders.OrderState.UNKNOWN)
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/control/load_permits.py
@@ -0,0 +1,143 @@
+"""Limits of the weight store, shared by all owners.
+
+Each of its parallel loads is a permit. A permit is kept by one live instance,
+which lends it to a loading owner for a limited time, and not more often than
+its part of the loads a second allows.
+"""
+
+import dataclasses
+import itertools
+
+import anyio
+from wagtailtide_core.membership import overlay
+
+from wagtailtide_server.peers import rpc
+
+LEND_S = 120.0
+CALL_S = 1.0
+# Keepers that are asked for one load before it waits for the next round.
+ASK = 3
+
+CALL_ERRORS = (rpc.CallFailed, TimeoutError, LookupError)
+
+
+@dataclasses.dataclass
+class _Kept:
+    borrowed_until: float = 0.0
+    next_lend_at: float = 0.0
+    loan: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Loan:
+    """A permit that is lent.
+
+    Attributes:
+        permit: Number of the permit.
+        keeper: Instance that lent it.
+        number: Number of the loan.
+        until: Own time at which it ends.
+    """
+
+    permit: int
+    keeper: str
+    number: int
+    until: float
+
+
+class LoadPermits:
+    """Permits that this instance keeps and borrows."""
+
+    def __init__(self, plane, rng):
+        self._plane = plane
+        self._rng = rng
+        self._kept = {}
+        self._numbers = itertools.count(1)
+        plane.peers.register('load_permit', self._serve_lend)
+        plane.peers.register('load_permit_return', self._serve_return)
+
+    def keeper_of(self, permit):
+        """Return the live instance that keeps a permit."""
+        live = self._plane.view.live()
+        return overlay.rendezvous(f'load-permit/{permit}', live, 1)[0]
+
+    def _limits(self):
+        documents = self._plane.config.catalog.documents.values()
+        stores = [document.weight_store for document in documents]
+        return (
+            min((s.parallel_loads for s in stores), default=1),
+            min((s.loads_per_s for s in stores), default=1.0),
+        )
+
+    async def borrow(self):
+        """Borrow a permit; return the Loan, or None if none is free."""
+        count, _ = self._limits()
+        own_name = self._plane.view.me.name
+        keepers = {p: self.keeper_of(p) for p in range(count)}
+        own = [p for p, name in keepers.items() if name == own_name]
+        for permit in own:
+            loan = self._lend(permit)
+            if loan is not None:
+                return loan
+        others = [p for p in keepers if p not in own]
+        for permit in self._rng.sample(others, min(ASK, len(others))):
+            loan = await self._ask(permit, keepers[permit])
+            if loan is not None:
+                return loan
+        return None
+
+    async def _ask(self, permit, keeper):
+        # Counted from before the call, so it ends here before it ends there.
+        until = anyio.current_time() + LEND_S
+        try:
+            answer = await self._plane.peers.call(
+                keeper, 'load_permit', {'permit': permit}, CALL_S
+            )
+            number = answer['loan']
+        except (*CALL_ERRORS, TypeError):
+            return None
+        return Loan(permit, keeper, number, until) if number else None
+
+    async def give_back(self, loan):
+        """Return a permit after the load has ended."""
+        if loan.keeper == self._plane.view.me.name:
+            self._return(loan.permit, loan.number)
+            return
+        body = {'permit': loan.permit, 'loan': loan.number}
+        try:
+            await self._plane.peers.call(
+                loan.keeper, 'load_permit_return', body, CALL_S
+            )
+        except CALL_ERRORS:
+            # The keeper lends it again after the time of the loan.
+            return
+
+    def _lend(self, permit):
+        now = anyio.current_time()
+        kept = self._kept.setdefault(permit, _Kept())
+        if now < kept.borrowed_until or now < kept.next_lend_at:
+            return None
+        count, per_s = self._limits()
+        kept.borrowed_until = now + LEND_S
+        kept.next_lend_at = now + count / per_s
+        kept.loan = next(self._numbers)
+        name = self._plane.view.me.name
+        return Loan(permit, name, kept.loan, kept.borrowed_until)
+
+    def _return(self, permit, number):
+        kept = self._kept.get(permit)
+        if kept is not None and kept.loan == number:
+            kept.borrowed_until = 0.0
+
+    async def _serve_lend(self, _sender, body):
+        permit = int(body['permit'])
+        count, _ = self._limits()
+        is_kept = self.keeper_of(permit) == self._plane.view.me.name
+        if not 0 <= permit < count or not is_kept:
+            return {'loan': None}
+        loan = self._lend(permit)
+        return {'loan': loan.number if loan else None}
+
+    async def _serve_return(self, _sender, body):
+        self._return(int(body['permit']), int(body['loan']))
+        return {}
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines as their owner sees and orders them."""
--- /dev/null
+++ b/packages/server/src/wagtailtide_server/engines/engine.py
@@ -0,0 +1,343 @@
+"""One own model engine: its memory accounts and the orders to it."""
+
+import dataclasses
+import itertools
+import logging
+
+import anyio
+from wagtailtide_core.document import capacity
+from wagtailtide_core.placement import decisions
+from wagtailtide_core.placement import memory
+from wagtailtide_core.placement import orders
+
+from wagtailtide_server.control import orders as sending
+from wagtailtide_server.engines import reports
+
+LOG = logging.getLogger(__name__)
+
+# An order without a response is settled by a higher fencing token after this
+# time, on engines that check it.
+RAISE_FENCE_AFTER_S = 4.0
+# A load that shows in no report for this time is not expected any more.
+UNANSWERED_S = 10.0
+STALE_FENCE = 'stale_fence'
+
+_LOADS = frozenset({orders.OrderKind.LOAD, orders.OrderKind.LOAD_ADAPTER})
+
+
+class Engine:
+    """State of an engine while this instance owns it.
+
+    Attributes:
+        own: The Owned.
+        models: MemoryAccount of the models.
+        adapters: MemoryAccount of the adapters; the same one if the engine
+            has no adapter pool.
+        report: Last EngineReport, or None.
+        ready_since: Time by model since which it is ready.
+    """
+
+    def __init__(self, own, ownership, http, invariants):
+        declared = own.declared
+        self.own = own
+        self.report = None
+        self.ready_since = {}
+        self._ownership = ownership
+        self._http = http
+        self._invariants = invariants
+        self._numbers = itertools.count(1)
+        self._kinds = {}
+        room = capacity.model_room(declared)
+        self.models = memory.MemoryAccount(
+            room, declared.checks_fences, own.fence
+        )
+        self.adapters = self.models
+        if declared.adapter_pool_bytes:
+            self.adapters = memory.MemoryAccount(
+                declared.adapter_pool_bytes, declared.checks_fences, own.fence
+            )
+        self._add_pending(own.record.pending)
+
+    @property
+    def name(self):
+        """Name of the backend server."""
+        return self.own.declared.name
+
+    def _add_pending(self, pending):
+        now = anyio.current_time()
+        for item in pending:
+            order = _decode_order(item)
+            if order is None:
+                continue
+            is_adapter = ':' in order.model
+            account = self.adapters if is_adapter else self.models
+            account.add_pending((order,), now)
+
+    async def read_report(self):
+        """Read and apply a report.
+
+        Returns:
+            Orders that ended in a failure since the last report.
+
+        Raises:
+            NoReport: If there is none.
+        """
+        report = await reports.fetch(self._http, self.own.declared)
+        unsettled = {o.order_id: o for o in self.models.unsettled()}
+        if not self.models.apply(report.memory):
+            return ()
+        if self.adapters is not self.models:
+            self.adapters.apply(report.adapters)
+        known = self.report.failed_orders if self.report else frozenset()
+        self.report = report
+        now = anyio.current_time()
+        ready = self.models.ready_models()
+        self.ready_since = {
+            model: self.ready_since.get(model, now) for model in ready
+        }
+        failed = report.failed_orders - known
+        return tuple(unsettled[o] for o in failed if o in unsettled)
+
+    def describe(self, may_load, may_unload):
+        """Return the OwnServer for the planner."""
+        declared = self.own.declared
+        sizes = {}
+        if self.models.report is not None:
+            sizes = {
+                r.model: r.size_bytes for r in self.models.report.residencies
+            }
+        free = self.models.capacity_bytes - self.models.used_bytes()
+        fenced = self.models.is_fenced()
+        return decisions.OwnServer(
+            declared.name,
+            declared.zone,
+            declared.accelerators,
+            free if fenced else 0,
+            tuple(
+                decisions.Resident(model, sizes[model], since)
+                for model, since in self.ready_since.items()
+                if model in sizes and ':' not in model
+            ),
+            self._loading(),
+            may_load=may_load and fenced and not self.report.draining,
+            may_unload=may_unload and fenced,
+        )
+
+    def _loading(self):
+        """Return the models that are expected to become ready here."""
+        report = self.models.report
+        if report is None:
+            return frozenset()
+        coming = {
+            r.model
+            for r in report.residencies
+            if r.state is orders.ResidencyState.LOADING
+        }
+        due = anyio.current_time() - UNANSWERED_S
+        for order in self.models.unsettled():
+            if (
+                order.kind in _LOADS
+                and order.state is not orders.OrderState.REFUSED
+                and order.order_id not in report.ended_orders
+                and order.sent_at_s > due
+            ):
+                coming.add(order.model)
+        return frozenset(
+            model
+            for model in coming
+            if ':' not in model and model not in self.ready_since
+        )
+
+    def unanswered(self):
+        """Return the latest order for each model if it got no response.
+
+        Only on engines that ignore fencing tokens: on others a higher token
+        settles it.
+        """
+        if self.own.declared.checks_fences or self.models.report is None:
+            return ()
+        latest = {}
+        for order in self.models.unsettled():
+            latest[order.model] = order
+        due = anyio.current_time() - RAISE_FENCE_AFTER_S
+        resident = {r.model for r in self.models.report.residencies}
+        return tuple(
+            order
+            for order in latest.values()
+            if order.state is orders.OrderState.UNKNOWN
+            and order.sent_at_s < due
+            and ':' not in order.model
+            and (order.kind is orders.OrderKind.UNLOAD)
+            == (order.model in resident)
+        )
+
+    async def maintain(self):
+        """Make the engine know this owner's fencing token, and settle orders.
+
+        Raises:
+            StoreError: If a higher token was needed and could not be taken.
+        """
+        declared = self.own.declared
+        if not declared.checks_fences or self.report is None:
+            return
+        if self._needs_higher_fence():
+            async with self.own.lock:
+                if self._ownership.may_order(self.own):
+                    await self._ownership.raise_fence(self.own)
+                    self.models.fence = self.own.fence
+                    self.adapters.fence = self.own.fence
+        if not self.models.is_fenced():
+            await self.order(orders.OrderKind.SET_ROLE, role=self.report.role)
+
+    def _needs_higher_fence(self):
+        due = anyio.current_time() - RAISE_FENCE_AFTER_S
+        return any(
+            order.state is orders.OrderState.UNKNOWN and order.sent_at_s < due
+            for account in (self.models, self.adapters)
+            for order in account.unsettled()
+            if order.fence == self.own.fence
+        )
+
+    async def order(self, kind, model='', size_bytes=0, adapter='', role=''):
+        """Send an order and note its answer in the account.
+
+        Args:
+            kind: OrderKind.
+            model: Model, as ``name@version``.
+            size_bytes: Memory that a load takes.
+            adapter: Name of the adapter.
+            role: New role.
+
+        Returns:
+            The Answer.
+
+        Raises:
+            InvariantError: If this instance must not send it.
+            StoreError: If it had to be recorded first and was not.
+        """
+        async with self.own.lock:
+            return await self._order(kind, model, size_bytes, adapter, role)
+
+    async def _order(self, kind, model, size_bytes, adapter, role):
+        # Checked before the store is written too, so that an instance that
+        # may not order does not change the record either.
+        self._ownership.check_order(self.own)
+        account = self.adapters if adapter else self.models
+        key = reports.adapter_key(model, adapter) if adapter else model
+        order = orders.Order(
+            f'{self.name}-{self.own.fence}-{next(self._numbers)}',
+            self.own.fence,
+            _account_kind(kind),
+            key,
+            size_bytes,
+            account.report.seq if account.report else 0,
+            anyio.current_time(),
+        )
+        if kind is not orders.OrderKind.SET_ROLE:
+            if not self.own.declared.checks_fences:
+                await self._record(order)
+            order = dataclasses.replace(order, sent_at_s=anyio.current_time())
+        self._ownership.check_order(self.own)
+        account.send(order, self._invariants)
+        name, _, version = model.partition('@')
+        wire = sending.WireOrder(
+            order.order_id,
+            order.fence,
+            kind.value,
+            name,
+            version,
+            adapter,
+            size_bytes,
+            role,
+        )
+        answer = sending.Answer(sending.Fate.UNANSWERED, 'cancelled')
+        try:
+            answer = await sending.send_order(
+                self._http, self.own.declared.address, wire
+            )
+        finally:
+            self._note(account, order, answer)
+        LOG.info(
+            'order sent',
+            extra={
+                'backend_server': self.name,
+                'order_id': order.order_id,
+                'kind': kind.value,
+                'model': key,
+                'fate': answer.fate.value,
+                'reason': answer.reason,
+            },
+        )
+        if answer.reason == STALE_FENCE:
+            self._ownership.lost(self.name)
+        return answer
+
+    async def _record(self, order):
+        unsettled = dict.fromkeys(
+            (*self.models.unsettled(), *self.adapters.unsettled(), order)
+        )
+        await self._ownership.write_pending(
+            self.own, [_encode_order(item) for item in unsettled]
+        )
+
+    async def prune_record(self):
+        """Remove settled orders from the store's record.
+
+        Raises:
+            StoreError: If it was not written.
+        """
+        async with self.own.lock:
+            settled = not (
+                self.models.unsettled() or self.adapters.unsettled()
+            )
+            if (
+                settled
+                and self.own.record.pending
+                and self._ownership.may_order(self.own)
+            ):
+                await self._ownership.write_pending(self.own, ())
+
+    def _note(self, account, order, answer):
+        if answer.fate is sending.Fate.ACCEPTED:
+            account.accepted(order.order_id)
+        elif answer.fate is sending.Fate.REFUSED:
+            account.refused(order.order_id)
+        elif answer.fate is sending.Fate.NOT_SENT:
+            account.not_sent(order.order_id)
+        else:
+            account.unanswered(order.order_id)
+
+
+def _account_kind(kind):
+    """Return what an order means for the memory of an account."""
+    if kind is orders.OrderKind.LOAD_ADAPTER:
+        return orders.OrderKind.LOAD
+    if kind is orders.OrderKind.UNLOAD_ADAPTER:
+        return orders.OrderKind.UNLOAD
+    return kind
+
+
+def _encode_order(order):
+    return {
+        'order_id': order.order_id,
+        'fence': order.fence,
+        'kind': order.kind.value,
+        'model': order.model,
+        'size_bytes': order.size_bytes,
+    }
+
+
+def _decode_order(item):
+    try:
+        return orders.Order(
+            str(item['order_id']),
+            int(item['fence']),
+            orders.OrderKind(item['kind']),
+            str(item['model']),
+            int(item['size_bytes']),
+            sent_seq=0,
+            sent_at_s=0.0,
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        LOG.error('pending order not readable', extra={'error': repr(exc)})
+        return None
--- a/packages/server/tests/control/fleet.py
+++ b/packages/server/tests/control/fleet.py
@@ -193,8 +193,7 @@
     async def all_at(self, version, within_s=11, service='tiles'):
         return await self.until(
             lambda: all(
-                i.versions().get(service, 0) == version
-                for i in self.instances
+                i.versions().get(service, 0) == version for i in self.instances
             ),
             within_s,
         )
