--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -1,5 +1,6 @@
 """Calls to plain services."""
 
+from collections.abc import Callable
 import dataclasses
 
 import anyio
@@ -7,8 +8,8 @@
 from wagtailtide_core.retries import fate
 from wagtailtide_core.routing import choose
 
+from wagtailtide_server.upstream import calls
 from wagtailtide_server.upstream import client
-from wagtailtide_server.upstream import dispatch
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import headers
 from wagtailtide_server.upstream import verdicts
@@ -31,14 +32,18 @@
         received: The caller's headers.
         body: Body as received.
         idempotent: Whether it may run twice.
+        begin_attempt: Called before each attempt; raises to stop it.
+        attempt_not_run: Called after an attempt that certainly did not run.
     """
 
-    call: dispatch.Call
+    call: calls.Call
     method: str
     target: bytes
     received: list[tuple[bytes, bytes]]
     body: bytes
     idempotent: bool
+    begin_attempt: Callable[[], None] = lambda: None
+    attempt_not_run: Callable[[], None] = lambda: None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -196,7 +201,7 @@
         return None
 
     async def _attempt(self, name):
-        request_id = dispatch.make_request_id()
+        request_id = calls.make_request_id()
         plain = self._plain_call
         state = self._dispatcher.table.servers[name]
         if state.stopping:
@@ -218,9 +223,19 @@
             request_id=request_id,
             fresh=not plain.idempotent or self._attempts > 0,
         )
-        async with self._dispatcher.open(
-            name, plain.call, attempt
-        ) as response:
+        if not plain.idempotent:
+            self._dispatcher.check_runs_once(plain.call)
+        plain.begin_attempt()
+        try:
+            return await self._exchange(name, attempt)
+        except failures.AttemptError as exc:
+            if exc.fate is kinds.Fate.NOT_RUN:
+                plain.attempt_not_run()
+            raise
+
+    async def _exchange(self, name, attempt):
+        call = self._plain_call.call
+        async with self._dispatcher.open(name, call, attempt) as response:
             body = await response.read_whole()
             if response.status >= 400:
                 refusal = client.refusal_of(response.status, body)
