Add a fleet of instances in one event loop with faults between them

The tests of one instance and of the control plane could not show faults that need both. Instances run with real loopback sockets and stand-ins in virtual time; a pause holds the tasks of an instance in the scheduler, so that its timers stop too.

--- /dev/null
+++ b/packages/testing/src/wagtailtide_testing/fleet.py
@@ -0,0 +1,295 @@
+"""Several instances and all stand-ins in one event loop, with faults.
+
+What is simulated: an instance is an `Instance` object with real loopback
+sockets, not a process. A crash resets its connections, refuses new ones and
+cancels its tasks; a pause holds all its tasks (see fleet_network). Instances
+share one clock, so drifting clocks are not simulated.
+"""
+
+import contextlib
+import dataclasses
+import random
+
+import anyio
+from wagtailtide_server import instance
+from wagtailtide_server import settings
+from wagtailtide_server.platform import client
+
+from wagtailtide_testing import builders
+from wagtailtide_testing import fleet_network
+from wagtailtide_testing import serving
+from wagtailtide_testing.standins import engine
+from wagtailtide_testing.standins import ledger
+from wagtailtide_testing.standins import platform
+
+ZONES = ('gulberg', 'anarkali')
+REGION = 'punjab'
+MODEL = builders.make_model()
+SERVICE = 'lahore'
+
+
+class RecordedEngine(engine.Engine):
+    """Engine that knows the prompts it ran and can get its model back.
+
+    Attributes:
+        ran: Prompts that reached an accelerator.
+        keeps_model: Whether the model is resident again after a crash.
+    """
+
+    def __init__(self, *args, **options):
+        self.ran = set()
+        self.keeps_model = False
+        super().__init__(*args, **options)
+        self.keeps_model = True
+
+    def _boot(self, fence):
+        super()._boot(fence)
+        use = self.cache.use
+
+        def use_and_record(model, adapter, prompt, now):
+            self.ran.add(prompt)
+            return use(model, adapter, prompt, now)
+
+        self.cache.use = use_and_record
+        if self.keeps_model:
+            self.place()
+
+    def place(self):
+        """Make the model resident."""
+        size = MODEL.weights_bytes + MODEL.kv_reserve_bytes
+        self.place_model(f'{MODEL.name}@{MODEL.version}', size)
+
+
+@dataclasses.dataclass
+class Node:
+    """One instance name and its current process.
+
+    Attributes:
+        name: Name of the instance.
+        zone: Its zone.
+        inst: Latest Instance.
+        processes: All its Instances, with the latest last.
+        state: running, paused, stopping, stopped or crashed.
+        ports: Addresses that a restart keeps.
+        scope: Cancels the process.
+        ended: Set when its tasks have ended.
+    """
+
+    name: str
+    zone: str
+    inst: object = None
+    processes: list = dataclasses.field(default_factory=list)
+    state: str = 'stopped'
+    ports: dict = dataclasses.field(default_factory=dict)
+    scope: object = None
+    ended: object = None
+
+
+class Fleet:
+    """Instances and stand-ins, with the faults between them.
+
+    Attributes:
+        platform: Platform stand-in.
+        engines: Engine stand-ins by name.
+        ledgers: Ledger stand-ins by name.
+        nodes: Node of each instance by name.
+        network: The Network.
+        document: Document that was written last.
+        version: Its version.
+    """
+
+    def __init__(self, seed, organisations, engines=2, ledgers=2):
+        self.rng = random.Random(seed)
+        self.platform = platform.Platform()
+        self.engines = {
+            f'engine-{i}': RecordedEngine(
+                engine.EngineSettings(
+                    memory_bytes=80 * builders.GIB, fetches_adapters=True
+                ),
+                rng=random.Random(self.rng.random()),
+            )
+            for i in range(engines)
+        }
+        self.ledgers = {
+            f'ledger-{i}': ledger.Ledger(rng=random.Random(self.rng.random()))
+            for i in range(ledgers)
+        }
+        self.nodes = {}
+        self.network = fleet_network.Network()
+        self.document = None
+        self.version = None
+        self._organisations = organisations
+        self._servers = []
+        self._url = None
+        self._tasks = None
+
+    @contextlib.asynccontextmanager
+    async def running(self, instances=3):
+        """Run the fleet while the block runs."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.enter_context(self.network.installed())
+            await self._serve_standins(stack)
+            self.publish(
+                builders.make_document(
+                    SERVICE,
+                    models=(MODEL,),
+                    adapters=(builders.make_adapter(),),
+                    organisations=self._organisations,
+                    backend_servers=tuple(self._servers),
+                    limits={'partial_key_trust_s': 30.0},
+                )
+            )
+            self._tasks = await stack.enter_async_context(
+                anyio.create_task_group()
+            )
+            for i in range(instances):
+                await self.start(f'inst-{i}', ZONES[i % len(ZONES)])
+            yield self
+            self.network.heal()
+            for name in self.nodes:
+                self.network.thaw(name)
+            self._tasks.cancel_scope.cancel()
+
+    async def _serve_standins(self, stack):
+        make = {
+            **{n: engine.make_app(e) for n, e in self.engines.items()},
+            **{n: ledger.make_app(x) for n, x in self.ledgers.items()},
+            'platform': platform.make_app(self.platform),
+        }
+        for i, (name, app) in enumerate(make.items()):
+            context = serving.serve_restartable(app)
+            served = await stack.enter_async_context(context)
+            self.network.nodes[served.port] = name
+            fields = {'name': name, 'address': served.address}
+            fields['zone'] = ZONES[i % len(ZONES)]
+            if name in self.engines:
+                self.engines[name].place()
+                self._servers.append(builders.make_engine(**fields))
+            elif name in self.ledgers:
+                self._servers.append(builders.make_ledger(**fields))
+            else:
+                self._url = served.url
+        self.list_servers()
+
+    def publish(self, document):
+        """Write a document as an operator does; return its version."""
+        self.document = document
+        self.version = self.platform.objects.write(
+            f'documents/{SERVICE}',
+            builders.encode_document(document).encode(),
+            self.version,
+        )
+        self.platform.wake_watches()
+        return self.version
+
+    def list_servers(self, leaving=()):
+        """Set the platform's list of backend servers."""
+        items = [
+            {
+                'name': s.name,
+                'address': s.address,
+                'zone': s.zone,
+                'state': 'leaving' if s.name in leaving else 'live',
+            }
+            for s in self._servers
+        ]
+        self.platform.set_list('backend_servers', items, anyio.current_time())
+
+    def running_nodes(self, *states):
+        """Return nodes in one of the states; by default the running ones."""
+        states = states or ('running',)
+        return [n for n in self.nodes.values() if n.state in states]
+
+    def zone_of(self, zone):
+        """Return the names of a zone's instances and of all others."""
+        inside = {n.name for n in self.nodes.values() if n.zone == zone}
+        return inside, set(self.nodes) - inside
+
+    async def start(self, name, zone=None):
+        """Start an instance, or restart it with its name and addresses."""
+        node = self.nodes.setdefault(name, Node(name, zone))
+        if node.ended is not None:
+            # Its addresses are free once the tasks have ended.
+            await node.ended.wait()
+        self.network.revive(name)
+        node.scope, node.ended = anyio.CancelScope(), anyio.Event()
+        await self._tasks.start(self._run, node)
+        inst = node.inst
+        node.ports = {
+            'callers': inst.callers_address,
+            'admin': inst.admin_address,
+            'peers': inst.plane.view.me.address,
+        }
+        for address in node.ports.values():
+            self.network.nodes[int(address.rpartition(':')[2])] = name
+        node.state = 'running'
+        self._list_instances()
+        return node
+
+    async def _run(self, node, task_status):
+        fleet_network.NODE.set(node.name)
+        free = dict.fromkeys(('callers', 'admin', 'peers'), '127.0.0.1:0')
+        cfg = settings.parse(
+            {
+                'name': node.name,
+                'region': REGION,
+                'zone': node.zone,
+                'platform': self._url,
+                'seed_peers': [
+                    n.ports['peers']
+                    for n in self.nodes.values()
+                    if n is not node and n.ports
+                ],
+                'balancer_lag_s': 1.0,
+                **{**free, **node.ports},
+            }
+        )
+        try:
+            with node.scope:
+                rng = random.Random(self.rng.random())
+                async with client.StoreClient(self._url, rng=rng) as store:
+                    node.inst = instance.Instance(cfg, store, rng=rng)
+                    node.processes.append(node.inst)
+                    await node.inst.run(task_status=task_status)
+        finally:
+            if node.state == 'stopping':
+                node.state = 'stopped'
+                self._list_instances()
+            node.ended.set()
+
+    def stop(self, node):
+        """Order a graceful stop."""
+        node.state = 'stopping'
+        self._list_instances()
+        node.inst.order_stop()
+
+    def crash(self, node):
+        """End an instance at once, with all its connections."""
+        node.state = 'crashed'
+        self.network.kill(node.name)
+        node.scope.cancel()
+        self._list_instances()
+
+    def pause(self, node):
+        """Hold all tasks of an instance."""
+        node.state = 'paused'
+        self.network.pause(node.name)
+
+    def thaw(self, node):
+        """Let a paused instance run on."""
+        node.state = 'running'
+        self.network.thaw(node.name)
+
+    def _list_instances(self):
+        states = {'stopping': 'leaving'}
+        items = [
+            {
+                'name': n.name,
+                'address': n.ports['peers'],
+                'zone': n.zone,
+                'state': states.get(n.state, 'live'),
+            }
+            for n in self.nodes.values()
+            if n.ports and n.state not in ('crashed', 'stopped')
+        ]
+        self.platform.set_list('instances', items, anyio.current_time())
