Add soak runs of a fleet under seeded schedules of faults

Nothing exercised instances, stand-ins and callers together under combined faults. Schedules are seeded; the invariants are checked from the records of the stand-ins and the callers' answers.

--- /dev/null
+++ b/packages/bench/src/wagtailtide_bench/soak_checks.py
@@ -0,0 +1,191 @@
+"""Invariants checked after a soak run from records outside the instances."""
+
+import collections
+import itertools
+
+from wagtailtide_bench import soak_faults
+
+# Faults during which an instance may not have news of a document: design
+# section 4.3 gives the bounds.
+WITHOUT_NEWS = (
+    'pause_instance',
+    'platform_outage',
+    'platform_hang',
+    'platform_slow',
+    'platform_lost_answers',
+    'platform_stale_reads',
+    'cut_pair',
+    'cut_platform',
+    'cut_zone',
+    'silent_instance',
+)
+WITHDRAWN_S = 6.0
+WITHDRAWN_WITHOUT_NEWS_S = 32.0
+# What an instance sends is judged by when it was admitted, which is at most
+# this long after the caller sent it.
+TOLERATED_TOKENS = 1
+
+
+def check_all(run):
+    """Return descriptions of all violations.
+
+    Args:
+        run: The finished soak_run.Run.
+    """
+    found = []
+    for check in (
+        _check_answers,
+        _check_posts,
+        _check_streams_not_run,
+        _check_keys_hidden,
+        _check_withdrawals,
+        _check_rates,
+        _check_memory,
+        _check_drains,
+        _check_quarantine,
+        _check_counters,
+    ):
+        found += [f'{check.__name__[7:]}: {text}' for text in check(run)]
+    return found
+
+
+def _check_answers(run):
+    for answer in run.callers.answers:
+        error = answer.error or {}
+        if error.get('kind') == 'wrong_answer':
+            yield f'{answer}'
+        elif error.get('kind') == 'internal':
+            yield f'internal error: {answer}'
+        elif (
+            answer.kind == 'stream'
+            and answer.status == 200
+            and not answer.whole
+            and answer.error is None
+        ):
+            yield f'stream ended without end marker or error: {answer}'
+
+
+def _check_posts(run):
+    applied = collections.Counter()
+    for ledger in run.fleet.ledgers.values():
+        applied.update(record['body'] for record in ledger.applied)
+    answers = collections.defaultdict(list)
+    for answer in run.callers.answers:
+        if answer.kind in ('keyed', 'unkeyed'):
+            answers[answer.marker].append(answer)
+    for marker, got in answers.items():
+        count = sum(n for body, n in applied.items() if f'"{marker}"' in body)
+        if count > 1:
+            yield f'{marker} was applied {count} times: {got}'
+        if any(a.whole for a in got) and count != 1:
+            yield f'{marker} was answered as done, applied {count} times'
+        if len({str(a.value) for a in got if a.whole}) > 1:
+            yield f'{marker} was answered differently: {got}'
+        if count and all(a.fate == 'not_run' for a in got):
+            yield f'{marker} was refused as not_run, but was applied: {got}'
+
+
+def _check_streams_not_run(run):
+    ran = set().union(*(e.ran for e in run.fleet.engines.values()))
+    for answer in run.callers.answers:
+        if (
+            answer.kind == 'stream'
+            and answer.fate == 'not_run'
+            and answer.marker in ran
+            # A prompt that crashes engines is sent several times.
+            and answer.marker not in run.poisoned
+        ):
+            yield f'refused as not_run, but it ran: {answer}'
+
+
+def _check_keys_hidden(run):
+    secrets = [
+        key.rpartition('_')[2]
+        for presented in run.presented.values()
+        for key in presented
+    ]
+    for name, server in run.servers().items():
+        for record in server.recorder.requests:
+            text = str(record)
+            if any(secret in text for secret in secrets):
+                yield f'{name} got a key: {record}'
+
+
+def _check_withdrawals(run):
+    for withdrawal in run.faults.withdrawals:
+        until = withdrawal.until or float('inf')
+        for answer in run.callers.answers:
+            after_s = answer.sent_at - withdrawal.at
+            if (
+                answer.key != withdrawal.key
+                or after_s < WITHDRAWN_S
+                or not answer.whole
+                or answer.ended_at >= until
+            ):
+                continue
+            excused = run.faults.overlapping(
+                withdrawal.at - 5.0, answer.sent_at, WITHOUT_NEWS
+            )
+            if not excused or after_s > WITHDRAWN_WITHOUT_NEWS_S:
+                yield f'withdrawn {after_s:.1f} s before: {answer}'
+
+
+def _check_rates(run):
+    orgs = {org.name: org for org in run.fleet.document.organisations}
+    for name, org in orgs.items():
+        used = sorted(
+            (a.sent_at, a.ended_at, a.tokens)
+            for a in run.callers.answers
+            if a.organisation == name and a.whole
+        )
+        for index, (begin, _, _) in enumerate(used):
+            # Admitted for certain within the window.
+            ends = sorted((end, count) for _, end, count in used[index:])
+            sums = itertools.accumulate(count for _, count in ends)
+            for (end, _), total in zip(ends, sums, strict=True):
+                bound = org.burst_tokens + org.rate_tokens_per_s * (
+                    end - begin
+                )
+                if total > bound + TOLERATED_TOKENS:
+                    yield (
+                        f'{name} got {total} tokens from {begin:.2f} to '
+                        f'{end:.2f} s, bound {bound:.0f}'
+                    )
+                    return
+
+
+def _check_memory(run):
+    for name, engine in run.fleet.engines.items():
+        counts = engine.as_record()['counts']
+        if counts.get('overcommitted'):
+            yield f'{name}: {counts}'
+
+
+def _check_drains(run):
+    for drain in run.faults.drains:
+        excused = run.faults.overlapping(
+            drain.since - soak_faults.DRAIN_NOTICE_S - 5.0,
+            run.ended_at,
+            (*WITHOUT_NEWS, 'cut_server', 'crash_instance', 'stop_instance'),
+        )
+        if drain.requests and not excused:
+            yield f'{drain.server} was draining, got {drain.requests[:2]}'
+
+
+def _check_quarantine(run):
+    # With one prompt and no other crash each crash is that prompt's.
+    crashes = sum(e.record['crashes'] for e in run.fleet.engines.values())
+    others = (*WITHOUT_NEWS, 'cut_server', 'crash_instance', 'stop_instance')
+    excused = run.faults.overlapping(
+        0.0, run.ended_at, ('engine_crash', *others)
+    )
+    if len(run.poisoned) == 1 and not excused and crashes > 3:
+        yield f'one prompt crashed engines {crashes} times'
+
+
+def _check_counters(run):
+    for node in run.fleet.nodes.values():
+        for number, inst in enumerate(node.processes):
+            if inst.invariants.violated:
+                violated = dict(inst.invariants.violated)
+                yield f'{node.name} process {number}: {violated}'
--- a/packages/testing/src/wagtailtide_testing/fleet.py
+++ b/packages/testing/src/wagtailtide_testing/fleet.py
@@ -96,6 +96,7 @@
         network: The Network.
         document: Document that was written last.
         version: Its version.
+        leaving: Names of backend servers to list as leaving.
     """
 
     def __init__(self, seed, organisations, engines=2, ledgers=2):
@@ -118,6 +119,7 @@
         self.network = fleet_network.Network()
         self.document = None
         self.version = None
+        self.leaving = set()
         self._organisations = organisations
         self._servers = []
         self._url = None
@@ -182,14 +184,14 @@
         self.platform.wake_watches()
         return self.version
 
-    def list_servers(self, leaving=()):
+    def list_servers(self):
         """Set the platform's list of backend servers."""
         items = [
             {
                 'name': s.name,
                 'address': s.address,
                 'zone': s.zone,
-                'state': 'leaving' if s.name in leaving else 'live',
+                'state': 'leaving' if s.name in self.leaving else 'live',
             }
             for s in self._servers
         ]
--- a/packages/testing/src/wagtailtide_testing/fleet_network.py
+++ b/packages/testing/src/wagtailtide_testing/fleet_network.py
@@ -68,13 +68,13 @@
 
     Attributes:
         nodes: Name of the node behind each port.
-        late: Pairs of nodes whose traffic is held back.
+        late: Number of cuts in force for each pair of nodes.
         dead: Nodes that crashed.
     """
 
     def __init__(self):
         self.nodes = {}
-        self.late = set()
+        self.late = collections.Counter()
         self.dead = set()
         self._connections = []
         self._changed = trio.Event()
@@ -97,12 +97,15 @@
 
     def cut(self, one, other):
         """Hold back all traffic between two nodes, without an error."""
-        self.late.add(frozenset((one, other)))
+        self.late[frozenset((one, other))] += 1
         self._wake()
 
-    def heal(self):
-        """End all cuts; what was held back arrives late."""
-        self.late.clear()
+    def heal(self, pairs=None):
+        """End cuts of pairs, or all; what was held back arrives late."""
+        if pairs is None:
+            self.late.clear()
+        else:
+            self.late -= collections.Counter(map(frozenset, pairs))
         self._wake()
 
     def pause(self, name):
