--- a/packages/bench/src/wagtailtide_bench/engines.py
+++ b/packages/bench/src/wagtailtide_bench/engines.py
@@ -83,6 +83,8 @@
         loading: Models that are being loaded.
         adapters: Resident adapters, least recently used first.
         alive: Whether it runs.
+        last_used: Time of the last request of each model.
+        ready_since: Time at which each loaded model became ready.
         on_prefix: Called with the engine and a prefix that it cached.
     """
 
@@ -94,6 +96,7 @@
         self.adapters = collections.OrderedDict()
         self.alive = True
         self.last_used = {}
+        self.ready_since = {}
         self.on_prefix = lambda engine, prefix: None
         self._loop = loop
         self._cfg = assumptions
--- a/packages/bench/src/wagtailtide_bench/ours.py
+++ b/packages/bench/src/wagtailtide_bench/ours.py
@@ -15,6 +15,7 @@
 from wagtailtide_core.routing import load
 from wagtailtide_core.routing import table
 
+from wagtailtide_bench import placing
 from wagtailtide_bench import workload
 
 PUMP_S = 0.05
@@ -48,7 +49,7 @@
 
 
 class Wagtailtide:
-    """Routing, admission and rates of wagtailtide_core."""
+    """Routing, admission, rates and placement of wagtailtide_core."""
 
     def __init__(self, world):
         self._world = world
@@ -67,6 +68,7 @@
             self._make_instance(i, entry)
             for i, entry in enumerate(world.entries)
         ]
+        self._placing = placing.Placing(world)
         world.resident_changed = self._spread_residency
         for engine in world.engines.values():
             engine.on_prefix = self._spread_prefix
@@ -135,6 +137,8 @@
 
     def _spread_residency(self, engine):
         models = frozenset(engine.models)
+        if not engine.alive:
+            self._placing.engine_gone(engine.name)
         for inst in self._instances:
             self._world.loop.after(
                 RESIDENCY_LAG_S, self._set_resident, inst, engine, models
@@ -166,6 +170,7 @@
 
     def arrive(self, index, req):
         """Take a request on an instance."""
+        self._placing.record(index, req)
         charge = self._charge(index, req)
         if charge is None:
             req.refused = 'rate_exceeded'
@@ -255,9 +260,7 @@
             choose.exclusion_reason(route, state, now) is None
             for state in inst.table.with_model(model)
         ):
-            self._world.load_on_miss(
-                model, keep_last_copy=True, may_unload=self._world.store_up
-            )
+            self._placing.want(model)
         return capacity.has_room(route, inst.table, ticket.priority_class, now)
 
     def _dispatch(self, index, waiting, tried=frozenset()):
--- a/packages/bench/src/wagtailtide_bench/world.py
+++ b/packages/bench/src/wagtailtide_bench/world.py
@@ -204,14 +204,26 @@
         if best is None:
             return False
         _, engine, victims = best
-        engine.models -= set(victims)
+        for victim in victims:
+            engine.models.discard(victim)
+        self.load(engine, model)
+        return True
+
+    def unload(self, engine, model):
+        """Unload a model; what runs with it goes on to its end."""
+        engine.models.discard(model)
+        self.resident_changed(engine)
+
+    def load(self, engine, model):
+        """Load a model into free memory."""
+        if self.free_bytes(engine) < self.sizes[model]:
+            raise ValueError(f'no room for {model} on {engine.name}')
         engine.loading.add(model)
         self.moves += 1
         self.resident_changed(engine)
         self._weights.load(
             self.sizes[model], lambda: self._loaded(engine, model)
         )
-        return True
 
     def _victims(self, engine, model, keep_last_copy):
         """Return the idle models to unload for another, or None."""
@@ -237,4 +249,5 @@
             engine.loading.discard(model)
             engine.models.add(model)
             engine.last_used[model] = self.loop.now
+            engine.ready_since[model] = self.loop.now
             self.resident_changed(engine)
