--- a/packages/bench/src/wagtailtide_bench/placing.py
+++ b/packages/bench/src/wagtailtide_bench/placing.py
@@ -10,9 +10,10 @@
 PLAN_S = 2.0
 NEWS_LAG_S = 0.5
 
-# Tokens a second that one replica is planned to generate: the slots of an
-# engine at the target of 50 ms between tokens.
+# Time between tokens at which the slots of an engine are planned.
 TOKEN_TARGET_S = 0.05
+# Part of an engine that one replica is counted on to get: others run on it.
+REPLICA_PART = 0.5
 
 
 class Placing:
@@ -20,7 +21,9 @@
 
     def __init__(self, world, replica_tokens_per_s=None):
         self._world = world
-        each = replica_tokens_per_s or world.cfg.slots / TOKEN_TARGET_S
+        each = replica_tokens_per_s or (
+            world.cfg.slots / TOKEN_TARGET_S * REPLICA_PART
+        )
         self._models = {
             f'{name}@{version}': (name, version)
             for name, version in world.sizes
