--- a/packages/core/src/wagtailtide_core/placement/fleet.py
+++ b/packages/core/src/wagtailtide_core/placement/fleet.py
@@ -1,5 +1,6 @@
 """What all owners know of all model engines, indexed for placement."""
 
+import bisect
 import dataclasses
 import enum
 
@@ -113,7 +114,8 @@
         if self._news.get(news.name) == news:
             return
         if news.name not in self._news:
-            self._orders.clear()
+            for model, order in self._orders.items():
+                bisect.insort(order, (_score(model, news.name), news.name))
         self._unindex(news.name)
         self._news[news.name] = news
         for model in news.ready:
@@ -128,7 +130,8 @@
         if name in self._news:
             self._unindex(name)
             del self._news[name]
-            self._orders.clear()
+            for model, order in self._orders.items():
+                order.remove((_score(model, name), name))
 
     def _unindex(self, name):
         news = self._news.get(name)
@@ -155,12 +158,9 @@
         """Return all servers in the rendezvous order of a model."""
         order = self._orders.get(model)
         if order is None:
-            order = sorted(
-                self._news,
-                key=lambda name: _score(model, name),
-            )
+            order = sorted((_score(model, name), name) for name in self._news)
             self._orders[model] = order
-        return order
+        return [name for _, name in order]
 
     def find_server(self, model, size_bytes, accelerators, room, taken=None):
         """Return the server that should load a model, or None.
@@ -182,7 +182,9 @@
         holders = self.holders(model)
         zones = {self._news[name].zone for name in holders}
         second_best = None
-        for name in self.order(model):
+        if model not in self._orders:
+            self.order(model)
+        for _, name in self._orders[model]:
             news = self._news[name]
             left = news.room_bytes[room] - taken.get(name, 0)
             if (
--- a/packages/core/src/wagtailtide_core/placement/plan.py
+++ b/packages/core/src/wagtailtide_core/placement/plan.py
@@ -24,7 +24,7 @@
 # Loads and evictions that one plan of an owner may start on each server.
 MAX_STARTS = 2
 # Lookups of a server in one plan; those left over come first in the next.
-MAX_LOOKUPS = 200
+MAX_LOOKUPS = 50
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/server/src/wagtailtide_server/control/adapters.py
+++ b/packages/server/src/wagtailtide_server/control/adapters.py
@@ -10,37 +10,26 @@
 # Requests with an adapter that this instance knows of end within this time
 # of their start, or use it again.
 IN_USE_S = 10.0
+# A fetch takes up to 14 ms while the adapter store's limit is kept.
+FETCH_S = 0.05
 
 
 class AdapterFetches:
-    """Fetches adapters and evicts the least recently used ones.
+    """Fetches adapters and evicts the least recently used ones."""
 
-    At most ``knee / live instances`` fetches are under way at once, and at
-    least one.
-    """
-
-    def __init__(self, plane, is_in_use=lambda server, key: False):
+    def __init__(self, permits, is_in_use=lambda server, key: False):
         """Create it.
 
         Args:
-            plane: Control plane.
+            permits: AdapterPermits of this instance, its share of the
+                fetches in flight in the whole deployment.
             is_in_use: Tells whether a request of this instance runs with an
                 adapter, given the server and ``name@version:adapter``.
         """
-        self._plane = plane
+        self._permits = permits
         self._is_in_use = is_in_use
-        self._under_way = 0
         self._used_at = {}
 
-    def share(self):
-        """Return the number of fetches that may be under way here."""
-        documents = self._plane.config.catalog.documents.values()
-        knee = min(
-            (d.weight_store.parallel_adapter_fetches for d in documents),
-            default=1,
-        )
-        return max(1, knee // max(1, len(self._plane.view.live())))
-
     def record_use(self, server, key):
         """Note that a request uses an adapter."""
         self._used_at[server, key] = anyio.current_time()
@@ -61,13 +50,13 @@
         self.record_use(engine.name, key)
         if key in held:
             return held[key].state is orders.ResidencyState.READY
-        if self._under_way >= self.share():
+        release = self._permits.try_acquire()
+        if release is None:
             return False
-        self._under_way += 1
         try:
             return await self._fetch(engine, model, adapter, held)
         finally:
-            self._under_way -= 1
+            release()
 
     async def _fetch(self, engine, model, adapter, held):
         key = reports.adapter_key(model, adapter.name)
@@ -78,7 +67,12 @@
         answer = await engine.order(
             orders.OrderKind.LOAD_ADAPTER, model, adapter.bytes, adapter.name
         )
-        return answer.fate is sending.Fate.ACCEPTED
+        if answer.fate is not sending.Fate.ACCEPTED:
+            return False
+        # The engine fetches after its answer, and its report comes too late
+        # to tell the end.
+        await anyio.sleep(FETCH_S)
+        return True
 
     async def _evict(self, engine, needed, held):
         """Make room; it is free once a report shows it."""
