--- a/packages/server/src/wagtailtide_server/control/placement.py
+++ b/packages/server/src/wagtailtide_server/control/placement.py
@@ -162,15 +162,30 @@
                 await engine.maintain()
                 await engine.prune_record()
                 for order in engine.unanswered():
-                    await engine.order(
-                        order.kind, order.model, order.size_bytes
-                    )
+                    if self._should_repeat(engine, order):
+                        await engine.order(
+                            order.kind, order.model, order.size_bytes
+                        )
         except client.StoreError as exc:
             self._note_store_failure(exc)
         except checks.InvariantError as exc:
             LOG.warning('order stopped', extra={'error': str(exc)})
         await self._end_loans(engine)
 
+    def _should_repeat(self, engine, order):
+        """Return whether an order without a response is sent again.
+
+        Of a previous owner's orders only loads of a model that waits, whose
+        room is kept for it here.
+        """
+        if order.fence == engine.own.fence:
+            return True
+        now = anyio.current_time()
+        return (
+            order.kind is orders.OrderKind.LOAD
+            and self.planner.waiting_s(order.model, now) > 0
+        )
+
     async def _end_loans(self, engine):
         coming = engine.describe(True, True).loading
         for (server, model), loan in tuple(self._loans.items()):
@@ -188,7 +203,7 @@
                 engine.own
             ):
                 continue
-            ready = {m for m in engine.ready_since if ':' not in m}
+            ready = engine.ready_models().keys()
             listed = {
                 model
                 for model, server in self._listing.listed
@@ -271,15 +286,27 @@
     async def _unload(self, engine, unload):
         self._removing.add((unload.server, unload.key))
         try:
-            if await self._may_unload(unload):
-                await engine.order(
-                    orders.OrderKind.UNLOAD, unload.key, unload.size_bytes
-                )
+            others = await self._take_off_list(unload)
+            if others is None:
+                return
+            self._invariants.check(
+                'model_stays_reachable',
+                unload.may_be_last or bool(others - {unload.server}),
+                model=unload.key,
+                server=unload.server,
+            )
+            await engine.order(
+                orders.OrderKind.UNLOAD, unload.key, unload.size_bytes
+            )
         finally:
             self._removing.discard((unload.server, unload.key))
 
-    async def _may_unload(self, unload):
-        """Take the server off the model's list if another replica is left."""
+    async def _take_off_list(self, unload):
+        """Take the server off the model's list before an unload.
+
+        Returns:
+            The other servers that have it, or None if it must stay.
+        """
         declared = self.catalog_engines()
         others = await self._listing.remove(
             unload.key,
@@ -297,17 +324,17 @@
                 'last listed replica kept',
                 extra={'model': unload.key, 'backend_server': unload.server},
             )
-            return False
+            return None
         if unload.may_be_last:
-            return True
+            return others
         # A server may have crashed since it was listed.
         for name in sorted(others):
             if name in declared and await self._is_ready(
                 declared[name], unload.key
             ):
-                return True
+                return others
         await self._listing.add(unload.key, unload.server)
-        return False
+        return None
 
     async def _is_ready(self, declared, model):
         try:
--- a/packages/server/src/wagtailtide_server/engines/engine.py
+++ b/packages/server/src/wagtailtide_server/engines/engine.py
@@ -98,8 +98,22 @@
         failed = report.failed_orders - known
         return tuple(unsettled[o] for o in failed if o in unsettled)
 
+    def is_stopping(self):
+        """Return whether the engine says that it is stopping."""
+        return self.report is not None and self.report.draining
+
+    def ready_models(self):
+        """Return the time by model since which it is ready to stay."""
+        if self.is_stopping():
+            return {}
+        return {m: t for m, t in self.ready_since.items() if ':' not in m}
+
     def describe(self, may_load, may_unload):
-        """Return the OwnServer for the planner."""
+        """Return the OwnServer for the planner.
+
+        A stopping engine has no models to count on, so that its models are
+        loaded elsewhere while it still serves.
+        """
         declared = self.own.declared
         sizes = {}
         if self.models.report is not None:
@@ -107,20 +121,20 @@
                 r.model: r.size_bytes for r in self.models.report.residencies
             }
         free = self.models.capacity_bytes - self.models.used_bytes()
-        fenced = self.models.is_fenced()
+        usable = self.models.is_fenced() and not self.is_stopping()
         return decisions.OwnServer(
             declared.name,
             declared.zone,
             declared.accelerators,
-            free if fenced else 0,
+            free if usable else 0,
             tuple(
                 decisions.Resident(model, sizes[model], since)
-                for model, since in self.ready_since.items()
-                if model in sizes and ':' not in model
+                for model, since in self.ready_models().items()
+                if model in sizes
             ),
-            self._loading(),
-            may_load=may_load and fenced and not self.report.draining,
-            may_unload=may_unload and fenced,
+            frozenset() if self.is_stopping() else self._loading(),
+            may_load=may_load and usable,
+            may_unload=may_unload and usable,
         )
 
     def _loading(self):
--- a/packages/server/tests/control/test_placement.py
+++ b/packages/server/tests/control/test_placement.py
@@ -263,6 +263,17 @@
         self.assertEqual(fleet.engines['e1'].record['orders'], 1)
         self.assertEqual(fleet.overcommitted(), 0)
 
+    @virtual_time.run_without_io
+    async def test_models_of_a_stopping_engine_are_loaded_elsewhere(self):
+        settings = [fleets.lax_engine(), fleets.strict_engine()]
+        fleet = fleets.Fleet(fleets.make_models(1), settings)
+        async with fleet.running():
+            await fleet.wait_ready('m0', 60)
+            (name,) = fleet.ready_on('m0')
+            fleet.engines[name].faults.draining = True
+            await anyio.sleep(60)
+            self.assertEqual(len(fleet.ready_on('m0')), 2)
+
     @virtual_time.run_without_io
     async def test_demand_that_moves_while_the_store_is_down(self):
         settings = [fleets.lax_engine(), fleets.strict_engine()]
