--- a/packages/server/src/wagtailtide_server/control/ensure.py
+++ b/packages/server/src/wagtailtide_server/control/ensure.py
@@ -75,7 +75,7 @@
         """
         model = self._plane.config.catalog.models[model_name]
         name = self.choose_server(model)
-        owner = self._placement.owners.get(name)
+        owner = self._placement.news.owners.get(name)
         body = {'server': name, 'model': model_name, 'adapter': adapter}
         if owner is None:
             return Ensured(False, WAIT_FOR_ROOM_S)
--- a/packages/server/src/wagtailtide_server/control/placement.py
+++ b/packages/server/src/wagtailtide_server/control/placement.py
@@ -1,15 +1,10 @@
 """Placement of models and adapters on the engines that this instance owns."""
 
-import dataclasses
-import itertools
 import logging
 
 import anyio
 from wagtailtide_core.document import schema
-from wagtailtide_core.gossip import records
 from wagtailtide_core.invariants import checks
-from wagtailtide_core.placement import demand as demands
-from wagtailtide_core.placement import fleet as fleets
 from wagtailtide_core.placement import orders
 from wagtailtide_core.placement import plan as plans
 from wagtailtide_core.placement import targets
@@ -18,6 +13,8 @@
 from wagtailtide_server.control import load_permits
 from wagtailtide_server.control import orders as sending
 from wagtailtide_server.control import ownership as ownerships
+from wagtailtide_server.control import placement_news
+from wagtailtide_server.control import replica_guard
 from wagtailtide_server.engines import engine as engines
 from wagtailtide_server.engines import reports
 from wagtailtide_server.platform import client
@@ -37,36 +34,25 @@
 _GUARDED = (client.StoreError, checks.InvariantError)
 
 
-@dataclasses.dataclass(frozen=True)
-class Peering:
-    """What a server's record tells besides its news."""
-
-    owner: str
-    news: fleets.ServerNews
-
-
 class Placement:
     """Plans and carries out the placement on own engines.
 
     Attributes:
         ownership: Ownership.
         engines: Engine by name, of those owned.
+        news: PlacementNews.
         fleet: News of all engines.
         planner: Planner.
-        meter: Demand seen by this instance.
-        owners: Owner of each engine, from its news.
     """
 
     def __init__(self, plane, store, lease, invariants, rng, http=None):
         self.ownership = ownerships.Ownership(plane, store, lease, invariants)
         self.engines = {}
-        self.fleet = fleets.Fleet()
+        self.news = placement_news.PlacementNews(plane)
+        self.fleet = self.news.fleet
         self.planner = plans.Planner(
             self.fleet, targets.Targets(DEFAULT_SLOTS * TOKENS_PER_SLOT_S)
         )
-        self.meter = demands.Meter()
-        self.demand = demands.FleetDemand()
-        self.owners = {}
         self.permits = load_permits.LoadPermits(plane, rng)
         self._plane = plane
         self._invariants = invariants
@@ -74,14 +60,13 @@
         self._listing = listings.Listing(
             store, f'{plane.view.me.name}/{plane.boot}'
         )
+        self._guard = replica_guard.ReplicaGuard(
+            self._listing, self.fleet, self._http
+        )
         self._loans = {}
         self._removing = set()
         self._claim_at = 0.0
-        self._spread_at = 0.0
         self._store_failed_at = None
-        self._numbers = itertools.count(1)
-        self._stamps = {}
-        self._seen = {}
         self._wake = anyio.Event()
 
     async def run(self):
@@ -124,10 +109,10 @@
         async with anyio.create_task_group() as group:
             for engine in self.engines.values():
                 group.start_soon(self._refresh, engine)
-        self._take_news(declared)
+        self.news.take(declared, self.ownership)
         await self._list_changes()
         await self._carry_out()
-        self._spread(declared)
+        self._spread()
 
     async def _follow_owned(self):
         owned = self.ownership.owned
@@ -258,7 +243,7 @@
         needs = {}
         for model in self._plane.config.catalog.models.values():
             key = targets.key_of(model)
-            forecast = self.demand.forecast(key, live)
+            forecast = self.news.demand.forecast(key, live)
             needs[key] = targets.Need(model, forecast)
         return needs
 
@@ -286,7 +271,7 @@
     async def _unload(self, engine, unload):
         self._removing.add((unload.server, unload.key))
         try:
-            others = await self._take_off_list(unload)
+            others = await self._guard.take_off(unload, self.catalog_engines())
             if others is None:
                 return
             self._invariants.check(
@@ -301,51 +286,6 @@
         finally:
             self._removing.discard((unload.server, unload.key))
 
-    async def _take_off_list(self, unload):
-        """Take the server off the model's list before an unload.
-
-        Returns:
-            The other servers that have it, or None if it must stay.
-        """
-        declared = self.catalog_engines()
-        others = await self._listing.remove(
-            unload.key,
-            unload.server,
-            frozenset(
-                name
-                for name in self.fleet.names()
-                if not self.fleet.get(name).is_open
-            ),
-            lambda shard: _gone(shard, declared),
-            unload.may_be_last,
-        )
-        if others is None:
-            LOG.info(
-                'last listed replica kept',
-                extra={'model': unload.key, 'backend_server': unload.server},
-            )
-            return None
-        if unload.may_be_last:
-            return others
-        # A server may have crashed since it was listed.
-        for name in sorted(others):
-            if name in declared and await self._is_ready(
-                declared[name], unload.key
-            ):
-                return others
-        await self._listing.add(unload.key, unload.server)
-        return None
-
-    async def _is_ready(self, declared, model):
-        try:
-            report = await reports.fetch(self._http, declared)
-        except reports.NoReport:
-            return False
-        return not report.draining and any(
-            r.model == model and r.state is orders.ResidencyState.READY
-            for r in report.memory.residencies
-        )
-
     async def _try_store(self, action, *args):
         try:
             await action(*args)
@@ -357,67 +297,11 @@
         if not isinstance(exc, client.Conflict):
             self._store_failed_at = anyio.current_time()
 
-    def _take_news(self, declared):
+    def _spread(self):
         now = anyio.current_time()
-        for record in self._plane.table.of_kind(records.Kind.SERVER, now):
-            if self._seen.get(record.id) == record.stamp:
-                continue
-            own = self.ownership.owned.get(record.id)
-            if own is not None:
-                if record.stamp[0] > own.fence:
-                    self.ownership.lost(record.id)
-                continue
-            if record.id in declared:
-                self._apply_news(record, declared[record.id])
-        for name in self.fleet.names() - declared.keys():
-            self.fleet.drop(name)
-        for record in self._plane.table.of_kind(records.Kind.DEMAND, now):
-            if self._seen.get(('demand', record.id)) != record.stamp:
-                self._seen['demand', record.id] = record.stamp
-                self.demand.apply(record.id, record.value, record.age_s, now)
-        self.demand.drop_expired(now)
-
-    def _apply_news(self, record, declared):
-        try:
-            owner, *news = record.value
-            self.fleet.put(fleets.from_value(news, declared))
-        except (TypeError, ValueError) as exc:
-            LOG.info('news not readable', extra={'error': str(exc)})
-            return
-        self.owners[record.id] = str(owner)
-        self._seen[record.id] = record.stamp
-
-    def _spread(self, declared):
-        now = anyio.current_time()
-        me = self._plane.view.me.name
         for name, own in self._describe_own().items():
             news = self.planner.describe(own, now)
-            if not self.ownership.may_order(self.engines[name].own):
-                continue
-            self.owners[name] = me
-            fence = self.engines[name].own.fence
-            value = [me, *news.to_value()]
-            known = self._stamps.get(name)
-            if known is None or known[0] != (fence, value):
-                self._stamps[name] = ((fence, value), now)
-                stamp = (fence, next(self._numbers))
-                self._plane.table.put(
-                    records.Kind.SERVER, name, stamp, value, now
-                )
-        live = self._plane.view.live()
-        if now >= self._spread_at and demands.is_reporter(me, live):
-            self._spread_at = now + demands.SPREAD_EVERY_S
-            self._plane.table.put(
-                records.Kind.DEMAND,
-                me,
-                (self._plane.boot, next(self._numbers)),
-                self.meter.value(now),
-                now,
-            )
-        for name in self._stamps.keys() - declared.keys():
-            del self._stamps[name]
-
-
-def _gone(shard, declared):
-    listed = frozenset().union(*shard.replicas.values())
-    return listed - declared.keys()
+            held = self.engines[name].own
+            if self.ownership.may_order(held):
+                self.news.put_server(held.fence, news)
+        self.news.put_demand()
--- a/packages/server/src/wagtailtide_server/control/placement_service.py
+++ b/packages/server/src/wagtailtide_server/control/placement_service.py
@@ -41,7 +41,7 @@
 
     def record_demand(self, key, tokens):
         """Count a request for a model, ``name@version``, when it arrives."""
-        self.placement.meter.record(key, tokens, anyio.current_time())
+        self.placement.news.meter.record(key, tokens, anyio.current_time())
 
     async def leave(self):
         """Give up all engines, before the session is deleted."""
--- a/packages/server/tests/control/placement_fleet.py
+++ b/packages/server/tests/control/placement_fleet.py
@@ -296,7 +296,7 @@
                     if inst.resumed.is_set():
                         now = anyio.current_time()
                         key = targets.key_of(self.models[model])
-                        inst.placement.meter.record(key, 100.0, now)
+                        inst.placement.news.meter.record(key, 100.0, now)
                         await inst.ensurer.ensure(model)
                 await anyio.sleep(1.0)
 
