Look again for an outcome that its holder has already recorded

The claim was read as claimed, its holder then recorded the outcome and forgot the claim, and was asked only afterwards. The asker now reads the claim again after its change to unknown had the chance to be refused. Without the change the new test fails: its answer has no outcome.

--- a/packages/server/src/wagtailtide_server/claims/service.py
+++ b/packages/server/src/wagtailtide_server/claims/service.py
@@ -176,7 +176,10 @@
         if state is holdings.HoldingState.ABANDONED:
             return await self._change(claim, model.ClaimState.RELEASED)
         if state is not None:
-            await self._change(claim, model.ClaimState.UNKNOWN)
+            # The holder forgets a claim once its outcome is recorded, which
+            # may have been after the claim was read here. The change has no
+            # effect then, and the next pass finds the outcome.
+            return await self._change(claim, model.ClaimState.UNKNOWN)
         return Answer(AnswerKind.OUTCOME_UNKNOWN)
 
     async def _change(self, claim, state):
--- a/packages/server/tests/claims/test_service.py
+++ b/packages/server/tests/claims/test_service.py
@@ -121,6 +121,20 @@
         answer = await self.fleet.submit('b')
         self.assertEqual(answer.outcome, _CREATED)
 
+    @virtual_time.run_without_io
+    async def test_an_outcome_recorded_before_the_holder_is_asked(self):
+        # Guards against reporting a known outcome as unknown.
+        await self.fleet.run('a')
+        asking = self.fleet.services['b']
+        ask = asking._ask_holder
+
+        async def ask_late(claim):
+            await self.fleet.services['a'].record_pending()
+            return await ask(claim)
+
+        asking._ask_holder = ask_late
+        self.assertEqual((await self.fleet.submit('b')).outcome, _CREATED)
+
     @virtual_time.run_without_io
     async def test_a_key_whose_holder_died_has_an_unknown_outcome(self):
         await self.fleet.submit('a')
