--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -159,6 +159,8 @@
             return 'stopping'
         if not self.plane.caught_up:
             return 'configuration not confirmed yet'
+        if not self.watch.informed:
+            return 'backend servers not asked yet'
         return None
 
     def check_admits(self):
@@ -172,11 +174,11 @@
                 kinds.ErrorKind.SHUTTING_DOWN,
                 'this instance is stopping; send the request to another one',
             )
-        if not self.plane.caught_up:
+        if not self.plane.caught_up or not self.watch.informed:
             raise kinds.ServingError(
                 kinds.ErrorKind.NOT_READY,
-                'this instance has not caught up with the configuration; '
-                'send the request again later',
+                'this instance has not caught up with the configuration and '
+                'the backend servers; send the request again later',
             )
         limit = self.settings.limits.max_open_requests
         if self.open_requests > limit:
--- a/packages/server/src/wagtailtide_server/upstream/watch.py
+++ b/packages/server/src/wagtailtide_server/upstream/watch.py
@@ -21,7 +21,12 @@
 
 
 class ServerWatch:
-    """Follows the configuration, reports, the platform's list and news."""
+    """Follows the configuration, reports, the platform's list and news.
+
+    Attributes:
+        informed: Whether every engine of the configuration that the instance
+            had caught up with was asked for a report.
+    """
 
     def __init__(self, dispatcher, plane, store, rng=None):
         self._dispatcher = dispatcher
@@ -30,6 +35,8 @@
         self._rng = rng or random.Random()
         self._news = news.ServerNews(dispatcher, plane)
         self._catalog = None
+        self.informed = False
+        self._declared = False
         self._leaving = frozenset()
         self._seen_down = set()
 
@@ -47,6 +54,7 @@
             if catalog is not self._catalog:
                 self._catalog = catalog
                 self._dispatcher.table.declare(catalog.backend_servers)
+            self._declared |= self._plane.caught_up
             self._apply_leaving()
             self._news.take()
             self._dispatcher.permits.set_share(
@@ -73,11 +81,13 @@
 
     async def _read_reports(self):
         while True:
+            declared = self._declared
             async with anyio.create_task_group() as group:
                 for name, state in self._dispatcher.table.servers.items():
                     if state.declared.kind is schema.ServerKind.ENGINE:
                         group.start_soon(self._read_report, name, state)
-            await anyio.sleep(REPORT_S)
+            self.informed |= declared
+            await anyio.sleep(REPORT_S if self.informed else FOLLOW_S)
 
     async def _read_report(self, name, state):
         try:
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -128,7 +128,7 @@
             self.publish()
             group = await enter(anyio.create_task_group())
             self.inst = await self._start(group, url, 'a-1', limits)
-            caller = await enter(_caller(self.inst))
+            caller = await enter(caller_of(self.inst))
             await self.wait_until(lambda: self._is_ready(self.inst))
             self._start_another = functools.partial(self._start, group, url)
             yield caller
@@ -159,12 +159,16 @@
     @contextlib.asynccontextmanager
     async def another(self, name):
         """Start one more instance that knows the first as a seed."""
-        seeds = [self.inst.plane.view.me.address]
-        inst = await self._start_another(name, seeds=seeds)
+        inst = await self.start_another(name)
         await self.wait_until(lambda: self._is_ready(inst))
-        async with _caller(inst) as caller:
+        async with caller_of(inst) as caller:
             yield caller
 
+    async def start_another(self, name):
+        """Start one more instance without waiting until it is ready."""
+        seeds = [self.inst.plane.view.me.address]
+        return await self._start_another(name, seeds=seeds)
+
     async def _run(self, inst, task_status):
         # The tasks end before the store's connections are closed.
         async with inst.store, anyio.create_task_group() as group:
@@ -206,7 +210,7 @@
         return [req for r in recorders for req in r.requests]
 
 
-def _caller(inst):
+def caller_of(inst):
     return httpx.AsyncClient(
         base_url=f'http://{inst.callers_address}',
         timeout=60,
--- a/packages/server/tests/test_instance.py
+++ b/packages/server/tests/test_instance.py
@@ -50,6 +50,32 @@
         self.assertEqual(data[-1], '[DONE]')
 
 
+class StartTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_a_new_instance_refuses_until_it_knows_its_servers(self):
+        # Guards against refusing requests for models that are resident and
+        # services that run, between catching up and the first reports.
+        deployment = harness.Deployment()
+        kinds_seen = set()
+        async with deployment.running():
+            inst = await deployment.start_another('a-2')
+            async with harness.caller_of(inst) as caller:
+                for _ in range(40):
+                    for resp in (
+                        await caller.get('/public/hours'),
+                        await caller.post(
+                            '/v1/completions',
+                            json=harness.completion(max_tokens=1),
+                            headers=deployment.auth(),
+                        ),
+                    ):
+                        served = resp.status_code == 200
+                        error = {} if served else resp.json()['error']
+                        kinds_seen.add(error.get('kind'))
+                    await anyio.sleep(0.05)
+        self.assertEqual(kinds_seen, {'not_ready', None})
+
+
 class AdminTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_the_dump_says_where_a_request_would_go(self):
