Release a claim whose call was never sent before its deadline

Cause: when the deadline of a keyed call passed while its connection was being established, the history said not_run but the holding still said that the call may have run. The release then violated released_claim_never_ran: the caller got 500 internal, and the key answered still_running for ever.

The holding now follows the history of the attempts in all ways in which an attempt ends. Ruled out: weakening the assertion on release, which is right.

The test connects to a listener whose backlog is full. Before the change it failed with 'invariants were violated: {released_claim_never_ran: 1}'.

--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -228,10 +228,10 @@
         plain.begin_attempt()
         try:
             return await self._exchange(name, attempt)
-        except failures.AttemptError as exc:
-            if exc.fate is kinds.Fate.NOT_RUN:
+        finally:
+            # Also when the deadline passed before anything was sent.
+            if not plain.call.history.may_have_run:
                 plain.attempt_not_run()
-            raise
 
     async def _exchange(self, name, attempt):
         call = self._plain_call.call
--- /dev/null
+++ b/packages/server/tests/http/test_fates.py
@@ -0,0 +1,66 @@
+import contextlib
+import socket
+import unittest
+
+from wagtailtide_testing import virtual_time
+
+from tests import harness
+
+
+@contextlib.contextmanager
+def full_listener():
+    """Give the address of a listener whose backlog is full.
+
+    The kernel drops further connection requests, so that a connect neither
+    succeeds nor is refused.
+    """
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        for _ in range(4):
+            conn = stack.enter_context(socket.socket())
+            conn.setblocking(False)
+            conn.connect_ex(listener.getsockname())
+        yield '{}:{}'.format(*listener.getsockname())
+
+
+async def issue(deployment, caller, key='order-1', **headers):
+    if key is not None:
+        headers['Idempotency-Key'] = key
+    return await caller.post(
+        '/issue/blanks',
+        content='{"set": 7}',
+        headers={**deployment.auth(), **headers},
+    )
+
+
+class DeadlineWhileConnectingTest(unittest.TestCase):
+    """Guards against a key that stays claimed after a call never sent."""
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_key_is_released_and_may_be_used_again(self):
+        deployment = harness.Deployment(engines=0)
+        async with deployment.running() as caller:
+            reachable = deployment.addresses['ledger']
+            with full_listener() as address:
+                await self._move_ledger(deployment, address)
+                late = await issue(
+                    deployment, caller, **{'X-Deadline-Ms': '300'}
+                )
+            await self._move_ledger(deployment, reachable)
+            again = await issue(deployment, caller)
+        error = late.json()['error']
+        self.assertEqual(
+            (error['kind'], error['fate']), ('deadline_unreachable', 'not_run')
+        )
+        self.assertEqual(again.status_code, 201, again.text)
+        self.assertEqual(len(deployment.ledger.applied), 1)
+
+    async def _move_ledger(self, deployment, address):
+        deployment.addresses['ledger'] = address
+        deployment.publish()
+        table = deployment.inst.dispatcher.table
+        await deployment.wait_until(
+            lambda: table.servers['ledger'].declared.address == address
+        )
