Finish calls on a plain service that is no longer declared

Cause: the probe of a call that takes longer than 2 s looked the server up in the table and raised KeyError once the document no longer declared it. The call was cut and its caller got 500 internal, although the service went on with it. The probe now keeps the address that the call was sent to, and nothing new is sent to a server that is gone.

Before the change the test failed with 500 internal (KeyError: 'ledger').

--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -175,9 +175,11 @@
 
     async def _wait_for_probe_failure(self, name):
         """Return a failure, or None if the call should be hedged."""
+        # The document may stop declaring the server while the call runs.
+        address = self._dispatcher.table.servers[name].declared.address
         while True:
             await anyio.sleep(PROBE_AFTER_S)
-            exc = await self._probe(name)
+            exc = await self._probe(address)
             if exc is None and self._plain_call.idempotent:
                 return None
             # A non-idempotent call on a server that is only slow may still
@@ -192,10 +194,9 @@
                     f'no answer, and the probe failed: {exc.detail}',
                 )
 
-    async def _probe(self, name):
-        state = self._dispatcher.table.servers[name]
+    async def _probe(self, address):
         try:
-            await self._dispatcher.client.probe(state.declared.address)
+            await self._dispatcher.client.probe(address)
         except failures.AttemptError as exc:
             return exc
         return None
@@ -203,8 +204,8 @@
     async def _attempt(self, name):
         request_id = calls.make_request_id()
         plain = self._plain_call
-        state = self._dispatcher.table.servers[name]
-        if state.stopping:
+        state = self._dispatcher.table.servers.get(name)
+        if state is None or state.stopping:
             # Learned since the server was chosen, or before a hedge.
             raise failures.AttemptError(
                 failures.FailureKind.REFUSED,
--- a/packages/server/tests/http/test_fates.py
+++ b/packages/server/tests/http/test_fates.py
@@ -2,6 +2,7 @@
 import socket
 import unittest
 
+import anyio
 from wagtailtide_testing import virtual_time
 
 from tests import harness
@@ -64,3 +65,35 @@
         await deployment.wait_until(
             lambda: table.servers['ledger'].declared.address == address
         )
+
+
+class UndeclaredServerTest(unittest.TestCase):
+    """Guards against losing an outcome when a server leaves the document."""
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_running_call_on_it_is_answered(self):
+        deployment = harness.Deployment(engines=0)
+        async with (
+            deployment.running() as caller,
+            anyio.create_task_group() as group,
+        ):
+            deployment.ledger.set_faults(delay_s=6.0)
+            group.start_soon(self._undeclare, deployment)
+            resp = await issue(deployment, caller)
+        self.assertEqual(resp.status_code, 201, resp.text)
+
+    async def _undeclare(self, deployment):
+        await anyio.sleep(1)
+        addresses, deployment.addresses = deployment.addresses, {}
+        routes = [
+            {**route, 'backend': 'spare'}
+            for route in deployment.document()['routes']
+        ]
+        deployment.addresses = {'spare': addresses['ledger']}
+        document = deployment.document(routes=routes)
+        document['backend_servers'][0] |= {'kind': 'plain', 'group': 'spare'}
+        deployment.publish(
+            backend_servers=document['backend_servers'], routes=routes
+        )
+        table = deployment.inst.dispatcher.table
+        await deployment.wait_until(lambda: 'ledger' not in table.servers)
