Measure costs of control: gossip, store calls, planning, processes

Cause: the capacity page needs figures from named targets. Figures: python -m wagtailtide_bench.main capacity and processes; see docs/CAPACITY.md.

--- a/packages/bench/src/wagtailtide_bench/main.py
+++ b/packages/bench/src/wagtailtide_bench/main.py
@@ -5,14 +5,16 @@
 
 import cappa
 
+from wagtailtide_bench import capacity
 from wagtailtide_bench import fits
+from wagtailtide_bench import processes
 from wagtailtide_bench import report
 from wagtailtide_bench import runs
 from wagtailtide_bench import scenes
 from wagtailtide_bench import sizes
 from wagtailtide_bench import slopes
 
-TARGETS = ('table', 'slopes')
+TARGETS = ('table', 'slopes', 'capacity', 'processes')
 
 
 @cappa.command(name='bench')
@@ -21,7 +23,7 @@
     """Measure the decisions.
 
     Attributes:
-        targets: What to measure: table, slopes; both by default.
+        targets: What to measure; all by default.
         seeds: Number of seeds.
         first_seed: The first seed.
         deployment: Deployments; all by default.
@@ -62,6 +64,11 @@
     if 'slopes' in targets:
         found = slopes.measure_all()
         print(report.to_json(found) if args.json else fits.format_fits(found))
+    if 'capacity' in targets:
+        rows, found = capacity.measure_all()
+        print(capacity.format_rows(rows), fits.format_fits(found), sep='\n')
+    if 'processes' in targets:
+        print(capacity.format_rows(processes.measure_all()))
 
 
 if __name__ == '__main__':
