Claim servers that nobody claims and pause store work in outages

Cause: a released server whose first instance in the order is live but does not reach the store would have stayed without an owner; and in a store outage a tick could wait for the timeout of each list that was due to change.

The second in the order claims a server that it finds released twice, 60 s apart. Changes of lists stop at the first failure for 10 s. ownership and engine are split by concern.

Proof: with the second look taken out, the server stays without an owner.

--- a/packages/server/src/wagtailtide_server/control/ownership.py
+++ b/packages/server/src/wagtailtide_server/control/ownership.py
@@ -8,12 +8,10 @@
 import logging
 
 import anyio
-from wagtailtide_core.leases import observer
 from wagtailtide_core.leases import ownership
-from wagtailtide_core.leases import session as sessions
 from wagtailtide_core.membership import overlay
-from wagtailtide_core.membership import view as views
 
+from wagtailtide_server.control import owner_watch
 from wagtailtide_server.platform import budget as budgets
 from wagtailtide_server.platform import client
 from wagtailtide_server.platform import settle
@@ -77,10 +75,9 @@
         self._store = store
         self._lease = lease
         self._invariants = invariants
-        self._observer = observer.SessionObserver()
-        self._state_since = {}
-        self._sessions_seen = {}
+        self._watch = owner_watch.OwnerWatch(plane, store)
         self._due_at = {}
+        self._unowned = {}
 
     @property
     def name(self):
@@ -122,7 +119,7 @@
         Args:
             engines: Declared engines by name.
         """
-        self._note_states()
+        self._watch.note_states()
         for name in [n for n in self.owned if n not in engines]:
             await self.release(name)
         for name, declared in sorted(engines.items()):
@@ -153,19 +150,10 @@
     async def _should_hand_over(self, server, preferred):
         if preferred == self.name or not self._is_due(server, BACKUP_S):
             return False
-        if self._live_for_s(preferred) < HAND_OVER_AFTER_S:
+        if self._watch.live_for_s(preferred) < HAND_OVER_AFTER_S:
             return False
         # A member that cannot reach the store could not claim it.
-        try:
-            found = await self._store.get(
-                f'sessions/{preferred}', activity=budgets.Activity.OWNERSHIP
-            )
-        except client.StoreError:
-            return False
-        version = found.version if found else None
-        known = self._sessions_seen.get(preferred)
-        self._sessions_seen[preferred] = version
-        return known is not None and version not in (None, known)
+        return await self._watch.is_renewed(preferred)
 
     def _is_due(self, server, every_s):
         now = anyio.current_time()
@@ -178,30 +166,13 @@
         own = self.owned.get(name)
         return own is not None and own.epoch == self._lease.epoch
 
-    def _note_states(self):
-        now = anyio.current_time()
-        known = {member.name: member.state for member in self._plane.view}
-        self._state_since = {
-            name: self._state_since[name]
-            if self._state_since.get(name, (None,))[0] == state
-            else (state, now)
-            for name, state in known.items()
-        }
-
-    def _live_for_s(self, name):
-        return self._in_state_for_s(name, views.State.LIVE)
-
-    def _in_state_for_s(self, name, wanted):
-        state, since = self._state_since.get(name, (None, 0.0))
-        return anyio.current_time() - since if state == wanted else 0.0
-
     async def _try_claim(self, declared, only_from_others=False):
         """Claim a server if that is allowed.
 
         Args:
             declared: Declaration of the server.
             only_from_others: Whether to leave a server without an owner to
-                the instance that should own it.
+                the instance that should own it for a while.
         """
         try:
             await self._claim(declared, only_from_others)
@@ -219,14 +190,19 @@
         boot = self._plane.boot
         reason = 'own'
         if record is None or (record.owner, record.boot) != (self.name, boot):
-            evidence = await self._evidence(record)
+            evidence = await self._watch.evidence(record)
             reason = ownership.may_take_over(
                 record, declared.checks_fences, evidence
             )
         if reason is None:
             return
         if only_from_others and reason is ownership.Takeover.RELEASED:
-            return
+            # Claimed only if the first in the order did not do so in time.
+            version = found.version if found else 0
+            known = self._unowned.get(declared.name)
+            self._unowned[declared.name] = version
+            if known != version:
+                return
         now = anyio.current_time()
         epoch = self._lease.epoch
         if not self._lease.is_valid(now) or not self._plane.caught_up:
@@ -255,30 +231,6 @@
             },
         )
 
-    async def _evidence(self, record):
-        if record is None or record.owner is None:
-            return ownership.OwnerEvidence(None, 0.0, False)
-        sent_at = anyio.current_time()
-        found = await self._store.get(
-            f'sessions/{record.owner}', activity=budgets.Activity.OWNERSHIP
-        )
-        now = anyio.current_time()
-        version = found.version if found else None
-        self._observer.observe(record.owner, version, sent_at, now)
-        held = sessions.SessionRecord.decode(found.value) if found else None
-        horizon_s = held.ownership_horizon_s if held else self._horizon_s()
-        return ownership.OwnerEvidence(
-            held.boot if held else None,
-            self._in_state_for_s(record.owner, views.State.FAILED),
-            self._observer.has_lapsed(record.owner, horizon_s),
-        )
-
-    def _horizon_s(self):
-        documents = self._plane.config.catalog.documents.values()
-        return max(
-            (d.limits.ownership_horizon_s for d in documents), default=900.0
-        )
-
     async def write_pending(self, own, pending):
         """Record orders that may still take effect, before they are sent.
 
--- a/packages/server/src/wagtailtide_server/control/placement.py
+++ b/packages/server/src/wagtailtide_server/control/placement.py
@@ -181,8 +181,6 @@
 
     async def _list_changes(self):
         """List what became ready, and take off what is there no more."""
-        if not self._listing.loaded:
-            return
         for engine in tuple(self.engines.values()):
             if engine.report is None or not self.ownership.may_order(
                 engine.own
@@ -194,15 +192,21 @@
                 for model, server in self._listing.listed
                 if server == engine.name
             }
-            for model in ready - listed:
-                if (engine.name, model) not in self._removing:
-                    await self._try_store(
-                        self._listing.add, model, engine.name
-                    )
-            for model in listed - ready:
-                await self._try_store(
-                    self._listing.withdraw, model, engine.name
-                )
+            removing = {m for s, m in self._removing if s == engine.name}
+            changes = [
+                *((self._listing.add, m) for m in ready - listed - removing),
+                *((self._listing.withdraw, m) for m in listed - ready),
+            ]
+            for change, model in changes:
+                # Each call may take its whole timeout in an outage.
+                if not self._listing.loaded or self._is_store_paused():
+                    return
+                await self._try_store(change, model, engine.name)
+
+    def _is_store_paused(self):
+        failed_at = self._store_failed_at
+        now = anyio.current_time()
+        return failed_at is not None and now < failed_at + STORE_PAUSE_S
 
     async def _carry_out(self):
         now = anyio.current_time()
@@ -227,9 +231,7 @@
             LOG.warning('order stopped', extra={'error': str(exc)})
 
     def _describe_own(self):
-        now = anyio.current_time()
-        failed_at = self._store_failed_at
-        may_unload = failed_at is None or now >= failed_at + STORE_PAUSE_S
+        may_unload = not self._is_store_paused()
         described = {}
         for name, engine in self.engines.items():
             may_order = self.ownership.may_order(engine.own)
--- a/packages/server/src/wagtailtide_server/engines/engine.py
+++ b/packages/server/src/wagtailtide_server/engines/engine.py
@@ -11,6 +11,7 @@
 from wagtailtide_core.placement import orders
 
 from wagtailtide_server.control import orders as sending
+from wagtailtide_server.engines import pending_orders
 from wagtailtide_server.engines import reports
 
 LOG = logging.getLogger(__name__)
@@ -66,7 +67,7 @@
     def _add_pending(self, pending):
         now = anyio.current_time()
         for item in pending:
-            order = _decode_order(item)
+            order = pending_orders.decode(item)
             if order is None:
                 continue
             is_adapter = ':' in order.model
@@ -291,7 +292,7 @@
             (*self.models.unsettled(), *self.adapters.unsettled(), order)
         )
         await self._ownership.write_pending(
-            self.own, [_encode_order(item) for item in unsettled]
+            self.own, [pending_orders.encode(item) for item in unsettled]
         )
 
     async def prune_record(self):
@@ -329,29 +330,3 @@
     if kind is orders.OrderKind.UNLOAD_ADAPTER:
         return orders.OrderKind.UNLOAD
     return kind
-
-
-def _encode_order(order):
-    return {
-        'order_id': order.order_id,
-        'fence': order.fence,
-        'kind': order.kind.value,
-        'model': order.model,
-        'size_bytes': order.size_bytes,
-    }
-
-
-def _decode_order(item):
-    try:
-        return orders.Order(
-            str(item['order_id']),
-            int(item['fence']),
-            orders.OrderKind(item['kind']),
-            str(item['model']),
-            int(item['size_bytes']),
-            sent_seq=0,
-            sent_at_s=0.0,
-        )
-    except (KeyError, TypeError, ValueError) as exc:
-        LOG.error('pending order not readable', extra={'error': repr(exc)})
-        return None
--- a/packages/server/tests/control/test_placement.py
+++ b/packages/server/tests/control/test_placement.py
@@ -231,6 +231,21 @@
             await self._watch(fleet, 300)
             self.assertEqual(fleet.may_order('e1'), [other.name])
 
+    @virtual_time.run_without_io
+    async def test_a_server_that_nobody_claims_is_claimed_by_the_second(self):
+        fleet = fleets.Fleet(fleets.make_models(1), [fleets.lax_engine()])
+        inst = fleet.instances['a']
+        ownership = inst.placement.ownership
+        declared = fleet.catalog.backend_servers['e1']
+        for other in fleet.instances.values():
+            inst.view.merge(other.view.me, 0.0)
+        first, second = ownership.preferred_owners(declared)
+        # Live for its peers, but it does not run.
+        fleet.instances[first].pause()
+        async with fleet.running():
+            await self._watch(fleet, 150)
+            self.assertEqual(fleet.may_order('e1'), [second])
+
 
 class ReachabilityTest(unittest.TestCase):
     @virtual_time.run_without_io
