Test the weight store's limits and the store calls of an idle fleet

Cause: loads of all owners together must keep the weight store's rate and parallel loads, and ownership must not read more with more instances.

Proof: the test of permits fails with the pause between two loans of a permit, with the time of a loan, or with the return taken out; the test of reads fails when the second in the order looks with each round.

--- a/packages/server/tests/control/placement_fleet.py
+++ b/packages/server/tests/control/placement_fleet.py
@@ -32,6 +32,11 @@
     def __init__(self):
         super().__init__()
         self.rng = random.Random(1)
+        self.reads = 0
+
+    async def get(self, key, *, activity=None):
+        self.reads += 1
+        return await super().get(key, activity=activity)
 
     async def list(self, prefix, *, activity=None):
         await self._call()
