Load missing models and adapters through the owners of engines

Cause: the ownership, session and placement tasks were not started by an instance, so a model or adapter without a replica was refused for as long as no operator loaded it, and the demo needed engines that start with the model.

An instance now runs its session and placement, and releases its servers and its session on a planned stop. A request whose model has no replica, or whose adapter an engine refused as not resident, asks the owner (`ensure`) and waits for readiness; if the expected load time exceeds the deadline it is refused at once with Retry-After.

Ruled out: asking for the adapter before each first attempt, because engines that fetch adapters by themselves would then wait for orders. A refusal marks an engine as one that needs orders instead.

--- a/packages/core/src/wagtailtide_core/routing/choose.py
+++ b/packages/core/src/wagtailtide_core/routing/choose.py
@@ -27,6 +27,7 @@
     TRIED_BEFORE = 'tried_before'
     OTHER_SUSPECT_RUNNING = 'other_suspect_running'
     MODEL_NOT_READY = 'model_not_ready'
+    ADAPTER_NOT_READY = 'adapter_not_ready'
     WRONG_GROUP = 'wrong_group'
 
 
@@ -105,6 +106,12 @@
         return Reason.LEAVING
     if state.breaker.state(now) is breaker.BreakerState.OPEN:
         return Reason.BREAKER_OPEN
+    if (
+        req.adapter is not None
+        and state.needs_adapter_orders
+        and req.adapter not in state.adapters
+    ):
+        return Reason.ADAPTER_NOT_READY
     if state.declared.name in req.exclude:
         return Reason.TRIED_BEFORE
     if state.declared.name in req.occupied:
--- a/packages/core/src/wagtailtide_core/routing/table.py
+++ b/packages/core/src/wagtailtide_core/routing/table.py
@@ -18,6 +18,8 @@
         boot_id: Identifier of its current process, or None.
         draining: Whether it said itself that it is stopping.
         leaving: Whether the platform's list says that it is leaving.
+        needs_adapter_orders: Whether it refused a request because the
+            adapter was not resident; other engines fetch it by themselves.
         stopping_since: Monotonic time in seconds at which its stop was
             first seen, or None.
         draining_stamp: Stamp of the last news of its draining.
@@ -31,6 +33,7 @@
     boot_id: str | None = None
     draining: bool = False
     leaving: bool = False
+    needs_adapter_orders: bool = False
     stopping_since: float | None = None
     draining_stamp: tuple[int, int] | None = None
     estimate: load.LoadEstimate = dataclasses.field(
@@ -98,6 +101,18 @@
         state.ready = ready
         state.adapters = frozenset(adapters)
 
+    def add_model(self, name, model):
+        """Record that a model is resident on a server."""
+        state = self.servers.get(name)
+        if state is not None and model not in state.ready:
+            self.set_resident(name, state.ready | {model}, state.adapters)
+
+    def forget_adapter(self, name, adapter):
+        """Record that a server said that an adapter is not resident."""
+        state = self.servers[name]
+        state.adapters -= {adapter}
+        state.needs_adapter_orders = True
+
     def add_adapter(self, name, adapter):
         """Record that an adapter is resident on a server."""
         state = self.servers.get(name)
--- a/packages/server/src/wagtailtide_server/control/placement.py
+++ b/packages/server/src/wagtailtide_server/control/placement.py
@@ -83,10 +83,11 @@
         self._stamps = {}
         self._seen = {}
         self._wake = anyio.Event()
+        self._leaving = False
 
     async def run(self):
         """Plan every two seconds, and when asked to, until cancelled."""
-        while True:
+        while not self._leaving:
             try:
                 await self.tick()
             except* _GUARDED as group:
@@ -99,6 +100,11 @@
         """Plan at once."""
         self._wake.set()
 
+    async def leave(self):
+        """Claim and order no more, and give up all engines."""
+        self._leaving = True
+        await self.release_all()
+
     async def release_all(self):
         """Give up all engines, before a planned stop."""
         await self.ownership.release_all()
@@ -119,7 +125,8 @@
         declared = self.catalog_engines()
         if now >= self._claim_at:
             self._claim_at = now + CLAIM_S
-            await self.ownership.follow(declared)
+            if not self._leaving:
+                await self.ownership.follow(declared)
         await self._follow_owned()
         async with anyio.create_task_group() as group:
             for engine in self.engines.values():
--- a/packages/server/src/wagtailtide_server/http/completions.py
+++ b/packages/server/src/wagtailtide_server/http/completions.py
@@ -51,11 +51,17 @@
     charge = await inst.shares.admit(
         access.name, req.tokens, anyio.current_time()
     )
+    inst.dispatcher.residency.record_demand(req.model, req.tokens)
+    deadline_at = arrived_at + deadline_ms / 1_000
     model_call = streams.ModelCall(
-        call, head.path.encode(), head.headers, _engine_body(req, priority)
+        call,
+        head.path.encode(),
+        head.headers,
+        _engine_body(req, priority),
+        deadline_at,
     )
     run = _Run(inst, exchange, access, req, priority, arrived_at)
-    await run.deliver(model_call, charge, arrived_at + deadline_ms / 1_000)
+    await run.deliver(model_call, charge, deadline_at)
 
 
 def _make_call(inst, exchange, access, req, body):
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -14,11 +14,16 @@
 from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
 from wagtailtide_server.claims import service as claims_service
+from wagtailtide_server.control import adapters as adapter_fetches
+from wagtailtide_server.control import ensure
+from wagtailtide_server.control import placement as placements
 from wagtailtide_server.control import plane as control_plane
+from wagtailtide_server.control import session as sessions
 from wagtailtide_server.http import admin
 from wagtailtide_server.http import app
 from wagtailtide_server.http import serving
 from wagtailtide_server.upstream import dispatch
+from wagtailtide_server.upstream import residency
 from wagtailtide_server.upstream import watch
 
 LOG = logging.getLogger(__name__)
@@ -30,6 +35,9 @@
 # process; their claims are then answered as unknown.
 RECORD_LIMIT_S = 5.0
 
+# What is not released within this time is taken over by the lease rules.
+RELEASE_LIMIT_S = 10.0
+
 
 class Instance:
     """One instance.
@@ -41,6 +49,8 @@
         plane: Control plane: configuration, members, trust in keys.
         shares: Rates of the organisations.
         claims: Claims of idempotency keys.
+        session: Session object and leases.
+        placement: Placement on the engines that this instance owns.
         dispatcher: Knowledge of the backend servers.
         watch: Tasks that keep it current.
         refusals: Recent refusals.
@@ -71,6 +81,26 @@
         self.dispatcher = dispatch.Dispatcher(
             settings.name, self.invariants, self.metrics, rng
         )
+        self.session = sessions.Session(
+            self.plane,
+            store,
+            address=settings.peers,
+            zone=settings.zone,
+            name=settings.name,
+            rng=rng or random.Random(self.plane.boot),
+        )
+        self.placement = placements.Placement(
+            self.plane,
+            store,
+            self.session.ownership,
+            self.invariants,
+            rng or random.Random(self.plane.boot),
+        )
+        fetches = adapter_fetches.AdapterFetches(self.plane)
+        ensurer = ensure.Ensurer(self.plane, self.placement, fetches)
+        self.dispatcher.residency = residency.Residency(
+            ensurer, self.plane, self.placement, fetches, self.dispatcher
+        )
         self.watch = watch.ServerWatch(self.dispatcher, self.plane, store, rng)
         self.refusals = refusals.Refusals()
         self.open_requests = 0
@@ -87,6 +117,8 @@
             await background.start(self.plane.run)
             background.start_soon(self.watch.run)
             background.start_soon(self.claims.run)
+            background.start_soon(self.session.run)
+            background.start_soon(self.placement.run)
             async with anyio.create_task_group() as servers:
                 self.admin_address = await servers.start(
                     serving.serve, admin.make_app(self), self.settings.admin
@@ -142,6 +174,9 @@
             )
         with anyio.move_on_after(RECORD_LIMIT_S):
             await self.claims.record_pending()
+        with anyio.move_on_after(RELEASE_LIMIT_S):
+            await self.placement.leave()
+            await self.session.leave()
         await self.plane.leave()
 
     @property
--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -37,6 +37,7 @@
         client: Connections to backend servers.
         permits: Permits to make engines fetch adapters.
         moves: Streams that may have to leave their server.
+        residency: Residency, to have missing models loaded, or None.
         on_crash: Called with the CrashRecords that a crash changed.
         on_cleared: Called with the fingerprint of a request that ran whole.
         on_draining: Called with name and ServerState of a server that began
@@ -55,6 +56,7 @@
         self.client = client.Client()
         self.moves = moves.Moves()
         self.permits = adapters.AdapterPermits()
+        self.residency = None
         self.on_crash = lambda records: None
         self.on_cleared = lambda mark: None
         self.on_draining = lambda name, state: None
@@ -180,6 +182,8 @@
             self.set_draining(name, True)
         elif exc.refusal == 'model_not_resident' and call.route.model:
             self.table.forget_model(name, call.route.model)
+        elif exc.refusal == 'adapter_not_resident' and call.route.adapter:
+            self.table.forget_adapter(name, call.route.adapter)
 
     def set_draining(self, name, draining, *, tell=True):
         """Record whether a server says that it is stopping.
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -38,12 +38,14 @@
         target: Path at the engine.
         received: The caller's headers.
         body: JSON object for the engine, without resume_offset.
+        deadline_at: Monotonic time at which the answer must be whole.
     """
 
     call: calls.Call
     target: bytes
     received: list[tuple[bytes, bytes]]
     body: dict
+    deadline_at: float = float('inf')
 
 
 class ModelStream:
@@ -111,6 +113,8 @@
         waited_until = anyio.current_time() + WAIT_FOR_SERVER_S
         while True:
             chosen = self._dispatcher.choose(call, self._tried)
+            if await self._had_loaded(chosen):
+                continue
             if isinstance(chosen, choose.NoServer) and self._tried:
                 await self._back_off()
                 continue
@@ -127,6 +131,25 @@
                 raise self._no_server(chosen)
             await anyio.sleep(POLL_S)
 
+    async def _had_loaded(self, chosen):
+        """Have what is missing loaded; return whether it was missing."""
+        if isinstance(chosen, choose.Choice):
+            return False
+        residency = self._dispatcher.residency
+        # The servers of a started stream that broke are usually back soon.
+        if residency is None or self.next_offset > 0:
+            return False
+        reasons = {e.reason for e in chosen.excluded}
+        if reasons and choose.Reason.ADAPTER_NOT_READY not in reasons:
+            return False
+        self._tried.clear()
+        await residency.wait(
+            self._model_call.call,
+            frozenset(),
+            self._model_call.deadline_at,
+        )
+        return True
+
     def _may_fetch(self, name):
         """Return whether a permit to fetch is held or not needed."""
         adapter = self._model_call.call.route.adapter
@@ -201,7 +224,11 @@
             raise self._final_error(exc)
         # A server that refused before running anything and is no longer a
         # candidate costs the fleet no work, so moving on is not a retry.
-        if exc.refusal in ('draining', 'model_not_resident'):
+        if exc.refusal in (
+            'draining',
+            'model_not_resident',
+            'adapter_not_resident',
+        ):
             self._metrics.retries.labels('moved').inc()
             return
         if not self._dispatcher.budget.try_spend():
@@ -225,6 +252,8 @@
             body = {**body, 'resume_offset': self.next_offset}
         call = self._model_call.call
         state = self._dispatcher.table.servers[name]
+        if self._dispatcher.residency is not None:
+            self._dispatcher.residency.record_use(name, call.route)
         attempt = client.Attempt(
             address=state.declared.address,
             method='POST',
--- a/packages/testing/src/wagtailtide_testing/demo_deployment.py
+++ b/packages/testing/src/wagtailtide_testing/demo_deployment.py
@@ -9,14 +9,12 @@
 INSTANCES = ('gate-1', 'gate-2', 'gate-3')
 ENGINES = ('engine-1', 'engine-2')
 MODEL = builders.make_model(min_replicas=2)
-# The engines start with the model: the server sends no load orders yet.
+# The engines start empty: models and adapters come by orders of the owner.
 ENGINE_OPTIONS = (
     '--memory-bytes',
     80 * builders.GIB,
-    '--models',
-    f'{MODEL.name}@{MODEL.version}='
-    f'{MODEL.weights_bytes + MODEL.kv_reserve_bytes}',
-    '--fetches-adapters',
+    '--adapter-pool-bytes',
+    4 * builders.GIB,
 )
 ADAPTER = builders.make_adapter()
 
