Use the placement service and give permits back before a wait

A request that kept its permit while it waited for the owner's fetch would block that fetch when the share is 1.

The service's leave also stops further claims, so that a stopping instance does not claim a server that it has just released.

--- a/packages/server/src/wagtailtide_server/control/placement_service.py
+++ b/packages/server/src/wagtailtide_server/control/placement_service.py
@@ -45,4 +45,4 @@
 
     async def leave(self):
         """Give up all engines, before the session is deleted."""
-        await self.placement.release_all()
+        await self.placement.leave()
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -14,9 +14,7 @@
 from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
 from wagtailtide_server.claims import service as claims_service
-from wagtailtide_server.control import adapters as adapter_fetches
-from wagtailtide_server.control import ensure
-from wagtailtide_server.control import placement as placements
+from wagtailtide_server.control import placement_service
 from wagtailtide_server.control import plane as control_plane
 from wagtailtide_server.control import session as sessions
 from wagtailtide_server.http import admin
@@ -89,17 +87,16 @@
             name=settings.name,
             rng=rng or random.Random(self.plane.boot),
         )
-        self.placement = placements.Placement(
+        self.placement = placement_service.PlacementService(
             self.plane,
             store,
-            self.session.ownership,
+            self.session,
+            self.dispatcher.permits,
             self.invariants,
             rng or random.Random(self.plane.boot),
         )
-        fetches = adapter_fetches.AdapterFetches(self.plane)
-        ensurer = ensure.Ensurer(self.plane, self.placement, fetches)
         self.dispatcher.residency = residency.Residency(
-            ensurer, self.plane, self.placement, fetches, self.dispatcher
+            self.plane, self.placement, self.dispatcher
         )
         self.watch = watch.ServerWatch(self.dispatcher, self.plane, store, rng)
         self.refusals = refusals.Refusals()
--- a/packages/server/src/wagtailtide_server/upstream/residency.py
+++ b/packages/server/src/wagtailtide_server/upstream/residency.py
@@ -21,32 +21,27 @@
 class Residency:
     """Asks the owners of engines for what requests miss."""
 
-    def __init__(self, ensurer, plane, placement, fetches, dispatcher):
+    def __init__(self, plane, placement, dispatcher):
         """Create it.
 
         Args:
-            ensurer: Ensurer.
             plane: Control plane.
-            placement: Placement of this instance.
-            fetches: AdapterFetches of this instance.
+            placement: PlacementService of this instance.
             dispatcher: The Dispatcher.
         """
-        self._ensurer = ensurer
         self._plane = plane
         self._placement = placement
-        self._fetches = fetches
         self._dispatcher = dispatcher
 
     def record_demand(self, model, tokens):
         """Count the tokens that a request for a model may take."""
-        now = anyio.current_time()
-        self._placement.meter.record(targets.key_of(model), tokens, now)
+        self._placement.record_demand(targets.key_of(model), tokens)
 
     def record_use(self, server, route):
         """Note that a request is sent to a server."""
         if route.adapter is not None:
             key = f'{"@".join(route.model)}:{route.adapter[1]}'
-            self._fetches.record_use(server, key)
+            self._placement.adapters.record_use(server, key)
 
     async def wait(self, call, tried, deadline_at):
         """Return once a server can be chosen for a call.
@@ -86,8 +81,9 @@
         if model is None or model.version != route.model[1]:
             # Replaced by another version; the request cannot be served.
             return float('inf')
-        server = self._ensurer.choose_server(model)
-        ensured = await self._ensurer.ensure(wish.model, wish.adapter)
+        ensurer = self._placement.ensurer
+        server = ensurer.choose_server(model)
+        ensured = await ensurer.ensure(wish.model, wish.adapter)
         table = self._dispatcher.table
         if ensured.ready and server in table.servers:
             table.add_model(server, route.model)
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -143,6 +143,9 @@
         if reasons and choose.Reason.ADAPTER_NOT_READY not in reasons:
             return False
         self._tried.clear()
+        # The owner that fetches the adapter needs a permit itself.
+        self._end_fetch()
+        self._has_permit = False
         await residency.wait(
             self._model_call.call,
             frozenset(),
