--- a/packages/server/src/wagtailtide_server/control/plane.py
+++ b/packages/server/src/wagtailtide_server/control/plane.py
@@ -1,5 +1,6 @@
 """Control plane of one instance: configuration, members, key trust."""
 
+import math
 import random
 import secrets
 
@@ -21,6 +22,8 @@
 from wagtailtide_server.peers import rpc
 
 LEAVE_FLUSH_S = 0.5
+TRUST_CHECK_S = 0.5
+TRUST_GAP_S = 2.0
 
 
 class ControlPlane:
@@ -66,6 +69,8 @@
         self.peers.register('document', self.config_sync.serve_document)
         self._settings = settings
         self._resync_from = None
+        self._trust_checked_at = -math.inf
+        self._doubted_at = None
 
     @property
     def caught_up(self):
@@ -140,6 +145,22 @@
         limits = trust.TrustLimits(partial_s=partial_s)
         return trust.may_trust_keys(evidence, now, limits)
 
+    def keys_doubted_s(self, now):
+        """Return for how long keys have not been trusted, in seconds.
+
+        Computed once for all open streams in each interval, because the
+        reports of all zones are looked through.
+        """
+        since_check_s = now - self._trust_checked_at
+        if since_check_s >= TRUST_CHECK_S:
+            self._trust_checked_at = now
+            if self.key_trust(now).trusted:
+                self._doubted_at = None
+            elif self._doubted_at is None or since_check_s > TRUST_GAP_S:
+                # What was seen before a pause says nothing of the time since.
+                self._doubted_at = now
+        return 0.0 if self._doubted_at is None else now - self._doubted_at
+
     def coordinator_of(self, partition):
         """Return the name of a claims partition's coordinator.
 
--- a/packages/server/src/wagtailtide_server/http/access.py
+++ b/packages/server/src/wagtailtide_server/http/access.py
@@ -103,6 +103,11 @@
         )
 
 
+def key_check(plane, access):
+    """Return a function that tells whether the caller's key is valid now."""
+    return lambda: not is_withdrawn(plane.config.catalog, access)
+
+
 def is_withdrawn(catalog, access):
     """Return whether the caller's key has been withdrawn since."""
     if access.key_id is None:
--- a/packages/server/src/wagtailtide_server/http/completions.py
+++ b/packages/server/src/wagtailtide_server/http/completions.py
@@ -21,6 +21,9 @@
 # A withdrawn key must end its streams within seconds.
 KEY_CHECK_S = 0.5
 
+# After a pause the confirmation of the keys is old until the next one comes.
+UNCONFIRMED_GRACE_S = 2.0
+
 
 async def serve(inst, exchange):
     """Serve one request to a model.
@@ -68,7 +71,13 @@
     )
     mark = crashes.fingerprint(access.name, exchange.head.path, body)
     exchange.history = calls.History()
-    return calls.Call(route, mark, exchange.history, access.secrets)
+    return calls.Call(
+        route,
+        mark,
+        exchange.history,
+        access.secrets,
+        accesses.key_check(inst.plane, access),
+    )
 
 
 def _engine_body(req, priority):
@@ -96,13 +105,15 @@
         self._arrived_at = arrived_at
         self._prompt_tokens = req.tokens - req.max_tokens
         self._last_at = None
+        self._next_offset = 0
+        self._stream = None
         self._error = None
         make = answers.StreamedAnswer if req.stream else answers.WholeAnswer
         self._answer = make(exchange, req.named)
 
     async def deliver(self, model_call, charge, deadline_at):
         """Deliver the answer and settle its charge."""
-        stream = streams.ModelStream(
+        stream = self._stream = streams.ModelStream(
             self._inst.dispatcher, model_call, self._emit, self._inst.metrics
         )
         try:
@@ -121,8 +132,18 @@
         elif self._error is not None:
             await self._answer.fail(self._error)
         else:
+            self._check_answer(stream.complete)
             await self._answer.finish()
 
+    def _check_answer(self, holds):
+        self._inst.invariants.check(
+            'answer_is_own_and_whole',
+            holds,
+            request_id=self._exchange.request_id,
+            attempt_id=self._stream.attempt_id,
+            next_offset=self._next_offset,
+        )
+
     def _settle(self, stream, charge):
         true = 0
         if stream.usage is not None:
@@ -132,6 +153,10 @@
         self._inst.shares.settle(charge, true, anyio.current_time())
 
     async def _emit(self, value):
+        self._check_answer(
+            value.get('id') == self._stream.attempt_id
+            and value.get('offset') == self._next_offset
+        )
         now = anyio.current_time()
         metrics = self._inst.metrics
         if self._last_at is None:
@@ -144,6 +169,7 @@
             )
         self._last_at = now
         await self._answer.add(value)
+        self._next_offset += 1
 
     async def _watch(self, group, deadline_at):
         """End the answer when the caller, its key or the deadline is gone."""
@@ -151,10 +177,14 @@
             now = anyio.current_time()
             catalog = self._inst.plane.config.catalog
             if accesses.is_withdrawn(catalog, self._access):
+                self._error = verdicts.key_withdrawn(
+                    self._exchange.history.fate
+                )
+            elif self._inst.plane.keys_doubted_s(now) > UNCONFIRMED_GRACE_S:
                 self._error = kinds.ServingError(
-                    kinds.ErrorKind.KEY_WITHDRAWN,
-                    'the key was withdrawn while the request ran; use a '
-                    'current key',
+                    kinds.ErrorKind.KEYS_UNCONFIRMED,
+                    'whether the key is still valid can no longer be '
+                    'confirmed; send the request again later',
                     fate=self._exchange.history.fate,
                 )
             elif now >= deadline_at:
--- a/packages/server/src/wagtailtide_server/http/passthrough.py
+++ b/packages/server/src/wagtailtide_server/http/passthrough.py
@@ -97,7 +97,13 @@
     content = head.method.encode() + b' ' + head.target + b'\n' + body
     mark = crashes.fingerprint(access.name, route.path, content)
     exchange.history = calls.History()
-    return calls.Call(request, mark, exchange.history, access.secrets)
+    return calls.Call(
+        request,
+        mark,
+        exchange.history,
+        access.secrets,
+        accesses.key_check(inst.plane, access),
+    )
 
 
 async def _run(inst, exchange, access, route, wishes, plain_call, deadline_at):
--- a/packages/server/src/wagtailtide_server/upstream/calls.py
+++ b/packages/server/src/wagtailtide_server/upstream/calls.py
@@ -1,5 +1,6 @@
 """What all attempts at one request have in common."""
 
+from collections.abc import Callable
 import dataclasses
 import secrets
 
@@ -41,12 +42,14 @@
         mark: Fingerprint of the request.
         history: What is known of the attempts.
         secrets: Byte strings that no backend server may see.
+        key_is_current: Returns whether the caller's key is still valid.
     """
 
     route: choose.RouteRequest
     mark: str
     history: History
     secrets: tuple[bytes, ...] = ()
+    key_is_current: Callable[[], bool] = lambda: True
 
 
 def make_request_id():
--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -141,6 +141,33 @@
             server=name,
         )
 
+        self._invariants.check(
+            'withdrawn_key_sends_nothing',
+            call.key_is_current(),
+            server=name,
+        )
+
+    def check_whole(self, attempt, response, length):
+        """Assert that a response is the attempt's own and not cut.
+
+        Args:
+            attempt: The client.Attempt.
+            response: Its Response.
+            length: Length of the body that was read, in bytes.
+
+        Raises:
+            InvariantError: If it is not.
+        """
+        declared = response.header(b'content-length')
+        bodyless = attempt.method == 'HEAD' or response.status in (204, 304)
+        self._invariants.check(
+            'answer_is_own_and_whole',
+            response.header(b'x-request-id') == attempt.request_id.encode()
+            and (bodyless or declared in (None, str(length).encode())),
+            request_id=attempt.request_id,
+            length=length,
+        )
+
     def check_runs_once(self, call):
         """Assert that no earlier attempt at a call may have run it.
 
--- a/packages/server/src/wagtailtide_server/upstream/failures.py
+++ b/packages/server/src/wagtailtide_server/upstream/failures.py
@@ -19,6 +19,7 @@
     REFUSED = 'refused'
     ERROR_STATUS = 'error_status'
     MOVED = 'moved'
+    KEY_WITHDRAWN = 'key_withdrawn'
 
 
 NEVER_CONNECTED = frozenset(
--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -118,6 +118,8 @@
     def _decide(self, exc):
         """Return if the request goes on after a failure, else raise."""
         self._attempts += 1
+        if exc.kind is failures.FailureKind.KEY_WITHDRAWN:
+            raise verdicts.key_withdrawn(self._plain_call.call.history.fate)
         again = fate.may_attempt_again(exc.fate, self._plain_call.idempotent)
         if again and self._attempts < ATTEMPT_LIMIT:
             # Moving off a draining server repeats no work of the fleet.
@@ -204,6 +206,12 @@
     async def _attempt(self, name):
         request_id = calls.make_request_id()
         plain = self._plain_call
+        if not plain.call.key_is_current():
+            raise failures.AttemptError(
+                failures.FailureKind.KEY_WITHDRAWN,
+                kinds.Fate.NOT_RUN,
+                'the key was withdrawn',
+            )
         state = self._dispatcher.table.servers.get(name)
         if state is None or state.stopping:
             # Learned since the server was chosen, or before a hedge.
@@ -238,6 +246,7 @@
         call = self._plain_call.call
         async with self._dispatcher.open(name, call, attempt) as response:
             body = await response.read_whole()
+            self._dispatcher.check_whole(attempt, response, len(body))
             if response.status >= 400:
                 refusal = client.refusal_of(response.status, body)
                 if refusal.fate is kinds.Fate.NOT_RUN:
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -52,6 +52,8 @@
     Attributes:
         next_offset: Offset of the token that the caller needs next.
         usage: Token counts that the engine stated, or None.
+        attempt_id: Request id of the latest attempt.
+        complete: Whether the end marker was received.
     """
 
     def __init__(self, dispatcher, model_call, emit, metrics):
@@ -77,6 +79,8 @@
         self._last = None
         self.next_offset = 0
         self.usage = None
+        self.attempt_id = None
+        self.complete = False
 
     async def run(self):
         """Deliver the whole answer.
@@ -224,6 +228,9 @@
         if self.next_offset:
             body = {**body, 'resume_offset': self.next_offset}
         call = self._model_call.call
+        if not call.key_is_current():
+            raise verdicts.key_withdrawn(call.history.fate)
+        self.attempt_id = request_id
         state = self._dispatcher.table.servers[name]
         attempt = client.Attempt(
             address=state.declared.address,
@@ -259,6 +266,7 @@
             for event in events:
                 if event.data == '[DONE]' and self._last is not None:
                     await self._emit(self._last)
+                    self.complete = True
                     await _finish(response)
                     return
                 await self._take(event, request_id)
--- a/packages/server/src/wagtailtide_server/upstream/verdicts.py
+++ b/packages/server/src/wagtailtide_server/upstream/verdicts.py
@@ -53,6 +53,19 @@
         )
 
 
+def key_withdrawn(fate):
+    """Return the caller's error for a request whose key was withdrawn.
+
+    Args:
+        fate: Fate of the request over all attempts.
+    """
+    return kinds.ServingError(
+        kinds.ErrorKind.KEY_WITHDRAWN,
+        'the key was withdrawn while the request ran; use a current key',
+        fate=fate,
+    )
+
+
 def error_of_failure(exc, fate):
     """Return the caller's error for a request whose last attempt failed.
 
