--- a/packages/server/src/wagtailtide_server/control/listing.py
+++ b/packages/server/src/wagtailtide_server/control/listing.py
@@ -25,17 +25,19 @@
         loaded: Whether all lists have been read.
     """
 
-    def __init__(self, store, writer):
+    def __init__(self, store, writer, invariants):
         """Create it.
 
         Args:
             store: StoreClient.
             writer: Text that is unique to this process.
+            invariants: Invariants.
         """
         self.listed = set()
         self.loaded = False
         self._store = store
         self._writer = writer
+        self._invariants = invariants
         self._numbers = itertools.count(1)
 
     async def read_all(self):
@@ -80,6 +82,7 @@
 
         Raises:
             StoreError: If it is not certain that it was taken off.
+            InvariantError: If no other replica would be left.
         """
 
         def change(shard):
@@ -95,7 +98,15 @@
         if shard is None:
             return None
         self.listed.discard((model, server))
-        return shard.listed(model)
+        left = shard.listed(model)
+        self._invariants.check(
+            'unload_leaves_a_replica',
+            may_be_last or bool(left - {server} - unusable),
+            model=model,
+            server=server,
+            left=sorted(left),
+        )
+        return left
 
     async def _change(self, model, change):
         key = last_copy.key_of(last_copy.shard_of(model))
--- a/packages/server/src/wagtailtide_server/control/placement.py
+++ b/packages/server/src/wagtailtide_server/control/placement.py
@@ -58,7 +58,7 @@
         self._invariants = invariants
         self._http = http or sending.make_client()
         self._listing = listings.Listing(
-            store, f'{plane.view.me.name}/{plane.boot}'
+            store, f'{plane.view.me.name}/{plane.boot}', invariants
         )
         self._guard = replica_guard.ReplicaGuard(
             self._listing, self.fleet, self._http
--- a/packages/server/src/wagtailtide_server/http/app.py
+++ b/packages/server/src/wagtailtide_server/http/app.py
@@ -1,5 +1,6 @@
 """ASGI application for callers."""
 
+import contextlib
 import json
 import logging
 
@@ -62,6 +63,9 @@
             route_kind = await _route(inst, exchange)
         except kinds.ServingError as exc:
             await _answer_error(inst, exchange, exc)
+        except anyio.get_cancelled_exc_class():
+            _note_interruption(inst, exchange)
+            raise
         except Exception as exc:
             await _answer_fault(inst, exchange, exc)
     took_s = anyio.current_time() - started_at
@@ -79,6 +83,16 @@
     )
 
 
+def _note_interruption(inst, exchange):
+    """Count a request that a planned stop cuts off."""
+    with contextlib.suppress(invariants.InvariantError):
+        inst.invariants.check(
+            'stop_interrupts_no_request',
+            not inst.stopping or exchange.disconnected.is_set(),
+            request_id=exchange.request_id,
+        )
+
+
 async def _route(inst, exchange):
     """Serve a request and return its kind of route, for metrics."""
     head = exchange.head
--- a/packages/server/tests/test_instance.py
+++ b/packages/server/tests/test_instance.py
@@ -1,8 +1,11 @@
 import os
 import signal
 import unittest
+from unittest import mock
 
 import anyio
+import httpx
+from wagtailtide_server import instance
 from wagtailtide_testing import virtual_time
 
 from tests import harness
@@ -49,6 +52,65 @@
         data, _ = harness.events_of(results[0].text)
         self.assertEqual(data[-1], '[DONE]')
 
+    @virtual_time.run_in_virtual_time
+    async def test_a_request_that_a_stop_cuts_off_is_counted(self):
+        deployment = harness.Deployment(engines=1, token_s=1.0)
+        name = 'stop_interrupts_no_request'
+        with mock.patch.object(instance, 'DRAIN_LIMIT_S', 2.0):
+            async with (
+                deployment.running() as caller,
+                anyio.create_task_group() as group,
+            ):
+                group.start_soon(self._stream_until_cut, deployment, caller)
+                await anyio.sleep(1)
+                deployment.inst.order_stop()
+                with anyio.fail_after(20):
+                    await deployment.stopped.wait()
+                violated = deployment.inst.invariants.violated
+                self.assertEqual(violated.pop(name), 1)
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_stop_while_its_engine_drains_interrupts_no_request(self):
+        deployment = harness.Deployment(engines=2, token_s=1.0)
+        deployment.stop = {'grace_s': 3.0}
+        async with deployment.running() as caller:
+            results = []
+
+            async def stream():
+                results.append(
+                    await caller.post(
+                        '/v1/completions',
+                        json=harness.completion(max_tokens=12),
+                        headers=deployment.auth(),
+                    )
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream)
+                await anyio.sleep(1.5)
+                deployment.inst.order_stop()
+                for state in deployment.engines:
+                    if state.jobs:
+                        state.set_faults(draining=True)
+            with anyio.fail_after(20):
+                await deployment.stopped.wait()
+        data, text = harness.events_of(results[0].text)
+        self.assertEqual(data[-1], '[DONE]')
+        self.assertEqual(len(text.split()), 12)
+        both_used = [
+            any(r['path'] == '/v1/completions' for r in e.recorder.requests)
+            for e in deployment.engines
+        ]
+        self.assertEqual(both_used, [True, True])
+
+    async def _stream_until_cut(self, deployment, caller):
+        with self.assertRaises(httpx.TransportError):
+            await caller.post(
+                '/v1/completions',
+                json=harness.completion(max_tokens=20),
+                headers=deployment.auth(),
+            )
+
 
 class StartTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
