--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -185,7 +185,7 @@
     def _is_ready(self, inst):
         servers = inst.dispatcher.table.servers
         return (
-            inst.plane.caught_up
+            inst.not_ready_reason() is None
             and servers
             and all(
                 state.boot_id
