--- a/packages/bench/src/wagtailtide_bench/soak_checks.py
+++ b/packages/bench/src/wagtailtide_bench/soak_checks.py
@@ -25,6 +25,16 @@
     'pause_instance',
     'silent_instance',
 )
+# What remains are graceful stops, drains, operators, orders and engines.
+MAY_HIDE = (
+    *WITHOUT_NEWS,
+    'crash_instance',
+    'cut_server',
+    'silent_servers',
+    'ledger_crash_after_apply',
+    'ledger_cut_answer',
+    'ledger_crossed_answer',
+)
 CRASHES_TO_QUARANTINE = 3
 WITHDRAWN_S = 6.0
 WITHDRAWN_WITHOUT_NEWS_S = 32.0
@@ -50,6 +60,7 @@
         _check_drains,
         _check_quarantine,
         _check_stops,
+        _check_outcomes,
         _check_counters,
     ):
         found += [f'{check.__name__[7:]}: {text}' for text in check(run)]
@@ -208,6 +219,18 @@
                 yield f'interrupted by a planned stop at {at:.2f}: {answer}'
 
 
+def _check_outcomes(run):
+    """A known outcome is not called unknown while nothing fails."""
+    first = {}
+    for answer in run.callers.answers:
+        first.setdefault(answer.marker, answer.sent_at)
+        if (answer.error or {}).get('kind') != 'outcome_unknown':
+            continue
+        since = first[answer.marker] - 2.0
+        if not run.faults.overlapping(since, answer.ended_at, MAY_HIDE):
+            yield f'no fault since {since:.2f}: {answer}'
+
+
 def _check_counters(run):
     for node in run.fleet.nodes.values():
         for number, inst in enumerate(node.processes):
