Return reservations of platform calls that are not made

Each reservation of the call budget was charged even when its caller gave up or was refused for the length of the wait. A claim is retried every 50 ms for 3 s, so that one exhausted budget grew by up to 60 s with each refused post, for session renewals too. With the source change removed the new test's last call is still refused after 30 s. The budget of one write a second for each instance remains and bounds keyed posts.

--- a/packages/server/src/wagtailtide_server/platform/budget.py
+++ b/packages/server/src/wagtailtide_server/platform/budget.py
@@ -73,6 +73,10 @@
         self._level -= 1
         return max(0.0, -self._level / self._per_s)
 
+    def give_back(self):
+        """Return a reservation whose call is not made."""
+        self._level = min(self._burst, self._level + 1)
+
 
 class Budget:
     """Budget of one instance's platform calls.
@@ -101,6 +105,14 @@
         start = self._claims_from if claims else self._background_from
         return max(rate.reserve(now), start - now)
 
+    def give_back(self, is_write):
+        """Return a reservation whose call is not made.
+
+        Calls that are given up would otherwise add up to a wait that grows
+        without bound while nothing is sent.
+        """
+        (self._writes if is_write else self._reads).give_back()
+
     def refuse(self, activity, now):
         """Record a 429 answer: background work waits first, then claims."""
         self.refused[activity] += 1
--- a/packages/server/src/wagtailtide_server/platform/client.py
+++ b/packages/server/src/wagtailtide_server/platform/client.py
@@ -210,11 +210,16 @@
             raise Unavailable('the client is closed')
         wait = self.budget.reserve(activity, is_write, anyio.current_time())
         if wait > MAX_BUDGET_WAIT_S:
+            self.budget.give_back(is_write)
             raise RateLimited(
                 f'call budget exhausted: {activity} would wait {wait:.1f} s'
             )
         if wait > 0:
-            await anyio.sleep(wait)
+            try:
+                await anyio.sleep(wait)
+            except BaseException:
+                self.budget.give_back(is_write)
+                raise
 
     async def _read(self, path, activity, params=None, timeout_s=None):
         await self._reserve(activity, is_write=False)
--- a/packages/server/tests/platform/test_client.py
+++ b/packages/server/tests/platform/test_client.py
@@ -136,3 +136,24 @@
         for _ in range(budgets.REFUSALS_BEFORE_CLAIMS_WAIT):
             budget.refuse(budgets.Activity.CLAIMS, now)
         self.assertGreater(budget.reserve('claims', True, now), 0)
+
+
+class GivenUpCallsTest(unittest.TestCase):
+    """Guards against callers that give up using up the budget of others."""
+
+    @virtual_time.run_without_io
+    async def test_calls_that_are_given_up_cost_no_budget(self):
+        async with store_on(ScriptedPlatform()) as store:
+            for _ in range(100):
+                with anyio.move_on_after(0.05):
+                    await store.get('k')
+            for _ in range(100):
+                store.budget.reserve('other', False, anyio.current_time())
+            for _ in range(100):
+                with self.assertRaises(client.RateLimited):
+                    await store.get('k')
+            # The 100 reservations that were kept take 25 s at 4 a second.
+            await anyio.sleep(30)
+            started = anyio.current_time()
+            await store.get('k')
+            self.assertLess(anyio.current_time() - started, 0.1)
