--- /dev/null
+++ b/packages/bench/src/wagtailtide_bench/fleet_slopes.py
@@ -0,0 +1,79 @@
+"""Growth of what instances send and store with the size of the fleet.
+
+Calls the measuring functions that the modules themselves provide.
+"""
+
+import time
+
+from wagtailtide_core.leases import measurement as lease_measurement
+from wagtailtide_core.rates import measurement as rate_measurement
+from wagtailtide_server.peers import cost
+
+from wagtailtide_bench import fits
+
+# Larger fleets take minutes: the measuring functions go through every pair of
+# an instance and a record or session.
+GOSSIP_INSTANCES = (12, 24, 48, 96, 192)
+LEASE_INSTANCES = (4, 8, 16, 32, 64)
+ORGANISATIONS = (64, 128, 256, 512, 1024)
+SERVERS_PER_INSTANCE = 2
+GOSSIP_S = 4.0
+
+
+def gossip_fits(sizes=GOSSIP_INSTANCES):
+    """Bytes a second that an instance sends to its peers."""
+    costs = [
+        cost.measure(n, n * SERVERS_PER_INSTANCE, GOSSIP_S) for n in sizes
+    ]
+    columns = (
+        ('heartbeats, bytes/s', 'heartbeat_bytes_per_s'),
+        ('gossip records, bytes/s', 'record_bytes_per_s'),
+        ('gossip records, bytes/s at most', 'worst_record_bytes_per_s'),
+    )
+    return [
+        fits.fit(
+            quantity,
+            'instances',
+            sizes,
+            [getattr(measured, name) for measured in costs],
+        )
+        for quantity, name in columns
+    ]
+
+
+def lease_fits(sizes=LEASE_INSTANCES):
+    """Size of the roster and store calls of leases."""
+    return [
+        fits.fit(
+            'roster, bytes',
+            'instances',
+            sizes,
+            [lease_measurement.roster_bytes(n) for n in sizes],
+        ),
+        fits.fit(
+            'lease calls to the store an hour',
+            'instances',
+            sizes,
+            [lease_measurement.store_calls_per_hour(n) for n in sizes],
+        ),
+    ]
+
+
+def rate_fits(sizes=ORGANISATIONS):
+    """Time of the rate limiter's decisions."""
+    found = []
+    for quantity, measure in (
+        ('rate admission and settlement, us', rate_measurement.admit_s),
+        ('rate grant, us', rate_measurement.grant_s),
+    ):
+        values = [
+            min(measure(n, time.perf_counter) for _ in range(3)) * 1e6
+            for n in sizes
+        ]
+        found.append(fits.fit(quantity, 'organisations', sizes, values))
+    return found
+
+
+def measure_all():
+    """Measure every slope and return the Fits."""
+    return [*rate_fits(), *lease_fits(), *gossip_fits()]
--- a/packages/bench/src/wagtailtide_bench/main.py
+++ b/packages/bench/src/wagtailtide_bench/main.py
@@ -6,6 +6,7 @@
 import cappa
 
 from wagtailtide_bench import fits
+from wagtailtide_bench import fleet_slopes
 from wagtailtide_bench import report
 from wagtailtide_bench import runs
 from wagtailtide_bench import scenes
@@ -30,9 +31,9 @@
         json: Whether to print JSON.
     """
 
-    targets: Annotated[
-        list[str], cappa.Arg(choices=TARGETS, default=cappa.Default(list))
-    ]
+    targets: Annotated[list[str], cappa.Arg(choices=TARGETS)] = (
+        dataclasses.field(default_factory=list)
+    )
     seeds: Annotated[int, cappa.Arg(long=True)] = 3
     first_seed: Annotated[int, cappa.Arg(long=True)] = 1
     deployment: Annotated[list[str], cappa.Arg(long=True)] = dataclasses.field(
@@ -60,7 +61,7 @@
         )
         print(report.to_json(rows) if args.json else report.format_rows(rows))
     if 'slopes' in targets:
-        found = slopes.measure_all()
+        found = slopes.measure_all() + fleet_slopes.measure_all()
         print(report.to_json(found) if args.json else fits.format_fits(found))
 
 
--- a/packages/bench/src/wagtailtide_bench/slopes.py
+++ b/packages/bench/src/wagtailtide_bench/slopes.py
@@ -166,21 +166,6 @@
     )
 
 
-def limiter_by_organisations(sizes=(64, 128, 256, 512, 1024)):
-    """Time of admit and settle with more organisations."""
-    values = []
-    for n in sizes:
-        limits = _make_limiter(n)
-
-        def admit_and_settle(limits=limits):
-            got = limits.admit('org-0', 1, 100.0)
-            if isinstance(got, limiter.Charge):
-                limits.settle(got, 0, 100.0)
-
-        values.append(fits.best_time_us(admit_and_settle))
-    return fits.fit('rate limiter, us', 'organisations', sizes, values)
-
-
 def _make_limiter(organisations):
     limits = limiter.RateLimiter()
     orgs = [_organisation(i) for i in range(organisations)]
@@ -238,6 +223,5 @@
         admission_by_organisations(),
         admission_by_models(),
         catalog_by_size(),
-        limiter_by_organisations(),
         *memory_fits(),
     ]
