Admit requests through the shares of the roster

Replaces the local token buckets by control/shares with its session; slots are released before the peers are told that the instance leaves. The harness waits until slots are held, because buckets start empty.

--- a/packages/server/src/wagtailtide_server/dump.py
+++ b/packages/server/src/wagtailtide_server/dump.py
@@ -36,7 +36,6 @@
             request would go now; with ``organisation``, limits the refusals
             to its keys.
     """
-    now = anyio.current_time()
     value = {
         'status': make_status(inst),
         'backend_servers': _servers(inst),
@@ -44,7 +43,7 @@
         'retry_budget': inst.dispatcher.budget.level,
         'adapter_fetches': inst.dispatcher.permits.in_use,
         'members': _members(inst),
-        'rates': inst.shares.dump(now),
+        'rates': inst.shares.dump(),
         'claims': inst.claims.holdings.counts(),
         'refusals': inst.refusals.recent(_key_ids(inst, query)),
     }
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -11,10 +11,11 @@
 from wagtailtide_core.invariants import checks
 
 from wagtailtide_server import metrics
-from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
 from wagtailtide_server.claims import service as claims_service
 from wagtailtide_server.control import plane as control_plane
+from wagtailtide_server.control import session
+from wagtailtide_server.control import shares
 from wagtailtide_server.http import admin
 from wagtailtide_server.http import app
 from wagtailtide_server.http import serving
@@ -58,7 +59,21 @@
         self.plane = control_plane.ControlPlane(
             settings, store, self.invariants, rng=rng
         )
-        self.shares = rates_local.LocalShares(self.plane)
+        rng = rng or random.SystemRandom()
+        self.shares = shares.Shares(
+            self.plane,
+            store,
+            session.Session(
+                self.plane,
+                store,
+                address=settings.peers,
+                zone=settings.zone,
+                name=settings.name,
+                rng=rng,
+            ),
+            rng=rng,
+            invariants=self.invariants,
+        )
         self.claims = claims_service.ClaimService(
             store=store,
             peers=self.plane.peers,
@@ -86,6 +101,7 @@
         async with anyio.create_task_group() as background:
             await background.start(self.plane.run)
             background.start_soon(self.watch.run)
+            background.start_soon(self.shares.run)
             background.start_soon(self.claims.run)
             async with anyio.create_task_group() as servers:
                 self.admin_address = await servers.start(
@@ -142,6 +158,7 @@
             )
         with anyio.move_on_after(RECORD_LIMIT_S):
             await self.claims.record_pending()
+        await self.shares.leave()
         await self.plane.leave()
 
     @property
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -180,8 +180,12 @@
 
     def _is_ready(self, inst):
         servers = inst.dispatcher.table.servers
+        limiter = inst.shares.limiter
         return (
             inst.plane.caught_up
+            # Buckets start empty when the slots are first held.
+            and limiter.held
+            and limiter.level('tiles', anyio.current_time()) > 1_000
             and servers
             and all(
                 state.boot_id
@@ -195,7 +199,7 @@
             while True:
                 if condition():
                     return
-                await anyio.sleep(0.05)
+                await anyio.sleep(0.5)
 
     def auth(self, key=None):
         return {'Authorization': f'Bearer {key or self.key}'}
