Divide the fleet's store rates between its members; ask any peer for grants

Cause: (1) soak runs with planned stops refused keyed posts as claims_unavailable with the platform up: one write a second for each instance is the share of a fleet of 390, used in a fleet of three. (2) a new instance that had not read the roster knew no donors, and refused requests within rate. Ruled out: a larger fixed share, which exceeds several hundred writes a second at the size. Conclusion: the budget follows the members that are live.

--- a/packages/server/src/wagtailtide_server/control/membership.py
+++ b/packages/server/src/wagtailtide_server/control/membership.py
@@ -114,6 +114,7 @@
                     views.Member(item.name, item.address, item.zone, '', 0),
                     now,
                 )
+        self._store.budget.set_fleet_size(len(self._plane.view.live()))
 
     def _open_missing(self, now):
         view = self._plane.view
--- a/packages/server/src/wagtailtide_server/control/shares.py
+++ b/packages/server/src/wagtailtide_server/control/shares.py
@@ -134,6 +134,7 @@
         return result
 
     def _donors(self):
+        # A new instance that has not read the roster yet asks anyone.
         holders = {
             rosters.session_name(holder)
             for holder in self.keeper.roster.counts()
@@ -141,7 +142,7 @@
         return sorted(
             (name, member.zone)
             for name, member in self._plane.view.live().items()
-            if name in holders and name != self._session.name
+            if name != self._session.name and (not holders or name in holders)
         )
 
     async def _ask_level(self, name, org_name, levels):
--- a/packages/server/src/wagtailtide_server/platform/budget.py
+++ b/packages/server/src/wagtailtide_server/platform/budget.py
@@ -5,6 +5,11 @@
 
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 10.0
+# The platform takes several hundred writes and about 2,000 reads a second from
+# the whole fleet; each instance may make its part of it.
+FLEET_WRITES_PER_S = 300.0
+FLEET_READS_PER_S = 1500.0
+# Least rates, at the largest fleet and before the members are known.
 WRITES_PER_S = 1.0
 READS_PER_S = 4.0
 # Allows a start or a recovery to make its first calls without waiting.
@@ -73,6 +78,12 @@
         self._level -= 1
         return max(0.0, -self._level / self._per_s)
 
+    def resize(self, per_s, burst_s=BURST_S):
+        """Change the rate; the level is kept up to the new burst."""
+        self._per_s = per_s
+        self._burst = per_s * burst_s
+        self._level = min(self._burst, self._level)
+
     def give_back(self):
         """Return a reservation whose call is not made."""
         self._level = min(self._burst, self._level + 1)
@@ -97,6 +108,14 @@
         self._background_from = 0.0
         self._claims_from = 0.0
 
+    def set_fleet_size(self, members):
+        """Divide the fleet's rates between its members."""
+        members = max(1, members)
+        writes = max(WRITES_PER_S, FLEET_WRITES_PER_S / members)
+        reads = max(READS_PER_S, FLEET_READS_PER_S / members)
+        self._writes.resize(writes)
+        self._reads.resize(reads)
+
     def reserve(self, activity, is_write, now):
         """Count a call and return the seconds to wait before making it."""
         self.calls[activity, 'write' if is_write else 'read'] += 1
--- a/packages/server/tests/platform/test_client.py
+++ b/packages/server/tests/platform/test_client.py
@@ -127,6 +127,19 @@
             store.budget.calls[budgets.Activity.CONFIG, 'read'], 100
         )
 
+    def test_a_small_fleet_uses_the_part_of_members_it_lacks(self):
+        # Guards against refusing keyed posts while the platform is idle.
+        fleet_rate = budgets.FLEET_WRITES_PER_S
+        for members, rate in ((16, fleet_rate / 16), (390, 1.0)):
+            budget = budgets.Budget(random.Random(1))
+            budget.set_fleet_size(members)
+            waits = [
+                budget.reserve(budgets.Activity.CLAIMS, True, now=0.0)
+                for _ in range(400)
+            ]
+            burst = budgets.WRITES_PER_S * budgets.BURST_S
+            self.assertAlmostEqual(max(waits), (400 - burst) / rate)
+
     def test_background_work_backs_off_before_claims(self):
         budget = budgets.Budget(random.Random(2))
         now = 100.0
