Show members, servers with owners and waiting requests in /status

Cause: the operator's tool prints these sections if present, and nothing said who owns a server or what a request that waits for a load waits for.

Organisations' use is left out: the instance does not hold the shares of the roster yet, so a share would be wrong.

--- a/packages/server/src/wagtailtide_server/dump.py
+++ b/packages/server/src/wagtailtide_server/dump.py
@@ -24,6 +24,9 @@
         'key_trust': {'trusted': trust.trusted, 'reason': str(trust.reason)},
         'refusals': dict(inst.refusals.counts),
         'invariants_violated': dict(inst.invariants.violated),
+        'members': _members(inst),
+        'backend_servers': _owned_servers(inst),
+        'waiting': _waiting(inst),
     }
 
 
@@ -53,6 +56,37 @@
     return value
 
 
+def _owned_servers(inst):
+    owners = inst.placement.placement.news.owners
+    return {
+        name: {
+            'owner': owners.get(name),
+            'state': _server_state(state),
+            'models': ','.join(sorted('@'.join(m) for m in state.ready)),
+            'adapters': len(state.adapters),
+        }
+        for name, state in inst.dispatcher.table.servers.items()
+    }
+
+
+def _server_state(state):
+    if state.leaving:
+        return 'leaving'
+    if state.draining:
+        return 'draining'
+    return state.breaker.state(anyio.current_time()).value
+
+
+def _waiting(inst):
+    return {
+        f'{model} {adapter}' if adapter else model: {
+            'requests': count,
+            'why': 'no backend server holds it yet',
+        }
+        for (model, adapter), count in inst.dispatcher.residency.waiting()
+    }
+
+
 def _members(inst):
     return {
         member.name: {
--- a/packages/server/src/wagtailtide_server/upstream/residency.py
+++ b/packages/server/src/wagtailtide_server/upstream/residency.py
@@ -1,5 +1,6 @@
 """Wait until a model or an adapter that no engine holds is there."""
 
+import collections
 import dataclasses
 
 import anyio
@@ -32,6 +33,7 @@
         self._plane = plane
         self._placement = placement
         self._dispatcher = dispatcher
+        self._waiting = collections.Counter()
 
     def record_demand(self, model, tokens):
         """Count the tokens that a request for a model may take."""
@@ -57,6 +59,23 @@
         """
         route = call.route
         wish = _Wish(route.model[0], route.adapter and route.adapter[1])
+        self._waiting[wish] += 1
+        try:
+            await self._wait(call, wish, tried, deadline_at)
+        finally:
+            self._waiting[wish] -= 1
+            if not self._waiting[wish]:
+                del self._waiting[wish]
+
+    def waiting(self):
+        """Return model and adapter names, with the requests that wait."""
+        return sorted(
+            ((w.model, w.adapter or ''), count)
+            for w, count in self._waiting.items()
+        )
+
+    async def _wait(self, call, wish, tried, deadline_at):
+        route = call.route
         due_at = None
         while True:
             retry_after_s = await self._ask(wish, route)
--- a/packages/server/tests/upstream/test_residency.py
+++ b/packages/server/tests/upstream/test_residency.py
@@ -28,11 +28,13 @@
                 headers={**deployment.auth(), 'x-deadline-ms': '2000'},
             )
             refused_at = anyio.current_time()
-            answered = await caller.post(
-                '/v1/completions',
-                json=harness.completion(),
-                headers=deployment.auth(),
-            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._note_status, deployment)
+                answered = await caller.post(
+                    '/v1/completions',
+                    json=harness.completion(),
+                    headers=deployment.auth(),
+                )
             took_s = anyio.current_time() - refused_at
         error = hurried.json()['error']
         self.assertEqual(error['kind'], 'model_loading')
@@ -41,6 +43,15 @@
         self.assertEqual(answered.status_code, 200)
         self.assertEqual(harness.events_of(answered.text)[0][-1], '[DONE]')
         self.assertLess(took_s, 30)
+        # An operator has to see what a slow request waits for.
+        self.assertEqual(list(self.status['waiting']), ['letters urdu'])
+        server = self.status['backend_servers']['engine-0']
+        self.assertEqual((server['owner'], server['models']), ('a-1', ''))
+        self.assertEqual(self.status['members']['a-1']['state'], 'live')
+
+    async def _note_status(self, deployment):
+        await anyio.sleep(0.3)
+        self.status = (await deployment.ask_admin('/status')).json()
 
     @virtual_time.run_in_virtual_time
     async def test_a_planned_stop_releases_servers_and_session(self):
