End a request at once when its key no longer counts

Cause: after a withdrawn or unconfirmed key was noticed, the watch of a model request slept up to 0.5 s more before it ended the request. A request noticed before it was sent was then sent all the same, and its error said not_run (stopped by not_run_is_true and answered as unknown).

Before the change the new test fails with invariants were violated: {not_run_is_true: 1}.

--- a/packages/server/src/wagtailtide_server/http/completions.py
+++ b/packages/server/src/wagtailtide_server/http/completions.py
@@ -179,7 +179,7 @@
 
     async def _watch(self, group, deadline_at):
         """End the answer when the caller, its key or the deadline is gone."""
-        while self._error is None:
+        while True:
             now = anyio.current_time()
             catalog = self._inst.plane.config.catalog
             if accesses.is_withdrawn(catalog, self._access):
@@ -200,9 +200,10 @@
                     'for less or allow more time',
                     fate=self._exchange.history.fate,
                 )
-            with anyio.move_on_after(
-                max(0.0, min(KEY_CHECK_S, deadline_at - now))
-            ):
+            if self._error is not None:
+                # Ended at once: the fate holds only for this moment.
+                break
+            with anyio.move_on_after(min(KEY_CHECK_S, deadline_at - now)):
                 await self._exchange.disconnected.wait()
                 break
         group.cancel_scope.cancel()
--- a/packages/server/tests/http/test_keys.py
+++ b/packages/server/tests/http/test_keys.py
@@ -1,7 +1,9 @@
 import json
 import unittest
+from unittest import mock
 
 import anyio
+from wagtailtide_server.http import completions
 from wagtailtide_testing import virtual_time
 
 from tests import harness
@@ -43,6 +45,18 @@
         data, _ = harness.events_of(resp.text)
         self.assertEqual(data[-1], '[DONE]')
 
+    @virtual_time.run_in_virtual_time
+    async def test_a_request_that_ends_before_it_is_sent_is_not_run(self):
+        # Guards against sending it after its fate was settled as not_run.
+        deployment = harness.Deployment(engines=1)
+        with mock.patch.object(completions, 'UNCONFIRMED_GRACE_S', -1.0):
+            async with deployment.running() as caller:
+                resp, _ = await self.stream(deployment, caller)
+        error = resp.json()['error']
+        self.assertEqual(
+            (error['kind'], error['fate']), ('keys_unconfirmed', 'not_run')
+        )
+
     async def _interrupt_store(self, deployment):
         deployment.platform.set_faults(outage='503')
         await anyio.sleep(8)
