--- a/packages/server/tests/http/test_fates.py
+++ b/packages/server/tests/http/test_fates.py
@@ -1,6 +1,7 @@
 import contextlib
 import socket
 import unittest
+from unittest import mock
 
 import anyio
 from wagtailtide_testing import virtual_time
@@ -97,3 +98,36 @@
         )
         table = deployment.inst.dispatcher.table
         await deployment.wait_until(lambda: 'ledger' not in table.servers)
+
+
+class SendOnceTest(unittest.TestCase):
+    """Guards against a second send of a non-idempotent call."""
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_slow_call_is_waited_for(self):
+        deployment = harness.Deployment(engines=0)
+        async with deployment.running() as caller:
+            deployment.ledger.set_faults(delay_s=6.0)
+            for key in ('order-1', None):
+                resp = await issue(deployment, caller, key)
+                self.assertEqual(resp.status_code, 201, resp.text)
+        self.assertEqual(len(deployment.ledger.applied), 2)
+
+    @virtual_time.run_in_virtual_time
+    async def test_a_claim_that_may_have_run_stops_the_send(self):
+        deployment = harness.Deployment(engines=0)
+        async with deployment.running() as caller:
+            claims = deployment.inst.claims
+            add = claims.holdings.add
+
+            def add_sent(claim):
+                holding = add(claim)
+                holding.may_have_run = True
+                return holding
+
+            with mock.patch.object(claims.holdings, 'add', add_sent):
+                resp = await issue(deployment, caller)
+            violated = deployment.inst.invariants.violated
+            self.assertEqual(violated.pop('non_idempotent_at_most_once'), 1)
+        self.assertEqual(resp.json()['error']['kind'], 'internal')
+        self.assertEqual(deployment.ledger.applied, [])
