--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -11,12 +11,12 @@
 from wagtailtide_core.invariants import checks
 
 from wagtailtide_server import metrics
-from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
 from wagtailtide_server.claims import service as claims_service
 from wagtailtide_server.control import placement_service
 from wagtailtide_server.control import plane as control_plane
 from wagtailtide_server.control import session as sessions
+from wagtailtide_server.control import shares
 from wagtailtide_server.http import admin
 from wagtailtide_server.http import app
 from wagtailtide_server.http import serving
@@ -66,7 +66,22 @@
         self.plane = control_plane.ControlPlane(
             settings, store, self.invariants, rng=rng
         )
-        self.shares = rates_local.LocalShares(self.plane)
+        rng = rng or random.SystemRandom()
+        self.session = sessions.Session(
+            self.plane,
+            store,
+            address=settings.peers,
+            zone=settings.zone,
+            name=settings.name,
+            rng=rng,
+        )
+        self.shares = shares.Shares(
+            self.plane,
+            store,
+            self.session,
+            rng=rng,
+            invariants=self.invariants,
+        )
         self.claims = claims_service.ClaimService(
             store=store,
             peers=self.plane.peers,
@@ -79,21 +94,13 @@
         self.dispatcher = dispatch.Dispatcher(
             settings.name, self.invariants, self.metrics, rng
         )
-        self.session = sessions.Session(
-            self.plane,
-            store,
-            address=settings.peers,
-            zone=settings.zone,
-            name=settings.name,
-            rng=rng or random.Random(self.plane.boot),
-        )
         self.placement = placement_service.PlacementService(
             self.plane,
             store,
             self.session,
             self.dispatcher.permits,
             self.invariants,
-            rng or random.Random(self.plane.boot),
+            rng,
         )
         self.dispatcher.residency = residency.Residency(
             self.plane, self.placement, self.dispatcher
@@ -113,8 +120,8 @@
         async with anyio.create_task_group() as background:
             await background.start(self.plane.run)
             background.start_soon(self.watch.run)
+            background.start_soon(self.shares.run)
             background.start_soon(self.claims.run)
-            background.start_soon(self.session.run)
             background.start_soon(self.placement.run)
             async with anyio.create_task_group() as servers:
                 self.admin_address = await servers.start(
@@ -173,7 +180,8 @@
             await self.claims.record_pending()
         with anyio.move_on_after(RELEASE_LIMIT_S):
             await self.placement.leave()
-            await self.session.leave()
+        # Ends the session, on which ownership depends, too.
+        await self.shares.leave()
         await self.plane.leave()
 
     @property
