--- a/packages/bench/src/wagtailtide_bench/ours.py
+++ b/packages/bench/src/wagtailtide_bench/ours.py
@@ -1,20 +1,14 @@
 """The system's own decisions on the fakes."""
 
-import dataclasses
-import itertools
-import random
-
 from wagtailtide_core.admission import capacity
 from wagtailtide_core.admission import queue
 from wagtailtide_core.document import schema
 from wagtailtide_core.rates import grants
 from wagtailtide_core.rates import limiter
-from wagtailtide_core.rates import shares
-from wagtailtide_core.retries import budget
 from wagtailtide_core.routing import choose
 from wagtailtide_core.routing import load
-from wagtailtide_core.routing import table
 
+from wagtailtide_bench import instances
 from wagtailtide_bench import placing
 from wagtailtide_bench import workload
 
@@ -23,31 +17,6 @@
 SLOTS_COUNT_S = 5.0
 
 
-@dataclasses.dataclass
-class Waiting:
-    """A request in the queue of an instance."""
-
-    req: workload.Request
-    ticket: queue.Ticket
-    charge: limiter.Charge
-
-
-class Instance:
-    """State of one entry instance."""
-
-    def __init__(self, name, zone, seed):
-        self.name = name
-        self.zone = zone
-        self.rng = random.Random(seed)
-        self.table = table.ServerTable()
-        self.queue = queue.AdmissionQueue()
-        self.limiter = limiter.RateLimiter()
-        self.budget = budget.RetryBudget()
-        self.prefixes = {}
-        self.held = {}
-        self.calls = itertools.count()
-
-
 class Wagtailtide:
     """Routing, admission, rates and placement of wagtailtide_core."""
 
@@ -65,7 +34,7 @@
             for name, rate in self._org_rates.items()
         }
         self._instances = [
-            self._make_instance(i, entry)
+            instances.make_instance(world, i, entry, self._orgs)
             for i, entry in enumerate(world.entries)
         ]
         self._placing = placing.Placing(world)
@@ -85,30 +54,6 @@
             # session's renewals are such calls in the server.
             world.loop.after(SLOTS_COUNT_S, self._refresh, index)
 
-    def _make_instance(self, index, entry):
-        world = self._world
-        inst = Instance(entry.name, entry.zone, world.rng.random())
-        inst.table.declare(
-            {
-                name: schema.BackendServer(
-                    name=name,
-                    kind=schema.ServerKind.ENGINE,
-                    group='assistants',
-                    address='127.0.0.1:1',
-                    zone=engine.zone,
-                    slots=world.cfg.slots,
-                )
-                for name, engine in world.engines.items()
-            }
-        )
-        for name, engine in world.engines.items():
-            inst.table.set_resident(name, engine.models, ())
-        inst.limiter.configure(self._orgs, 0.0)
-        count = len(world.entries)
-        slots = range(index, shares.SLOTS, count)
-        inst.limiter.hold(slots, 1e9, 0.0)
-        return inst
-
     def _refresh(self, index):
         now = self._world.loop.now
         for name in self._orgs:
@@ -223,7 +168,7 @@
         if refusal is not None:
             self._refuse(inst, req, charge, refusal)
             return
-        inst.held[ticket.ticket_id] = Waiting(req, ticket, charge)
+        inst.held[ticket.ticket_id] = instances.Waiting(req, ticket, charge)
         self._pump(index)
 
     def _refuse(self, inst, req, charge, refusal):
