--- a/packages/server/src/wagtailtide_server/control/ownership.py
+++ b/packages/server/src/wagtailtide_server/control/ownership.py
@@ -8,12 +8,10 @@
 import logging
 
 import anyio
-from wagtailtide_core.leases import observer
 from wagtailtide_core.leases import ownership
-from wagtailtide_core.leases import session as sessions
 from wagtailtide_core.membership import overlay
-from wagtailtide_core.membership import view as views
 
+from wagtailtide_server.control import owner_watch
 from wagtailtide_server.platform import budget as budgets
 from wagtailtide_server.platform import client
 from wagtailtide_server.platform import settle
@@ -22,6 +20,9 @@
 
 HAND_OVER_AFTER_S = 60.0
 SETTLE_S = 5.0
+# The second in the order looks this often whether an owner has lapsed that
+# its peers see as live, because only the store is out of its reach.
+BACKUP_S = 60.0
 
 
 def key_of(server):
@@ -74,8 +75,9 @@
         self._store = store
         self._lease = lease
         self._invariants = invariants
-        self._observer = observer.SessionObserver()
-        self._state_since = {}
+        self._watch = owner_watch.OwnerWatch(plane, store)
+        self._due_at = {}
+        self._unowned = {}
 
     @property
     def name(self):
@@ -117,59 +119,70 @@
         Args:
             engines: Declared engines by name.
         """
-        self._note_states()
+        self._watch.note_states()
         for name in [n for n in self.owned if n not in engines]:
             await self.release(name)
         for name, declared in sorted(engines.items()):
-            preferred = self.preferred_owner(declared)
+            first, second = self.preferred_owners(declared)
             if name in self.owned:
                 self.owned[name].declared = declared
-                if preferred != self.name and self._live_for_s(preferred) >= (
-                    HAND_OVER_AFTER_S
-                ):
+                if await self._should_hand_over(name, first):
                     await self.release(name)
-                    continue
-            if preferred == self.name and not self._holds(name):
+            elif first == self.name:
                 await self._try_claim(declared)
+            elif second == self.name and self._is_due(name, BACKUP_S):
+                await self._try_claim(declared, only_from_others=True)
+            if name in self.owned and not self._holds(name):
+                await self._try_claim(declared)
+
+    def preferred_owners(self, declared):
+        """Return the instances that should own a server, best first.
 
-    def preferred_owner(self, declared):
-        """Return the name of the instance that should own a server."""
+        Returns:
+            Two names; the second is None if there is one instance only.
+        """
         live = self._plane.view.live()
         near = [m.name for m in live.values() if m.zone == declared.zone]
-        names = near or list(live)
-        return overlay.rendezvous(f'server/{declared.name}', names, 1)[0]
+        names = near if len(near) > 1 else list(live)
+        ranked = overlay.rendezvous(f'server/{declared.name}', names, 2)
+        return (*ranked, None)[:2]
+
+    async def _should_hand_over(self, server, preferred):
+        if preferred == self.name or not self._is_due(server, BACKUP_S):
+            return False
+        if self._watch.live_for_s(preferred) < HAND_OVER_AFTER_S:
+            return False
+        # A member that cannot reach the store could not claim it.
+        return await self._watch.is_renewed(preferred)
+
+    def _is_due(self, server, every_s):
+        now = anyio.current_time()
+        if now < self._due_at.get(server, 0.0):
+            return False
+        self._due_at[server] = now + every_s
+        return True
 
     def _holds(self, name):
         own = self.owned.get(name)
         return own is not None and own.epoch == self._lease.epoch
 
-    def _note_states(self):
-        now = anyio.current_time()
-        known = {member.name: member.state for member in self._plane.view}
-        self._state_since = {
-            name: self._state_since[name]
-            if self._state_since.get(name, (None,))[0] == state
-            else (state, now)
-            for name, state in known.items()
-        }
-
-    def _live_for_s(self, name):
-        return self._in_state_for_s(name, views.State.LIVE)
-
-    def _in_state_for_s(self, name, wanted):
-        state, since = self._state_since.get(name, (None, 0.0))
-        return anyio.current_time() - since if state == wanted else 0.0
-
-    async def _try_claim(self, declared):
+    async def _try_claim(self, declared, only_from_others=False):
+        """Claim a server if that is allowed.
+
+        Args:
+            declared: Declaration of the server.
+            only_from_others: Whether to leave a server without an owner to
+                the instance that should own it for a while.
+        """
         try:
-            await self._claim(declared)
+            await self._claim(declared, only_from_others)
         except client.StoreError as exc:
             LOG.info(
                 'backend server not claimed',
                 extra={'backend_server': declared.name, 'error': str(exc)},
             )
 
-    async def _claim(self, declared):
+    async def _claim(self, declared, only_from_others):
         found = await self._store.get(
             key_of(declared.name), activity=budgets.Activity.OWNERSHIP
         )
@@ -177,12 +190,19 @@
         boot = self._plane.boot
         reason = 'own'
         if record is None or (record.owner, record.boot) != (self.name, boot):
-            evidence = await self._evidence(record)
+            evidence = await self._watch.evidence(record)
             reason = ownership.may_take_over(
                 record, declared.checks_fences, evidence
             )
         if reason is None:
             return
+        if only_from_others and reason is ownership.Takeover.RELEASED:
+            # Claimed only if the first in the order did not do so in time.
+            version = found.version if found else 0
+            known = self._unowned.get(declared.name)
+            self._unowned[declared.name] = version
+            if known != version:
+                return
         now = anyio.current_time()
         epoch = self._lease.epoch
         if not self._lease.is_valid(now) or not self._plane.caught_up:
@@ -211,30 +231,6 @@
             },
         )
 
-    async def _evidence(self, record):
-        if record is None or record.owner is None:
-            return ownership.OwnerEvidence(None, 0.0, False)
-        sent_at = anyio.current_time()
-        found = await self._store.get(
-            f'sessions/{record.owner}', activity=budgets.Activity.OWNERSHIP
-        )
-        now = anyio.current_time()
-        version = found.version if found else None
-        self._observer.observe(record.owner, version, sent_at, now)
-        held = sessions.SessionRecord.decode(found.value) if found else None
-        horizon_s = held.ownership_horizon_s if held else self._horizon_s()
-        return ownership.OwnerEvidence(
-            held.boot if held else None,
-            self._in_state_for_s(record.owner, views.State.FAILED),
-            self._observer.has_lapsed(record.owner, horizon_s),
-        )
-
-    def _horizon_s(self):
-        documents = self._plane.config.catalog.documents.values()
-        return max(
-            (d.limits.ownership_horizon_s for d in documents), default=900.0
-        )
-
     async def write_pending(self, own, pending):
         """Record orders that may still take effect, before they are sent.
 
--- a/packages/server/src/wagtailtide_server/engines/engine.py
+++ b/packages/server/src/wagtailtide_server/engines/engine.py
@@ -11,6 +11,7 @@
 from wagtailtide_core.placement import orders
 
 from wagtailtide_server.control import orders as sending
+from wagtailtide_server.engines import pending_orders
 from wagtailtide_server.engines import reports
 
 LOG = logging.getLogger(__name__)
@@ -66,7 +67,7 @@
     def _add_pending(self, pending):
         now = anyio.current_time()
         for item in pending:
-            order = _decode_order(item)
+            order = pending_orders.decode(item)
             if order is None:
                 continue
             is_adapter = ':' in order.model
@@ -98,8 +99,22 @@
         failed = report.failed_orders - known
         return tuple(unsettled[o] for o in failed if o in unsettled)
 
+    def is_stopping(self):
+        """Return whether the engine says that it is stopping."""
+        return self.report is not None and self.report.draining
+
+    def ready_models(self):
+        """Return the time by model since which it is ready to stay."""
+        if self.is_stopping():
+            return {}
+        return {m: t for m, t in self.ready_since.items() if ':' not in m}
+
     def describe(self, may_load, may_unload):
-        """Return the OwnServer for the planner."""
+        """Return the OwnServer for the planner.
+
+        A stopping engine has no models to count on, so that its models are
+        loaded elsewhere while it still serves.
+        """
         declared = self.own.declared
         sizes = {}
         if self.models.report is not None:
@@ -107,20 +122,20 @@
                 r.model: r.size_bytes for r in self.models.report.residencies
             }
         free = self.models.capacity_bytes - self.models.used_bytes()
-        fenced = self.models.is_fenced()
+        usable = self.models.is_fenced() and not self.is_stopping()
         return decisions.OwnServer(
             declared.name,
             declared.zone,
             declared.accelerators,
-            free if fenced else 0,
+            free if usable else 0,
             tuple(
                 decisions.Resident(model, sizes[model], since)
-                for model, since in self.ready_since.items()
-                if model in sizes and ':' not in model
+                for model, since in self.ready_models().items()
+                if model in sizes
             ),
-            self._loading(),
-            may_load=may_load and fenced and not self.report.draining,
-            may_unload=may_unload and fenced,
+            frozenset() if self.is_stopping() else self._loading(),
+            may_load=may_load and usable,
+            may_unload=may_unload and usable,
         )
 
     def _loading(self):
@@ -277,7 +292,7 @@
             (*self.models.unsettled(), *self.adapters.unsettled(), order)
         )
         await self._ownership.write_pending(
-            self.own, [_encode_order(item) for item in unsettled]
+            self.own, [pending_orders.encode(item) for item in unsettled]
         )
 
     async def prune_record(self):
@@ -315,29 +330,3 @@
     if kind is orders.OrderKind.UNLOAD_ADAPTER:
         return orders.OrderKind.UNLOAD
     return kind
-
-
-def _encode_order(order):
-    return {
-        'order_id': order.order_id,
-        'fence': order.fence,
-        'kind': order.kind.value,
-        'model': order.model,
-        'size_bytes': order.size_bytes,
-    }
-
-
-def _decode_order(item):
-    try:
-        return orders.Order(
-            str(item['order_id']),
-            int(item['fence']),
-            orders.OrderKind(item['kind']),
-            str(item['model']),
-            int(item['size_bytes']),
-            sent_seq=0,
-            sent_at_s=0.0,
-        )
-    except (KeyError, TypeError, ValueError) as exc:
-        LOG.error('pending order not readable', extra={'error': repr(exc)})
-        return None
--- a/packages/server/src/wagtailtide_server/instance.py
+++ b/packages/server/src/wagtailtide_server/instance.py
@@ -14,11 +14,14 @@
 from wagtailtide_server import rates_local
 from wagtailtide_server import refusals
 from wagtailtide_server.claims import service as claims_service
+from wagtailtide_server.control import placement_service
 from wagtailtide_server.control import plane as control_plane
+from wagtailtide_server.control import session as sessions
 from wagtailtide_server.http import admin
 from wagtailtide_server.http import app
 from wagtailtide_server.http import serving
 from wagtailtide_server.upstream import dispatch
+from wagtailtide_server.upstream import residency
 from wagtailtide_server.upstream import watch
 
 LOG = logging.getLogger(__name__)
@@ -30,6 +33,9 @@
 # process; their claims are then answered as unknown.
 RECORD_LIMIT_S = 5.0
 
+# What is not released within this time is taken over by the lease rules.
+RELEASE_LIMIT_S = 10.0
+
 
 class Instance:
     """One instance.
@@ -41,6 +47,8 @@
         plane: Control plane: configuration, members, trust in keys.
         shares: Rates of the organisations.
         claims: Claims of idempotency keys.
+        session: Session object and leases.
+        placement: Placement on the engines that this instance owns.
         dispatcher: Knowledge of the backend servers.
         watch: Tasks that keep it current.
         refusals: Recent refusals.
@@ -71,6 +79,25 @@
         self.dispatcher = dispatch.Dispatcher(
             settings.name, self.invariants, self.metrics, rng
         )
+        self.session = sessions.Session(
+            self.plane,
+            store,
+            address=settings.peers,
+            zone=settings.zone,
+            name=settings.name,
+            rng=rng or random.Random(self.plane.boot),
+        )
+        self.placement = placement_service.PlacementService(
+            self.plane,
+            store,
+            self.session,
+            self.dispatcher.permits,
+            self.invariants,
+            rng or random.Random(self.plane.boot),
+        )
+        self.dispatcher.residency = residency.Residency(
+            self.plane, self.placement, self.dispatcher
+        )
         self.watch = watch.ServerWatch(self.dispatcher, self.plane, store, rng)
         self.refusals = refusals.Refusals()
         self.open_requests = 0
@@ -87,6 +114,8 @@
             await background.start(self.plane.run)
             background.start_soon(self.watch.run)
             background.start_soon(self.claims.run)
+            background.start_soon(self.session.run)
+            background.start_soon(self.placement.run)
             async with anyio.create_task_group() as servers:
                 self.admin_address = await servers.start(
                     serving.serve, admin.make_app(self), self.settings.admin
@@ -142,6 +171,9 @@
             )
         with anyio.move_on_after(RECORD_LIMIT_S):
             await self.claims.record_pending()
+        with anyio.move_on_after(RELEASE_LIMIT_S):
+            await self.placement.leave()
+            await self.session.leave()
         await self.plane.leave()
 
     @property
@@ -159,6 +191,8 @@
             return 'stopping'
         if not self.plane.caught_up:
             return 'configuration not confirmed yet'
+        if not self.watch.informed:
+            return 'backend servers not asked yet'
         return None
 
     def check_admits(self):
@@ -172,11 +206,11 @@
                 kinds.ErrorKind.SHUTTING_DOWN,
                 'this instance is stopping; send the request to another one',
             )
-        if not self.plane.caught_up:
+        if not self.plane.caught_up or not self.watch.informed:
             raise kinds.ServingError(
                 kinds.ErrorKind.NOT_READY,
-                'this instance has not caught up with the configuration; '
-                'send the request again later',
+                'this instance has not caught up with the configuration and '
+                'the backend servers; send the request again later',
             )
         limit = self.settings.limits.max_open_requests
         if self.open_requests > limit:
--- a/packages/server/src/wagtailtide_server/upstream/dispatch.py
+++ b/packages/server/src/wagtailtide_server/upstream/dispatch.py
@@ -37,6 +37,7 @@
         client: Connections to backend servers.
         permits: Permits to make engines fetch adapters.
         moves: Streams that may have to leave their server.
+        residency: Residency, to have missing models loaded, or None.
         on_crash: Called with the CrashRecords that a crash changed.
         on_cleared: Called with the fingerprint of a request that ran whole.
         on_draining: Called with name and ServerState of a server that began
@@ -55,6 +56,7 @@
         self.client = client.Client()
         self.moves = moves.Moves()
         self.permits = adapters.AdapterPermits()
+        self.residency = None
         self.on_crash = lambda records: None
         self.on_cleared = lambda mark: None
         self.on_draining = lambda name, state: None
@@ -141,6 +143,33 @@
             server=name,
         )
 
+        self._invariants.check(
+            'withdrawn_key_sends_nothing',
+            call.key_is_current(),
+            server=name,
+        )
+
+    def check_whole(self, attempt, response, length):
+        """Assert that a response is the attempt's own and not cut.
+
+        Args:
+            attempt: The client.Attempt.
+            response: Its Response.
+            length: Length of the body that was read, in bytes.
+
+        Raises:
+            InvariantError: If it is not.
+        """
+        declared = response.header(b'content-length')
+        bodyless = attempt.method == 'HEAD' or response.status in (204, 304)
+        self._invariants.check(
+            'answer_is_own_and_whole',
+            response.header(b'x-request-id') == attempt.request_id.encode()
+            and (bodyless or declared in (None, str(length).encode())),
+            request_id=attempt.request_id,
+            length=length,
+        )
+
     def check_runs_once(self, call):
         """Assert that no earlier attempt at a call may have run it.
 
@@ -180,6 +209,8 @@
             self.set_draining(name, True)
         elif exc.refusal == 'model_not_resident' and call.route.model:
             self.table.forget_model(name, call.route.model)
+        elif exc.refusal == 'adapter_not_resident' and call.route.adapter:
+            self.table.forget_adapter(name, call.route.adapter)
 
     def set_draining(self, name, draining, *, tell=True):
         """Record whether a server says that it is stopping.
--- a/packages/server/src/wagtailtide_server/upstream/plain.py
+++ b/packages/server/src/wagtailtide_server/upstream/plain.py
@@ -118,6 +118,8 @@
     def _decide(self, exc):
         """Return if the request goes on after a failure, else raise."""
         self._attempts += 1
+        if exc.kind is failures.FailureKind.KEY_WITHDRAWN:
+            raise verdicts.key_withdrawn(self._plain_call.call.history.fate)
         again = fate.may_attempt_again(exc.fate, self._plain_call.idempotent)
         if again and self._attempts < ATTEMPT_LIMIT:
             # Moving off a draining server repeats no work of the fleet.
@@ -175,9 +177,11 @@
 
     async def _wait_for_probe_failure(self, name):
         """Return a failure, or None if the call should be hedged."""
+        # The document may stop declaring the server while the call runs.
+        address = self._dispatcher.table.servers[name].declared.address
         while True:
             await anyio.sleep(PROBE_AFTER_S)
-            exc = await self._probe(name)
+            exc = await self._probe(address)
             if exc is None and self._plain_call.idempotent:
                 return None
             # A non-idempotent call on a server that is only slow may still
@@ -192,10 +196,9 @@
                     f'no answer, and the probe failed: {exc.detail}',
                 )
 
-    async def _probe(self, name):
-        state = self._dispatcher.table.servers[name]
+    async def _probe(self, address):
         try:
-            await self._dispatcher.client.probe(state.declared.address)
+            await self._dispatcher.client.probe(address)
         except failures.AttemptError as exc:
             return exc
         return None
@@ -203,8 +206,14 @@
     async def _attempt(self, name):
         request_id = calls.make_request_id()
         plain = self._plain_call
-        state = self._dispatcher.table.servers[name]
-        if state.stopping:
+        if not plain.call.key_is_current():
+            raise failures.AttemptError(
+                failures.FailureKind.KEY_WITHDRAWN,
+                kinds.Fate.NOT_RUN,
+                'the key was withdrawn',
+            )
+        state = self._dispatcher.table.servers.get(name)
+        if state is None or state.stopping:
             # Learned since the server was chosen, or before a hedge.
             raise failures.AttemptError(
                 failures.FailureKind.REFUSED,
@@ -228,15 +237,16 @@
         plain.begin_attempt()
         try:
             return await self._exchange(name, attempt)
-        except failures.AttemptError as exc:
-            if exc.fate is kinds.Fate.NOT_RUN:
+        finally:
+            # Also when the deadline passed before anything was sent.
+            if not plain.call.history.may_have_run:
                 plain.attempt_not_run()
-            raise
 
     async def _exchange(self, name, attempt):
         call = self._plain_call.call
         async with self._dispatcher.open(name, call, attempt) as response:
             body = await response.read_whole()
+            self._dispatcher.check_whole(attempt, response, len(body))
             if response.status >= 400:
                 refusal = client.refusal_of(response.status, body)
                 if refusal.fate is kinds.Fate.NOT_RUN:
--- a/packages/server/src/wagtailtide_server/upstream/streams.py
+++ b/packages/server/src/wagtailtide_server/upstream/streams.py
@@ -38,12 +38,14 @@
         target: Path at the engine.
         received: The caller's headers.
         body: JSON object for the engine, without resume_offset.
+        deadline_at: Monotonic time at which the answer must be whole.
     """
 
     call: calls.Call
     target: bytes
     received: list[tuple[bytes, bytes]]
     body: dict
+    deadline_at: float = float('inf')
 
 
 class ModelStream:
@@ -52,6 +54,8 @@
     Attributes:
         next_offset: Offset of the token that the caller needs next.
         usage: Token counts that the engine stated, or None.
+        attempt_id: Request id of the latest attempt.
+        complete: Whether the end marker was received.
     """
 
     def __init__(self, dispatcher, model_call, emit, metrics):
@@ -77,6 +81,8 @@
         self._last = None
         self.next_offset = 0
         self.usage = None
+        self.attempt_id = None
+        self.complete = False
 
     async def run(self):
         """Deliver the whole answer.
@@ -111,6 +117,8 @@
         waited_until = anyio.current_time() + WAIT_FOR_SERVER_S
         while True:
             chosen = self._dispatcher.choose(call, self._tried)
+            if await self._had_loaded(chosen):
+                continue
             if isinstance(chosen, choose.NoServer) and self._tried:
                 await self._back_off()
                 continue
@@ -127,6 +135,28 @@
                 raise self._no_server(chosen)
             await anyio.sleep(POLL_S)
 
+    async def _had_loaded(self, chosen):
+        """Have what is missing loaded; return whether it was missing."""
+        if isinstance(chosen, choose.Choice):
+            return False
+        residency = self._dispatcher.residency
+        # The servers of a started stream that broke are usually back soon.
+        if residency is None or self.next_offset > 0:
+            return False
+        reasons = {e.reason for e in chosen.excluded}
+        if reasons and choose.Reason.ADAPTER_NOT_READY not in reasons:
+            return False
+        self._tried.clear()
+        # The owner that fetches the adapter needs a permit itself.
+        self._end_fetch()
+        self._has_permit = False
+        await residency.wait(
+            self._model_call.call,
+            frozenset(),
+            self._model_call.deadline_at,
+        )
+        return True
+
     def _may_fetch(self, name):
         """Return whether a permit to fetch is held or not needed."""
         adapter = self._model_call.call.route.adapter
@@ -201,7 +231,11 @@
             raise self._final_error(exc)
         # A server that refused before running anything and is no longer a
         # candidate costs the fleet no work, so moving on is not a retry.
-        if exc.refusal in ('draining', 'model_not_resident'):
+        if exc.refusal in (
+            'draining',
+            'model_not_resident',
+            'adapter_not_resident',
+        ):
             self._metrics.retries.labels('moved').inc()
             return
         if not self._dispatcher.budget.try_spend():
@@ -224,7 +258,12 @@
         if self.next_offset:
             body = {**body, 'resume_offset': self.next_offset}
         call = self._model_call.call
+        if not call.key_is_current():
+            raise verdicts.key_withdrawn(call.history.fate)
+        self.attempt_id = request_id
         state = self._dispatcher.table.servers[name]
+        if self._dispatcher.residency is not None:
+            self._dispatcher.residency.record_use(name, call.route)
         attempt = client.Attempt(
             address=state.declared.address,
             method='POST',
@@ -259,6 +298,7 @@
             for event in events:
                 if event.data == '[DONE]' and self._last is not None:
                     await self._emit(self._last)
+                    self.complete = True
                     await _finish(response)
                     return
                 await self._take(event, request_id)
--- a/packages/server/tests/control/placement_fleet.py
+++ b/packages/server/tests/control/placement_fleet.py
@@ -32,6 +32,11 @@
     def __init__(self):
         super().__init__()
         self.rng = random.Random(1)
+        self.reads = 0
+
+    async def get(self, key, *, activity=None):
+        self.reads += 1
+        return await super().get(key, activity=activity)
 
     async def list(self, prefix, *, activity=None):
         await self._call()
@@ -147,14 +152,14 @@
         await self.resumed.wait()
 
     def pause(self):
-        self.resumed = anyio.Event()
+        if self.resumed.is_set():
+            self.resumed = anyio.Event()
 
     def resume(self):
         self.resumed.set()
 
     async def run(self):
         async with anyio.create_task_group() as group:
-            await self._renew()
             group.start_soon(self._keep_session)
             group.start_soon(self._run_placement)
 
@@ -166,9 +171,13 @@
 
     async def _keep_session(self):
         while True:
-            await anyio.sleep(SESSION_S)
-            with contextlib.suppress(client.StoreError):
+            try:
                 await self._renew()
+            except client.StoreError:
+                with contextlib.suppress(client.StoreError):
+                    found = await self.store.get(f'sessions/{self.name}')
+                    self._version = found.version if found else None
+            await anyio.sleep(SESSION_S)
 
     async def _renew(self):
         await self.gate()
@@ -292,10 +301,19 @@
                     if inst.resumed.is_set():
                         now = anyio.current_time()
                         key = targets.key_of(self.models[model])
-                        inst.placement.meter.record(key, 100.0, now)
+                        inst.placement.news.meter.record(key, 100.0, now)
                         await inst.ensurer.ensure(model)
                 await anyio.sleep(1.0)
 
+    def may_order(self, server):
+        """Return the names of the instances that may order a server."""
+        names = []
+        for inst in self.owner_of(server):
+            owned = inst.placement.ownership.owned[server]
+            if inst.placement.ownership.may_order(owned):
+                names.append(inst.name)
+        return names
+
     def overcommitted(self):
         """Return the engines' own count of overcommitted memory."""
         return sum(
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -32,9 +32,11 @@
         self.engines = [
             engine.Engine(
                 engine.EngineSettings(
-                    models=f'{MODEL_KEY}={MODEL_BYTES}',
-                    fetches_adapters=True,
-                    **engine_settings,
+                    **{
+                        'models': f'{MODEL_KEY}={MODEL_BYTES}',
+                        'fetches_adapters': True,
+                        **engine_settings,
+                    }
                 ),
                 rng=random.Random(index),
             )
@@ -48,6 +50,9 @@
         self.stop = {}
         self.adapters = ['urdu']
         self.weight_store = {}
+        self.min_replicas = 1
+        # With none, models are loaded onto no engine.
+        self.accelerators = 0
         self.inst = None
         self.stopped = anyio.Event()
         self.version = None
@@ -62,6 +67,7 @@
                 'zone': 'gulberg',
                 'stop': self.stop,
                 'memory_bytes': 0 if name == 'ledger' else 80_000_000_000,
+                'accelerators': 0 if name == 'ledger' else self.accelerators,
             }
             for name, address in self.addresses.items()
         ]
@@ -73,13 +79,15 @@
                     'version': '1',
                     'weights_bytes': MODEL_BYTES - 1,
                     'kv_reserve_bytes': 1,
+                    'min_replicas': self.min_replicas,
                     'organisations': ['tiles'],
                 },
                 {
                     'name': 'absent',
                     'version': '1',
-                    'weights_bytes': 1,
+                    'weights_bytes': 75_000_000_000,
                     'kv_reserve_bytes': 1,
+                    'min_replicas': 0,
                 },
             ],
             'adapters': [
@@ -128,7 +136,7 @@
             self.publish()
             group = await enter(anyio.create_task_group())
             self.inst = await self._start(group, url, 'a-1', limits)
-            caller = await enter(_caller(self.inst))
+            caller = await enter(caller_of(self.inst))
             await self.wait_until(lambda: self._is_ready(self.inst))
             self._start_another = functools.partial(self._start, group, url)
             yield caller
@@ -159,12 +167,16 @@
     @contextlib.asynccontextmanager
     async def another(self, name):
         """Start one more instance that knows the first as a seed."""
-        seeds = [self.inst.plane.view.me.address]
-        inst = await self._start_another(name, seeds=seeds)
+        inst = await self.start_another(name)
         await self.wait_until(lambda: self._is_ready(inst))
-        async with _caller(inst) as caller:
+        async with caller_of(inst) as caller:
             yield caller
 
+    async def start_another(self, name):
+        """Start one more instance without waiting until it is ready."""
+        seeds = [self.inst.plane.view.me.address]
+        return await self._start_another(name, seeds=seeds)
+
     async def _run(self, inst, task_status):
         # The tasks end before the store's connections are closed.
         async with inst.store, anyio.create_task_group() as group:
@@ -181,7 +193,7 @@
     def _is_ready(self, inst):
         servers = inst.dispatcher.table.servers
         return (
-            inst.plane.caught_up
+            inst.not_ready_reason() is None
             and servers
             and all(
                 state.boot_id
@@ -206,7 +218,7 @@
         return [req for r in recorders for req in r.requests]
 
 
-def _caller(inst):
+def caller_of(inst):
     return httpx.AsyncClient(
         base_url=f'http://{inst.callers_address}',
         timeout=60,
