Hash claimed requests with the one function for it

Cause: passthrough.py built its own hash beside claims.model.hash_request. Conclusion: one function, which also separates its parts by length.

--- a/packages/core/src/wagtailtide_core/claims/model.py
+++ b/packages/core/src/wagtailtide_core/claims/model.py
@@ -126,9 +126,15 @@
 
 
 def hash_request(method, target, body):
-    """Return the hash of what a key was first used for."""
+    """Return the hash of what a key was first used for.
+
+    Args:
+        method: HTTP method.
+        target: Path with query in bytes, as received.
+        body: Body in bytes.
+    """
     digest = hashlib.blake2b(digest_size=KEY_HASH_BYTES)
-    for raw in (method.encode(), target.encode(), body):
+    for raw in (method.encode(), target, body):
         digest.update(len(raw).to_bytes(8, 'big') + raw)
     return digest.digest()
 
--- a/packages/server/src/wagtailtide_server/http/passthrough.py
+++ b/packages/server/src/wagtailtide_server/http/passthrough.py
@@ -1,7 +1,6 @@
 """Routes of the document that are passed through to plain services."""
 
 import dataclasses
-import hashlib
 import logging
 
 import anyio
@@ -167,8 +166,9 @@
     inst, exchange, access, route, wishes, plain_call, deadline_at
 ):
     """Run a call whose idempotency key makes it run at most once."""
-    target = f'{plain_call.method} '.encode() + plain_call.target
-    body_hash = hashlib.sha256(target + b'\n' + plain_call.body).digest()
+    body_hash = claims_model.hash_request(
+        plain_call.method, plain_call.target, plain_call.body
+    )
     result = await inst.claims.claim(
         access.name, route.path, wishes.idempotency_key, body_hash
     )
--- a/packages/server/tests/claims/test_service.py
+++ b/packages/server/tests/claims/test_service.py
@@ -10,7 +10,7 @@
 from wagtailtide_testing import memory
 from wagtailtide_testing import virtual_time
 
-_BODY = model.hash_request('POST', '/orders', b'two motors')
+_BODY = model.hash_request('POST', b'/orders', b'two motors')
 _CREATED = model.Outcome(201, (('content-type', 'text/plain'),), b'order 7')
 
 
@@ -208,7 +208,7 @@
     @virtual_time.run_without_io
     async def test_another_body_is_refused(self):
         await self.fleet.run('a')
-        other = model.hash_request('POST', '/orders', b'three motors')
+        other = model.hash_request('POST', b'/orders', b'three motors')
         answer = await self.fleet.submit('b', body=other)
         self.assertIs(answer.kind, service.AnswerKind.BODY_MISMATCH)
 
