Show organisations' use and share in the status

Cause: the operator's tool shows use and share if an instance states them, and no instance did; the state of a server was the breaker's word "closed". Conclusion: /status has share, available and used tokens, and refusals of each organisation on that instance.

--- a/packages/server/src/wagtailtide_server/control/shares.py
+++ b/packages/server/src/wagtailtide_server/control/shares.py
@@ -28,6 +28,7 @@
         refused: Refusals by organisation.
         refused_within_rate: Refusals by organisation while what this instance
             admitted for it was within the instance's share of its rate.
+        used_tokens: True counts of settled requests by organisation.
     """
 
     def __init__(self, plane, store, session, *, rng=None, invariants=None):
@@ -38,6 +39,7 @@
         )
         self.refused = collections.Counter()
         self.refused_within_rate = collections.Counter()
+        self.used_tokens = collections.Counter()
         self._plane, self._session = plane, session
         self._catalog, self._references = None, {}
         self._calls = 0
@@ -97,10 +99,25 @@
     def settle(self, charge, true_tokens, now):
         """Correct a charge to the true count; a second call has no effect."""
         self.limiter.settle(charge, true_tokens, now)
+        self.used_tokens[charge.org] += true_tokens
         reference = self._references.get(charge.org)
         if reference is not None:
             reference.settle(charge.id, true_tokens, now)
 
+    def organisations(self, now):
+        """Return use and share of each organisation on this instance."""
+        self._configure(now)
+        return {
+            name: {
+                'share': self.limiter.share(name),
+                'available_tokens': int(self.limiter.level(name, now)),
+                'used_tokens': self.used_tokens[name],
+                'refused': self.refused[name],
+                'refused_within_rate': self.refused_within_rate[name],
+            }
+            for name in self._catalog.organisations
+        }
+
     def dump(self):
         """Return the state for the admin dump."""
         return {
--- a/packages/server/src/wagtailtide_server/dump.py
+++ b/packages/server/src/wagtailtide_server/dump.py
@@ -26,6 +26,7 @@
         'invariants_violated': dict(inst.invariants.violated),
         'members': _members(inst),
         'backend_servers': _owned_servers(inst),
+        'organisations': inst.shares.organisations(anyio.current_time()),
         'waiting': _waiting(inst),
     }
 
@@ -73,7 +74,8 @@
         return 'leaving'
     if state.draining:
         return 'draining'
-    return state.breaker.state(anyio.current_time()).value
+    breaker = state.breaker.state(anyio.current_time()).value
+    return 'serving' if breaker == 'closed' else f'breaker {breaker}'
 
 
 def _waiting(inst):
--- a/packages/server/tests/test_instance.py
+++ b/packages/server/tests/test_instance.py
@@ -173,6 +173,8 @@
         )
         members = resp.json()['members']
         self.assertEqual(members['a-1']['state'], 'live')
+        use = resp.json()['status']['organisations']['tiles']
+        self.assertEqual((use['share'], use['refused']), (1.0, 0))
         (refusal,) = resp.json()['refusals']
         self.assertEqual(refusal['kind'], 'model_loading')
         self.assertEqual(other.json()['refusals'], [])
