--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Installs what one instance needs at run time into target/deps. The
+# project's own packages are copied, because pip would build them in their
+# source folders, which may not be written to.
+set -eu
+cd "$(dirname "$0")/.."
+deps=target/deps
+if [ ! "$deps/.installed" -nt requirements-platform.txt ]; then
+    rm -rf "$deps"
+    python3 -m pip install -q --target "$deps" -r requirements-platform.txt
+    touch "$deps/.installed"
+fi
+for package in packages/core packages/gateway platform; do
+    cp -R "$package"/src/wagtailtide_* "$deps"/
+done
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serving path over typed ports: callers, backend servers, a store."""
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/control/__init__.py
@@ -0,0 +1,1 @@
+"""Beliefs of an instance: configuration, servers, duties, peers."""
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/control/demand.py
@@ -0,0 +1,57 @@
+"""Requests of this instance by model, for the duty holder."""
+
+import collections
+
+from wagtailtide_gateway.control import messages
+
+
+class DemandCount:
+    """Arrivals, running and waiting requests by service and model."""
+
+    def __init__(self):
+        self._arrivals = collections.Counter()
+        self._running = collections.Counter()
+        self._waiting = collections.Counter()
+
+    def arrived(self, service, model):
+        """Count a request that came."""
+        self._arrivals[(service, model)] += 1
+
+    def started(self, service, model):
+        """Count a request that was sent to a server."""
+        self._running[(service, model)] += 1
+
+    def ended(self, service, model):
+        """Count a request that left its server."""
+        _decrease(self._running, (service, model))
+
+    def waits(self, service, model):
+        """Count a request that begins to wait for a server."""
+        self._waiting[(service, model)] += 1
+
+    def waits_no_longer(self, service, model):
+        """Count a request that has stopped waiting."""
+        _decrease(self._waiting, (service, model))
+
+    def take(self):
+        """Return the demand since the last call, as ModelDemands."""
+        keys = self._arrivals.keys() | self._running.keys()
+        keys |= self._waiting.keys()
+        rows = tuple(
+            messages.ModelDemand(
+                service,
+                model,
+                self._arrivals[(service, model)],
+                self._running[(service, model)],
+                self._waiting[(service, model)],
+            )
+            for service, model in keys
+        )
+        self._arrivals.clear()
+        return rows
+
+
+def _decrease(counter, key):
+    counter[key] -= 1
+    if counter[key] <= 0:
+        del counter[key]
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -0,0 +1,202 @@
+"""What the duty holder knows of all instances, and its answers to them."""
+
+import dataclasses
+import logging
+
+import anyio
+
+from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.decisions import quota
+
+LOG = logging.getLogger(__name__)
+
+# An instance that has not reported for this long is taken for gone.
+INSTANCE_GONE_S = 2.5
+
+# Weight of the newest second in the rate of a model's requests.
+RATE_SMOOTHING = 0.5
+
+# Time in a slot that is assumed before any was observed.
+DEFAULT_SERVICE_S = 1.5
+
+MAX_CRASH_NOTES = 200
+
+
+@dataclasses.dataclass
+class _ModelUse:
+    rate_per_s: float = 0.0
+    arrivals: int = 0
+    last_at: float = float('-inf')
+    waited_at: float = float('-inf')
+
+
+@dataclasses.dataclass(frozen=True)
+class _Heard:
+    report: messages.Report
+    at: float
+
+
+class Hub:
+    """Reports of all instances, and what they are told.
+
+    A hub that has just taken the duty over knows nothing; it learns all from
+    the reports of about one interval.
+
+    Attributes:
+        adapter_wishes: Adapters that were asked for, with the time.
+    """
+
+    def __init__(self, config, duty):
+        self._config = config
+        self._duty = duty
+        self._heard = {}
+        self._buckets = quota.Buckets()
+        self._uses = {}
+        self._residencies = {}
+        self._news_number = 0
+        self._crashes = {}
+        self._loading = {}
+        self._wished = anyio.Event()
+        self.adapter_wishes = {}
+
+    def restart(self):
+        """Forget everything, at the begin of a duty."""
+        self.__init__(self._config, self._duty)
+
+    @property
+    def instance_count(self):
+        """Number of instances that report."""
+        return max(1, len(self._heard))
+
+    def answer(self, report):
+        """Take a report and return the News for its sender."""
+        now = anyio.current_time()
+        self._heard[report.instance] = _Heard(report, now)
+        self._drop_gone(now)
+        self._note_demand(report, now)
+        for wish in report.adapters:
+            self.adapter_wishes[wish] = now
+        if report.adapters:
+            self._wished.set()
+        for note in report.crashes:
+            self._crashes[note] = now
+        while len(self._crashes) > MAX_CRASH_NOTES:
+            del self._crashes[next(iter(self._crashes))]
+        return self._make_news(report, now)
+
+    async def next_wish(self, timeout_s):
+        """Wait until an adapter is asked for, up to a time."""
+        with anyio.move_on_after(timeout_s):
+            await self._wished.wait()
+        self._wished = anyio.Event()
+
+    def publish(self, server_id, residency):
+        """Pass a server's residency on to all instances."""
+        known = self._residencies.get(server_id)
+        if known is not None and known[1] == residency:
+            return
+        self._news_number += 1
+        self._residencies[server_id] = (self._news_number, residency)
+
+    def set_loading(self, service, model, ready_at):
+        """Pass on when a model will be ready, None when it no longer loads."""
+        if ready_at is None:
+            self._loading.pop((service, model), None)
+        else:
+            self._loading[(service, model)] = ready_at
+
+    def load_of(self, server_id):
+        """Return the requests of all instances in a server."""
+        return sum(
+            heard.report.loads.get(server_id, 0)
+            for heard in self._heard.values()
+        )
+
+    def demand_of(self, service, now):
+        """Return running, waiting, rate and idle time by model."""
+        rows = {}
+        for heard in self._heard.values():
+            for row in heard.report.demand:
+                if row.service == service:
+                    running, waiting = rows.get(row.model, (0, 0))
+                    rows[row.model] = (
+                        running + row.running,
+                        waiting + row.waiting,
+                    )
+        for name, model in self._uses:
+            if name == service:
+                rows.setdefault(model, (0, 0))
+        return {
+            model: (running, waiting, *self._use(service, model, now))
+            for model, (running, waiting) in rows.items()
+        }
+
+    def _use(self, service, model, now):
+        use = self._uses.get((service, model), _ModelUse())
+        return use.rate_per_s, now - use.last_at
+
+    def advance_rates(self, elapsed_s):
+        """Fold the arrivals of the last interval into the rates."""
+        weight = min(1.0, RATE_SMOOTHING * elapsed_s)
+        for use in self._uses.values():
+            newest = use.arrivals / elapsed_s
+            use.rate_per_s += weight * (newest - use.rate_per_s)
+            use.arrivals = 0
+
+    def _note_demand(self, report, now):
+        for row in report.demand:
+            use = self._uses.setdefault((row.service, row.model), _ModelUse())
+            if row.arrivals or row.waiting:
+                use.arrivals += row.arrivals
+                use.last_at = now
+
+    def _drop_gone(self, now):
+        for name, heard in list(self._heard.items()):
+            if now - heard.at > INSTANCE_GONE_S:
+                del self._heard[name]
+                LOG.info('instance unheard', extra={'peer': name})
+
+    def _make_news(self, report, now):
+        deployment = self._config.deployment
+        organisations = deployment.organisations_by_name if deployment else {}
+        grants, shortfalls_s = {}, {}
+        for name, amount in report.draws.items():
+            org = organisations.get(name)
+            if org is None or not org.rate_per_s:
+                continue
+            grants[name] = self._buckets.draw(org, amount, now)
+            if grants[name] < amount:
+                missing = amount - grants[name]
+                shortfalls_s[name] = self._buckets.shortfall_s(
+                    org, missing, now
+                )
+        newer = self._config.version > report.config_version
+        return messages.News(
+            fence=self._duty.fence or 0,
+            instances=self.instance_count,
+            config_version=self._config.version,
+            config_age_s=self._config.age_s,
+            config_value=self._config.value if newer else None,
+            news_number=self._news_number,
+            grants=grants,
+            shortfalls_s=shortfalls_s,
+            loads=self._loads_of_others(report),
+            residencies={
+                server: residency
+                for server, (number, residency) in self._residencies.items()
+                if number > report.seen_news
+            },
+            loading_s={
+                key: max(0.0, ready_at - now)
+                for key, ready_at in self._loading.items()
+            },
+            crashes=tuple(self._crashes),
+        )
+
+    def _loads_of_others(self, report):
+        loads = {}
+        for name, heard in self._heard.items():
+            if name != report.instance:
+                for server, count in heard.report.loads.items():
+                    loads[server] = loads.get(server, 0) + count
+        return loads
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -0,0 +1,104 @@
+"""Whether a request is sent, waits at the instance or is refused at once."""
+
+import dataclasses
+import enum
+
+# Load as a share of the slots up to which a request is sent. Above the slots
+# it waits in the server, which starts the most urgent first; a few waiting
+# requests keep a batch full while news of free slots travels.
+FILL_URGENT = 1.5
+FILL_OTHERS = 1.15
+
+# Part of the time left that a predicted wait may take. The rest is for
+# running the request and for the error of the prediction.
+WAIT_SHARE = 0.6
+
+# Bounds of the time after which a refused caller is asked to come back.
+MIN_RETRY_AFTER_S = 0.3
+MAX_RETRY_AFTER_S = 8.0
+
+
+class Verdict(enum.Enum):
+    """What becomes of a request now."""
+
+    SEND = 'send'
+    HOLD = 'hold'
+    REFUSE = 'refuse'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pool:
+    """Servers that can run a request, taken together.
+
+    Attributes:
+        slots: Their slots.
+        load: Requests in them by estimate.
+        waiting_ahead: Requests of this instance that wait before this one.
+        instances: Instances that send to them.
+        service_s: Time that a request takes in a slot.
+        ready_in_s: Seconds until a first server can run it, 0 if one can.
+    """
+
+    slots: float
+    load: float
+    waiting_ahead: int
+    instances: int
+    service_s: float
+    ready_in_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """A verdict with the prediction that it rests on.
+
+    Attributes:
+        verdict: What to do.
+        wait_s: Predicted wait in seconds.
+        retry_after_s: When to come back, for a refusal.
+    """
+
+    verdict: Verdict
+    wait_s: float
+    retry_after_s: float = 0.0
+
+
+def fill_limit(priority, slots):
+    """Return the load up to which a server is sent a request."""
+    share = FILL_URGENT if priority == 0 else FILL_OTHERS
+    return slots * share
+
+
+def predict_wait_s(pool):
+    """Return how long a request that comes now would wait.
+
+    The pool finishes slots / service_s requests a second while it is full.
+    What waits at the other instances is taken to be like what waits here.
+    """
+    if pool.slots <= 0:
+        return pool.ready_in_s
+    excess = max(0.0, pool.load - pool.slots)
+    excess += pool.waiting_ahead * pool.instances
+    return pool.ready_in_s + excess * pool.service_s / pool.slots
+
+
+def decide(pool, has_room, time_left_s):
+    """Decide on a request.
+
+    Args:
+        pool: The servers that can run it.
+        has_room: Whether one of them is below its fill limit and nothing
+            more urgent waits.
+        time_left_s: Seconds that the caller still waits.
+    """
+    if has_room:
+        return Decision(Verdict.SEND, 0.0)
+    wait_s = predict_wait_s(pool)
+    verdict = Verdict.REFUSE
+    if wait_s <= time_left_s * WAIT_SHARE:
+        verdict = Verdict.HOLD
+    return Decision(verdict, wait_s, retry_after(wait_s))
+
+
+def retry_after(wait_s):
+    """Return when a refused caller should come back, in seconds."""
+    return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -0,0 +1,341 @@
+"""Connections of callers: one request after another, each answered."""
+
+import contextlib
+import dataclasses
+import enum
+import logging
+
+import anyio
+import h11
+
+from wagtailtide_gateway.http import sockets
+from wagtailtide_gateway.model import deployment
+
+LOG = logging.getLogger(__name__)
+
+# Bytes that a caller may send ahead of the answer to its request.
+MAX_AHEAD_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incoming:
+    """A request whose body is whole.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: Raw names and values in order.
+        body: The body.
+        received_at: Time in seconds at which its head was whole.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    received_at: float
+
+
+class State(enum.Enum):
+    """How far an answer has got."""
+
+    UNSENT = 'unsent'
+    STARTED = 'started'
+    FINISHED = 'finished'
+    ABORTED = 'aborted'
+
+
+class CallerGone(Exception):
+    """The caller has closed its connection."""
+
+
+class BadRequest(Exception):
+    """A request that is no proper HTTP or breaks the limits.
+
+    Attributes:
+        status: HTTP status of the answer.
+    """
+
+    def __init__(self, message, status):
+        super().__init__(message)
+        self.status = status
+
+
+class Responder:
+    """Writes the answer to one request.
+
+    Attributes:
+        state: How far the answer has got.
+        keep_open: Whether the connection serves further requests.
+    """
+
+    def __init__(self, conn, stream, keep_open):
+        self._h11 = conn
+        self._stream = stream
+        self._pending = b''
+        self.state = State.UNSENT
+        self.keep_open = keep_open
+
+    def start(self, status, headers):
+        """Take the head; it goes out with the first bytes of the body."""
+        headers = list(headers)
+        if not self.keep_open:
+            headers.append((b'Connection', b'close'))
+        self._pending = self._h11.send(
+            h11.Response(status_code=status, headers=headers)
+        )
+        self.state = State.STARTED
+
+    async def send(self, data):
+        """Send a part of the body; raises CallerGone."""
+        out = self._pending + self._h11.send(h11.Data(data=data))
+        self._pending = b''
+        await self._write(out)
+
+    async def flush(self):
+        """Send the head if it has not gone out yet."""
+        out, self._pending = self._pending, b''
+        if out:
+            await self._write(out)
+
+    async def finish(self):
+        """End the answer as complete."""
+        out = self._pending + self._h11.send(h11.EndOfMessage())
+        self._pending = b''
+        await self._write(out)
+        self.state = State.FINISHED
+
+    async def answer(self, status, headers, body):
+        """Send a whole answer in one piece."""
+        length = (b'Content-Length', b'%d' % len(body))
+        self.start(status, [*headers, length])
+        out = self._pending
+        if body:
+            out += self._h11.send(h11.Data(data=body))
+        out += self._h11.send(h11.EndOfMessage())
+        self._pending = b''
+        await self._write(out)
+        self.state = State.FINISHED
+
+    def abort(self):
+        """Let the connection end without completing the answer."""
+        self.state = State.ABORTED
+
+    async def _write(self, out):
+        try:
+            await self._stream.send(out)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+            raise CallerGone('the caller closed its connection') from exc
+
+
+class CallerConnection:
+    """Reads requests of one connection and has them answered.
+
+    Attributes:
+        busy: Whether a request is being answered or has begun to arrive.
+    """
+
+    def __init__(self, stream, handle, limits, stopping):
+        self._stream = stream
+        self._handle = handle
+        self._limits = limits
+        self._stopping = stopping
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._ahead = bytearray()
+        self._closed_by_caller = False
+        self.busy = False
+
+    async def serve(self):
+        """Answer requests until the connection ends."""
+        try:
+            while await self._serve_one():
+                self._h11.start_next_cycle()
+        except CallerGone:
+            pass  # Nobody is left to be answered.
+        except BadRequest as exc:
+            await self._refuse(exc)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._stream.aclose()
+
+    async def close_if_idle(self):
+        """Close the connection unless it has a request in progress."""
+        if not self.busy:
+            await self._stream.aclose()
+
+    async def _serve_one(self):
+        self.busy = False
+        incoming = await self._read_request()
+        if incoming is None:
+            return False
+        keep_open = not self._stopping()
+        responder = Responder(self._h11, self._stream, keep_open)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._watch_caller, tg.cancel_scope)
+            await self._handle(incoming, responder)
+            tg.cancel_scope.cancel()
+        return (
+            responder.state is State.FINISHED
+            and not self._closed_by_caller
+            and self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+        )
+
+    async def _watch_caller(self, scope):
+        """Cancel the request when its caller leaves."""
+        while len(self._ahead) < MAX_AHEAD_BYTES:
+            try:
+                self._ahead += await self._stream.receive()
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                self._closed_by_caller = True
+                scope.cancel()
+                return
+
+    async def _read_request(self):
+        if not self._h11.trailing_data[0]:
+            with anyio.move_on_after(self._limits.idle_timeout_s):
+                await self._await_input()
+            if not self._ahead:
+                return None
+        self.busy = True
+        with anyio.move_on_after(self._limits.header_timeout_s) as scope:
+            request = await self._next_event()
+        if scope.cancelled_caught:
+            raise BadRequest(
+                'expected the whole head of a request within '
+                f'{self._limits.header_timeout_s} s',
+                408,
+            )
+        if not isinstance(request, h11.Request):
+            return None
+        received_at = anyio.current_time()
+        body = await self._read_body()
+        if body is None:
+            return None
+        return Incoming(
+            request.method,
+            request.target,
+            tuple(request.headers.raw_items()),
+            body,
+            received_at,
+        )
+
+    async def _read_body(self):
+        parts, size = [], 0
+        if self._h11.they_are_waiting_for_100_continue:
+            out = self._h11.send(
+                h11.InformationalResponse(status_code=100, headers=())
+            )
+            await self._stream.send(out)
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            if not isinstance(event, h11.Data):
+                return None
+            size += len(event.data)
+            if size > self._limits.max_body_bytes:
+                raise BadRequest(
+                    'expected a body of at most '
+                    f'{self._limits.max_body_bytes} bytes',
+                    413,
+                )
+            parts.append(bytes(event.data))
+
+    async def _await_input(self):
+        if self._ahead or self._closed_by_caller:
+            return
+        try:
+            self._ahead += await self._stream.receive()
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            self._closed_by_caller = True
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise BadRequest(str(exc), exc.error_status_hint) from exc
+            if event is not h11.NEED_DATA:
+                return event
+            await self._await_input()
+            self._h11.receive_data(bytes(self._ahead))
+            self._ahead.clear()
+
+    async def _refuse(self, exc):
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = str(exc).encode()
+        responder = Responder(self._h11, self._stream, keep_open=False)
+        headers = [(b'Content-Type', b'text/plain; charset=utf-8')]
+        # The answer is a courtesy; the connection ends in any case.
+        with contextlib.suppress(CallerGone):
+            await responder.answer(exc.status, headers, body)
+
+
+class Listener:
+    """Takes connections at one address.
+
+    Attributes:
+        limits: Bounds for connections that come from now on.
+    """
+
+    def __init__(self, address, handle, stopping):
+        self._address = address
+        self._handle = handle
+        self._stopping = stopping
+        self._open = set()
+        self._listener = None
+        self.limits = deployment.CallerLimits()
+
+    async def listen(self):
+        """Bind the address; raises OSError."""
+        self._listener = await anyio.create_tcp_listener(
+            local_host=self._address.host,
+            local_port=self._address.port,
+            backlog=512,
+        )
+
+    async def serve(self):
+        """Serve connections until cancelled."""
+        async with self._listener:
+            await self._listener.serve(self._serve_connection)
+
+    async def _serve_connection(self, stream):
+        sockets.detect_silence(stream)
+        conn = CallerConnection(
+            stream, self._handle, self.limits, self._stopping
+        )
+        self._open.add(conn)
+        try:
+            await conn.serve()
+        except Exception:
+            # One connection's fault must not end the others.
+            LOG.exception('connection failed')
+        finally:
+            self._open.discard(conn)
+
+    @property
+    def open_count(self):
+        """Number of open connections."""
+        return len(self._open)
+
+    @property
+    def busy_count(self):
+        """Number of connections with a request in progress."""
+        return sum(conn.busy for conn in self._open)
+
+    async def close_idle(self):
+        """Close connections that have no request in progress."""
+        for conn in tuple(self._open):
+            await conn.close_if_idle()
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -0,0 +1,303 @@
+"""Connections to backend servers, the store and other instances."""
+
+import collections
+import contextlib
+import dataclasses
+import re
+
+import anyio
+import h11
+from wagtailtide_core.retries import fate
+
+from wagtailtide_gateway.http import sockets
+
+CONNECT_TIMEOUT_S = 1.0
+
+# Idle connections kept for each address: enough for the requests that one
+# instance usually has at a server at once.
+MAX_IDLE = 6
+
+# A server that closes idle connections may do so while a request is on its
+# way, so connections are given up this much earlier than it says.
+KEEP_ALIVE_MARGIN_S = 0.7
+
+# Idle time after which a connection is not used again, where the server
+# states no time.
+DEFAULT_IDLE_S = 4.0
+
+# A body above this is sent while the answer is awaited, because a server may
+# answer before it has read a long body and a full window blocks the sender.
+SMALL_BODY_BYTES = 4_096
+
+# Answers to other attempts that may precede the one that is awaited.
+MAX_STRAY_ANSWERS = 3
+
+_TIMEOUT = re.compile(rb'timeout\s*=\s*(\d+)')
+
+
+class ConnectionBroken(Exception):
+    """The connection failed before the answer was whole.
+
+    Attributes:
+        progress: How far the request had got.
+    """
+
+    def __init__(self, message, progress):
+        super().__init__(message)
+        self.progress = progress
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+class Connection:
+    """One connection, used for one request at a time.
+
+    Attributes:
+        address: Its other end.
+        reused: Whether it has carried a request before.
+    """
+
+    def __init__(self, stream, address, now):
+        self._stream = stream
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._request = None
+        self._sending = False
+        self._may_close = False
+        self._idle_limit_s = DEFAULT_IDLE_S
+        self.address = address
+        self.reused = False
+        self.idle_since = now
+
+    async def request(self, method, target, headers, body=b''):
+        """Send a request and return the Head of its answer.
+
+        Raises:
+            ConnectionBroken: There was no answer.
+        """
+        out = self._encode(method, target, headers, body)
+        if len(body) <= SMALL_BODY_BYTES:
+            await self._send(out)
+            return await self.read_head()
+        head = broken = None
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._send_unless_broken, out)
+            try:
+                head = await self.read_head()
+            except ConnectionBroken as exc:
+                broken = exc
+            tg.cancel_scope.cancel()
+        if broken is not None:
+            raise broken
+        return head
+
+    def _encode(self, method, target, headers, body):
+        if body or method not in (b'GET', b'DELETE'):
+            length = (b'Content-Length', b'%d' % len(body))
+            headers = [*headers, length]
+        try:
+            self._request = h11.Request(
+                method=method, target=target, headers=headers
+            )
+            out = self._h11.send(self._request)
+        except h11.LocalProtocolError as exc:
+            raise ConnectionBroken(
+                f'expected a request that can be sent, got {exc}',
+                fate.Progress.CONNECTED,
+            ) from exc
+        if body:
+            out += self._h11.send(h11.Data(data=body))
+        return out + self._h11.send(h11.EndOfMessage())
+
+    async def _send(self, out):
+        self._sending = True
+        try:
+            await self._stream.send(out)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+            raise ConnectionBroken(
+                f'{self.address} closed while the request was sent',
+                fate.Progress.SENDING,
+            ) from exc
+        self._sending = False
+
+    async def _send_unless_broken(self, out):
+        # An answer may come although the server no longer reads the body;
+        # `_sending` stays set and keeps the connection from being reused.
+        with contextlib.suppress(ConnectionBroken):
+            await self._send(out)
+
+    async def read_head(self):
+        """Return the Head of the answer; raises ConnectionBroken."""
+        while True:
+            event = await self._next_event(fate.Progress.SENDING)
+            if isinstance(event, h11.Response):
+                self._note_keep_alive(event)
+                return Head(event.status_code, tuple(event.headers))
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionBroken(
+                    f'expected an answer from {self.address}, got its end',
+                    fate.Progress.SENDING,
+                )
+
+    async def read_data(self):
+        """Return the next bytes of the body, None after the last."""
+        event = await self._next_event(fate.Progress.RESPONDING)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ConnectionBroken(
+            f'expected the rest of an answer from {self.address}',
+            fate.Progress.RESPONDING,
+        )
+
+    async def read_body(self):
+        """Return the whole body; raises ConnectionBroken."""
+        parts = []
+        while (data := await self.read_data()) is not None:
+            parts.append(data)
+        return b''.join(parts)
+
+    def expect_another_answer(self):
+        """Begin to read the next answer to the request that was sent."""
+        rest, closed = self._h11.trailing_data
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11.send(self._request)
+        if self._h11.our_state is not h11.DONE:
+            # The body went out already; only the parser has to follow.
+            self._skip_body()
+        if rest:
+            self._h11.receive_data(rest)
+        if closed:
+            self._h11.receive_data(b'')
+        self._may_close = True
+
+    def _skip_body(self):
+        length = dict(self._request.headers).get(b'content-length', b'0')
+        if int(length):
+            self._h11.send(h11.Data(data=bytes(int(length))))
+        self._h11.send(h11.EndOfMessage())
+
+    async def _next_event(self, progress):
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise ConnectionBroken(
+                    f'expected HTTP from {self.address}, got {exc}', progress
+                ) from exc
+            if event is h11.NEED_DATA:
+                await self._receive(progress)
+            elif event is h11.PAUSED:
+                raise ConnectionBroken(
+                    f'{self.address} sent bytes after its answer', progress
+                )
+            else:
+                return event
+
+    async def _receive(self, progress):
+        try:
+            data = await self._stream.receive()
+        except anyio.EndOfStream:
+            data = b''
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+            raise ConnectionBroken(
+                f'{self.address} reset the connection', progress
+            ) from exc
+        try:
+            self._h11.receive_data(data)
+        except (h11.RemoteProtocolError, RuntimeError) as exc:
+            raise ConnectionBroken(
+                f'{self.address} sent bytes after its end', progress
+            ) from exc
+
+    def _note_keep_alive(self, response):
+        for name, value in response.headers:
+            if name == b'keep-alive' and (found := _TIMEOUT.search(value)):
+                stated = int(found.group(1)) - KEEP_ALIVE_MARGIN_S
+                self._idle_limit_s = min(DEFAULT_IDLE_S, stated)
+
+    def reset_for_reuse(self, now):
+        """Prepare for another request; return whether that is possible."""
+        ended = (
+            self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+            and not self._h11.trailing_data[0]
+        )
+        if not ended or self._sending or self._may_close:
+            return False
+        self._h11.start_next_cycle()
+        self.reused = True
+        self.idle_since = now
+        return True
+
+    def is_usable(self, now, max_idle_s):
+        """Return whether an idle connection may carry a request."""
+        idle_s = now - self.idle_since
+        if idle_s > min(max_idle_s, self._idle_limit_s):
+            return False
+        return not sockets.has_input(self._stream)
+
+    async def close(self):
+        """Close at once, whatever is in progress."""
+        with anyio.CancelScope(shield=True):
+            await self._stream.aclose()
+
+
+class ConnectionPool:
+    """Idle connections by address."""
+
+    def __init__(self):
+        self._idle = collections.defaultdict(collections.deque)
+        self.opened_count = 0
+
+    async def acquire(self, address, max_idle_s=DEFAULT_IDLE_S):
+        """Return a connection, a new one if no idle one is fit.
+
+        Raises:
+            ConnectionBroken: No connection could be established.
+        """
+        idle = self._idle[address]
+        while idle:
+            conn = idle.pop()
+            if conn.is_usable(anyio.current_time(), max_idle_s):
+                return conn
+            await conn.close()
+        return await self._open(address)
+
+    async def _open(self, address):
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(address.host, address.port)
+        except (OSError, TimeoutError) as exc:
+            raise ConnectionBroken(
+                f'{address} takes no connection: {exc!r}',
+                fate.Progress.CONNECTING,
+            ) from exc
+        sockets.detect_silence(stream)
+        self.opened_count += 1
+        return Connection(stream, address, anyio.current_time())
+
+    async def release(self, conn):
+        """Keep a connection whose request is answered, or close it."""
+        idle = self._idle[conn.address]
+        now = anyio.current_time()
+        if len(idle) < MAX_IDLE and conn.reset_for_reuse(now):
+            idle.append(conn)
+        else:
+            await conn.close()
+
+    async def drop(self, address):
+        """Close the idle connections to an address."""
+        for conn in self._idle.pop(address, ()):
+            await conn.close()
+
+    async def close(self):
+        """Close all idle connections."""
+        for address in list(self._idle):
+            await self.drop(address)
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -0,0 +1,270 @@
+"""One instance of the gateway: its tasks, start and stop."""
+
+import logging
+import signal
+import time
+
+import anyio
+
+from wagtailtide_gateway import metrics as metrics_
+from wagtailtide_gateway import parts as parts_
+from wagtailtide_gateway.control import duty as duties
+from wagtailtide_gateway.control import engines
+from wagtailtide_gateway.control import exchange as exchanges
+from wagtailtide_gateway.control import hub as hubs
+from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.control import store
+from wagtailtide_gateway.control import sync
+from wagtailtide_gateway.decisions import trust
+from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.serving import gateway
+
+LOG = logging.getLogger(__name__)
+
+# After the request to stop the balancer needs two misses, a second apart,
+# and callers keep using idle connections until these are closed.
+CLOSE_IDLE_AFTER_S = 2.6
+CLOSE_IDLE_EVERY_S = 0.2
+
+# Pause before a background task that failed is run again.
+RESTART_S = 0.5
+
+# Time that is left between the end of the process and its kill.
+STOP_MARGIN_S = 0.4
+
+
+def elapsed_clock():
+    """Return seconds that go on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Instance:
+    """All state and tasks of one process."""
+
+    def __init__(
+        self, cfg, caller_port, backend_port, store_port, clock=elapsed_clock
+    ):
+        self._cfg = cfg
+        self._ready_path = caller_port.ready_path
+        self._stop = anyio.Event()
+        self.metrics = metrics_.Metrics()
+        self.parts = parts_.Parts(store_port, clock)
+        self._pool = outgoing.ConnectionPool()
+        client = store.StoreClient(
+            store_port, cfg.store, outgoing.ConnectionPool(), self.metrics
+        )
+        self.duty = duties.Duty(
+            client, store_port, cfg, clock, lambda: self.hub.instance_count
+        )
+        self.hub = hubs.Hub(self.parts.config, self.duty)
+        self.exchange = exchanges.Exchange(
+            self.duty, self.hub, self.parts, cfg, self._pool, clock
+        )
+        self._sync = sync.StoreSync(
+            client,
+            store_port,
+            self.parts.config,
+            self.parts.servers,
+            clock,
+            lambda: self.duty.is_held,
+        )
+        self._orders = engines.EngineOrders(
+            self.parts,
+            self.hub,
+            self.duty,
+            cfg,
+            backend_port,
+            self._pool,
+            self.metrics,
+        )
+        self.gateway = gateway.Gateway(
+            cfg,
+            caller_port,
+            backend_port,
+            self.parts,
+            self._pool,
+            self.exchange,
+            self.metrics,
+        )
+        self._callers = self._listener(cfg.callers, self.gateway.handle)
+        self._readiness = self._listener(cfg.readiness, self._answer_ready)
+        self._peers = self._listener(cfg.peers, self._answer_peer)
+        self.metrics.gauges = {
+            'connections': lambda: self._callers.open_count,
+            'waiting_requests': lambda: self.parts.room.count,
+            'config_version': lambda: self.parts.config.version,
+            'config_age_seconds': lambda: self.parts.config.age_s,
+            'duty_held': lambda: int(self.duty.is_held),
+            'backend_servers': lambda: len(self.parts.servers.states),
+        }
+
+    def _listener(self, address, handle):
+        return incoming.Listener(
+            address, handle, lambda: self.gateway.is_stopping
+        )
+
+    @property
+    def is_ready(self):
+        """Whether callers can be served."""
+        return (
+            not self.gateway.is_stopping
+            and self.parts.servers.known
+            and self.parts.config.deployment is not None
+            and trust.may_run_keyed(
+                self.parts.config.age_s, self._cfg.key_withdrawal_s
+            )
+        )
+
+    async def run(self):
+        """Serve until told to stop."""
+        listeners = (self._callers, self._readiness, self._peers)
+        for listener in listeners:
+            await listener.listen()
+        LOG.info(
+            'started',
+            extra={
+                'zone': self._cfg.zone,
+                'callers': str(self._cfg.callers),
+                'peers': str(self._cfg.peers),
+                'store': str(self._cfg.store),
+            },
+        )
+        async with anyio.create_task_group() as tg:
+            for listener in listeners:
+                tg.start_soon(listener.serve)
+            for task in (
+                self._sync.run,
+                self.duty.run,
+                self.exchange.run,
+                self._orders.run,
+                self._follow_limits,
+            ):
+                tg.start_soon(_restart_on_fault, task)
+            tg.start_soon(self._watch_signals)
+            await self._stop.wait()
+            await self._drain()
+            tg.cancel_scope.cancel()
+        LOG.info('stopped')
+
+    def stop(self):
+        """Begin a graceful stop."""
+        self._stop.set()
+
+    async def _watch_signals(self):
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as received:
+            async for number in received:
+                LOG.info('signal', extra={'number': int(number)})
+                if number != signal.SIGHUP:
+                    self.stop()
+
+    async def _follow_limits(self):
+        """Use the limits of the configuration for new connections."""
+        while True:
+            deployment = self.parts.config.deployment
+            if deployment is not None:
+                self._callers.limits = deployment.limits
+            await anyio.sleep(exchanges.INTERVAL_S)
+
+    async def _drain(self):
+        started_at = anyio.current_time()
+        LOG.info('stopping', extra={'open': self._callers.open_count})
+        self.gateway.begin_stop()
+        await self.duty.give_up()
+        await anyio.sleep(CLOSE_IDLE_AFTER_S)
+        ends_at = started_at + self._cfg.stop_s - STOP_MARGIN_S
+        while anyio.current_time() < ends_at:
+            await self._callers.close_idle()
+            if not self._callers.open_count:
+                return
+            await anyio.sleep(CLOSE_IDLE_EVERY_S)
+        LOG.warning('stop cut', extra={'busy': self._callers.busy_count})
+
+    async def _answer_ready(self, request, out):
+        known = request.target.split(b'?')[0] == self._ready_path
+        status = 200 if known and self.is_ready else 503
+        await _answer(out, status, b'')
+
+    async def _answer_peer(self, request, out):
+        target = request.target
+        if target == exchanges.EXCHANGE_TARGET:
+            await self._answer_exchange(request, out)
+        elif target == b'/metrics':
+            await _answer(out, 200, self.metrics.expose())
+        elif target == b'/dump':
+            await _answer(out, 200, dump(self))
+        else:
+            await _answer(out, 404, b'')
+
+    async def _answer_exchange(self, request, out):
+        if not self.duty.is_held:
+            await _answer(out, 503, b'')
+            return
+        try:
+            report = messages.decode_report(request.body)
+        except messages.BadMessage as exc:
+            LOG.warning('report refused', extra={'reason': str(exc)})
+            await _answer(out, 400, str(exc).encode())
+            return
+        news = self.hub.answer(report)
+        await _answer(out, 200, messages.encode_news(news))
+
+
+async def _restart_on_fault(task):
+    """Run a background task again after a fault of its own.
+
+    Requests go on being served with what is known, which is better for the
+    callers than the end of the process and of all its connections.
+    """
+    while True:
+        try:
+            await task()
+            return
+        except Exception:
+            LOG.exception('background task failed')
+            await anyio.sleep(RESTART_S)
+
+
+async def _answer(out, status, body):
+    try:
+        await out.answer(status, [], body)
+    except incoming.CallerGone as exc:
+        LOG.debug('asker left', extra={'reason': str(exc)})
+
+
+def dump(instance):
+    """Return the state of an instance as JSON, in bytes."""
+    import json
+
+    now = anyio.current_time()
+    parts = instance.parts
+    state = {
+        'config_version': parts.config.version,
+        'config_age_s': parts.config.age_s,
+        'ready': instance.is_ready,
+        'duty': {
+            'held': instance.duty.is_held,
+            'record': repr(instance.duty.record),
+        },
+        'instances': instance.exchange.instances,
+        'waiting': parts.room.count,
+        'servers': {
+            server_id: {
+                'service': state.server.service,
+                'leaving': state.server.leaving,
+                'own_load': state.own_load,
+                'others_load': state.others_load,
+                'failure_rate': parts.servers.health.failure_rate(
+                    server_id, now
+                ),
+                'models': {
+                    model.name: sorted(model.adapters)
+                    for model in state.residency.models.values()
+                },
+            }
+            for server_id, state in parts.servers.states.items()
+        },
+    }
+    return json.dumps(state).encode()
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/logs.py
@@ -0,0 +1,82 @@
+"""Structured logs that never block the process."""
+
+import logging
+import os
+import sys
+import time
+
+import logfmter
+
+# Lines a second that are written; more are counted and dropped. About twice
+# the requests that one instance serves at its worst second.
+MAX_LINES_PER_S = 400
+
+_KEYS = ('at', 'level', 'logger', 'event')
+_MAPPING = {
+    'at': 'created',
+    'level': 'levelname',
+    'logger': 'name',
+    'event': 'msg',
+}
+
+
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a file descriptor, dropping what it does not take.
+
+    Attributes:
+        dropped: Lines dropped so far.
+    """
+
+    def __init__(self, fd, clock):
+        super().__init__()
+        self._fd = fd
+        self._clock = clock
+        self._second = None
+        self._written = 0
+        self.dropped = 0
+        os.set_blocking(fd, False)
+
+    def emit(self, record):
+        """Write one record if the rate allows it and the reader follows."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second, self._written = second, 0
+        if self._written >= MAX_LINES_PER_S and record.levelno < (
+            logging.WARNING
+        ):
+            self.dropped += 1
+            return
+        self._written += 1
+        line = (self.format(record) + '\n').encode()
+        try:
+            os.write(self._fd, line)
+        except BlockingIOError:
+            self.dropped += 1
+        except OSError:
+            # The reader is gone; serving goes on without logs.
+            self.dropped += 1
+
+
+def set_up(instance, level=logging.INFO, fd=None, clock=time.monotonic):
+    """Send log records to standard output as key=value lines.
+
+    Args:
+        instance: Name of the instance, added to each line.
+        level: Lowest level that is written.
+        fd: File descriptor, standard output if None.
+        clock: Function that returns seconds, for the rate of lines.
+    """
+    handler = NonBlockingHandler(
+        sys.stdout.fileno() if fd is None else fd, clock
+    )
+    handler.setFormatter(logfmter.Logfmter(keys=_KEYS, mapping=_MAPPING))
+
+    def add_instance(record):
+        record.instance = instance
+        return True
+
+    handler.addFilter(add_instance)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    return handler
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/metrics.py
@@ -0,0 +1,110 @@
+"""Counters and latency histograms of one instance."""
+
+import bisect
+import collections
+
+BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
+
+
+class _Histogram:
+    def __init__(self):
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.total_s = 0.0
+
+    def observe(self, seconds):
+        self.counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        self.total_s += seconds
+
+    def cumulative(self):
+        """Return pairs of upper bound and count, as Prometheus wants them."""
+        pairs, count = [], 0
+        bounds = [*map(str, BUCKETS_S), '+Inf']
+        for bound, own in zip(bounds, self.counts, strict=True):
+            count += own
+            pairs.append((bound, count))
+        return pairs
+
+
+class Metrics:
+    """Counts kept without a library and exposed with one.
+
+    prometheus_client takes about 6 MB. It is imported when somebody first
+    asks for the metrics, so that other processes do without it.
+    """
+
+    def __init__(self):
+        self.store_calls = 0
+        self.orders = 0
+        self.repeats = 0
+        self.gauges = {}
+        self._outcomes = collections.Counter()
+        self._refusals = collections.Counter()
+        self._first = _Histogram()
+        self._total = _Histogram()
+
+    def count_refusal(self, kind):
+        """Count an answer of the gateway's own."""
+        self._refusals[kind.value] += 1
+
+    def observe(self, job, outcome, total_s):
+        """Count an ended request.
+
+        Args:
+            job: Its Job, None if it had none.
+            outcome: What became of it.
+            total_s: Seconds from its arrival to its end.
+        """
+        self._outcomes[outcome] += 1
+        if job is None:
+            return
+        self._total.observe(total_s)
+        if job.first_at is not None:
+            self._first.observe(job.first_at - job.received_at)
+
+    def expose(self):
+        """Return the metrics in Prometheus' text form, as bytes."""
+        import prometheus_client
+        from prometheus_client import registry
+
+        registered = registry.CollectorRegistry(auto_describe=False)
+        registered.register(self)
+        return prometheus_client.generate_latest(registered)
+
+    def collect(self):
+        """Yield the metric families, as prometheus_client's collectors do."""
+        from prometheus_client import core
+
+        counters = {
+            'store_calls': self.store_calls,
+            'orders': self.orders,
+            'repeats': self.repeats,
+        }
+        for name, value in counters.items():
+            yield core.CounterMetricFamily(
+                f'wagtailtide_{name}', f'Number of {name}.', value=value
+            )
+        labelled = {
+            'requests': ('outcome', self._outcomes),
+            'refusals': ('kind', self._refusals),
+        }
+        for name, (label, counts) in labelled.items():
+            family = core.CounterMetricFamily(
+                f'wagtailtide_{name}', f'Number of {name}.', labels=[label]
+            )
+            for value, count in counts.items():
+                family.add_metric([value], count)
+            yield family
+        for name, histogram in (
+            ('first_byte', self._first),
+            ('request', self._total),
+        ):
+            yield core.HistogramMetricFamily(
+                f'wagtailtide_{name}_seconds',
+                f'Time to the end of {name}.',
+                buckets=histogram.cumulative(),
+                sum_value=histogram.total_s,
+            )
+        for name, read in self.gauges.items():
+            yield core.GaugeMetricFamily(
+                f'wagtailtide_{name}', f'Current {name}.', value=read()
+            )
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/model/__init__.py
@@ -0,0 +1,1 @@
+"""Types of what the gateway serves: deployment, servers, requests."""
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/serving/__init__.py
@@ -0,0 +1,1 @@
+"""From a request of a caller to its answer."""
