Chain room and load in one step; wait only as long as callers do

Cause: planning each 0.1 s unloaded models on several engines for one load, and streams were held past the two seconds after which callers leave.

--- a/packages/gateway/src/wagtailtide_gateway/control/duty.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/duty.py
@@ -41,6 +41,7 @@
         self._renewal_sent_at = float('-inf')
         self._heard_at = clock()
         self._refuses = False
+        self._resigned = None
         self._stopping = False
         self.record = None
         self.fence = None
@@ -65,6 +66,11 @@
         """
         self._refuses = refuses
 
+    def holder_resigned(self):
+        """Note that the holder itself says that it may not act."""
+        self._resigned = self.record
+        self._heard_at = float('-inf')
+
     def superseded(self, reason):
         """Give the duty up because another instance has taken it."""
         if self.fence is not None:
@@ -135,7 +141,8 @@
             return
         received_at = self._clock()
         self._watch.observe(self.record, sent_at, received_at)
-        if self._watch.may_take(
+        resigned = self._resigned is not None and self._resigned == self.record
+        if resigned or self._watch.may_take(
             self._cfg.lease_s, self._refuses, self._cfg.instance
         ):
             await self._take()
--- a/packages/gateway/src/wagtailtide_gateway/control/engines.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engines.py
@@ -24,6 +24,12 @@
 # Pause between reports while an order is carried out or its fate is unknown.
 REPORT_EVERY_S = 0.25
 
+# Time that an unload of a model takes that few requests run on.
+UNLOAD_S = 0.8
+
+# Time in which news reaches all instances of a small fleet.
+NEWS_TRAVEL_S = 0.3
+
 # Reports are some hundred milliseconds old; one that is read this long after
 # an order shows it if the engine took it.
 REPORT_LAG_S = 0.4
@@ -184,6 +190,7 @@
             demand=self._demand(service, now),
             slots=service.engine.slots,
             store_loads_left=self._store_loads_left(now),
+            observed_s=self._hub.observed_s(service.name, now),
             now=now,
         )
 
@@ -246,82 +253,97 @@
         engine = self._engines[step.engine]
         model = service.engine.models[step.model]
         engine.busy = True
-        expected_s = 0.1
-        if step.load:
-            view = self._view(service, step.engine, engine)
-            expected_s = placement.load_time_s(model, view)
-            engine.from_store = placement.is_from_store(model, view)
-            engine.loading = model.name
-            if engine.from_store:
-                self._store_loads.append(now)
-            self._hub.set_loading(service.name, model.name, now + expected_s)
-        demand = self._hub.demand_of(service.name, now).get(step.for_model)
+        engine.loading = step.model
+        engine.from_store = step.from_store
+        if step.from_store:
+            self._store_loads.append(now)
+        view = self._view(service, step.engine, engine)
+        load_s = placement.load_time_s(model, view)
+        expected_s = load_s + UNLOAD_S * len(step.victims)
+        self._hub.set_loading(service.name, step.model, now + expected_s)
         LOG.info(
-            'model order',
+            'model step',
             extra={
                 'server': step.engine,
-                'load': step.load,
                 'model': step.model,
-                'for_model': step.for_model,
-                'order_count': engine.residency.order_count,
-                'from_store': engine.from_store,
-                'demand': demand,
+                'victims': ','.join(step.victims),
+                'from_store': step.from_store,
+                'expected_s': round(expected_s, 2),
+                'demand': self._hub.demand_of(service.name, now).get(
+                    step.model
+                ),
                 'fence': self._fence,
             },
         )
-        tg.start_soon(self._carry_out, service, step, engine, expected_s)
+        tg.start_soon(self._carry_out, service, step, engine, load_s)
 
-    async def _carry_out(self, service, step, engine, expected_s):
-        order = self._make_order(engine, step.load, step.model, None)
+    async def _carry_out(self, service, step, engine, load_s):
         try:
-            async with engine.lock:
-                order = dataclasses.replace(
-                    order, order_count=engine.residency.order_count
-                )
-                status = await self._give(step.engine, order)
-                if status == 202:
-                    engine.residency = dataclasses.replace(
-                        engine.residency, order_count=order.order_count + 1
-                    )
-            if status == 202:
-                await self._await_done(step, engine, expected_s)
-            else:
-                await anyio.sleep(REPORT_LAG_S)
-                await self._refresh(step.engine, engine)
-                engine.not_before = anyio.current_time() + BACK_OFF_S
+            if step.victims:
+                self._publish_without(step.engine, engine, step.victims)
+                await anyio.sleep(NEWS_TRAVEL_S)
+            for victim in step.victims:
+                if not await self._order_model(
+                    step.engine, engine, False, victim, 0.1
+                ):
+                    return
+            if await self._order_model(
+                step.engine, engine, True, step.model, load_s
+            ):
+                engine.loaded_at[step.model] = anyio.current_time()
         finally:
             engine.busy = engine.from_store = False
             engine.loading = None
-            if step.load:
-                self._hub.set_loading(service.name, step.model, None)
+            self._hub.publish(step.engine, engine.residency)
+            self._hub.set_loading(service.name, step.model, None)
+
+    def _publish_without(self, server_id, engine, victims):
+        """Let the instances stop using models before they are unloaded."""
+        models = {
+            name: resident
+            for name, resident in engine.residency.models.items()
+            if name not in victims
+        }
+        residency = dataclasses.replace(engine.residency, models=models)
+        self._hub.publish(server_id, residency)
 
-    async def _await_done(self, step, engine, expected_s):
+    async def _order_model(self, server_id, engine, load, name, expected_s):
+        """Order a load or unload; return whether it was carried out."""
+        async with engine.lock:
+            order = self._make_order(engine, load, name, None)
+            status = await self._give(server_id, order)
+            if status == 202:
+                engine.residency = dataclasses.replace(
+                    engine.residency, order_count=order.order_count + 1
+                )
+        if status == 202:
+            return await self._await_done(
+                server_id, engine, load, name, expected_s
+            )
+        await anyio.sleep(REPORT_LAG_S)
+        await self._refresh(server_id, engine)
+        engine.not_before = anyio.current_time() + BACK_OFF_S
+        return (name in engine.residency.models) == load
+
+    async def _await_done(self, server_id, engine, load, name, expected_s):
         started_at = anyio.current_time()
-        if not step.load:
-            # Nothing new is sent to a model that is being unloaded.
-            models = dict(engine.residency.models)
-            models.pop(step.model, None)
-            residency = dataclasses.replace(engine.residency, models=models)
-            self._hub.publish(step.engine, residency)
         await anyio.sleep(expected_s)
         limit_s = expected_s * OVERDUE_FACTOR + OVERDUE_S
         while anyio.current_time() - started_at < limit_s:
-            report = await self._refresh(step.engine, engine)
+            report = await self._refresh(server_id, engine)
             if report is not None and not report.busy:
-                done = (step.model in report.residency.models) == step.load
-                if done:
-                    engine.loaded_at[step.model] = anyio.current_time()
-                    return
+                return (name in engine.residency.models) == load
             await anyio.sleep(REPORT_EVERY_S)
         LOG.warning(
             'model order overdue',
             extra={
-                'server': step.engine,
-                'load': step.load,
-                'model': step.model,
+                'server': server_id,
+                'load': load,
+                'model': name,
                 'waited_s': round(limit_s, 1),
             },
         )
+        return False
 
     # Adapters
 
@@ -469,6 +491,13 @@
             found.order_count < known.order_count
         ):
             return None
+        if report.busy:
+            # Not yet what it will hold; models that are being unloaded were
+            # withdrawn from the news before.
+            engine.residency = dataclasses.replace(
+                known, order_count=found.order_count
+            )
+            return report
         if not found.in_memory and not found.on_disk:
             found = dataclasses.replace(
                 found, in_memory=known.in_memory, on_disk=known.on_disk
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -50,6 +50,7 @@
         self._last_draw_at = None
         self._answered = anyio.Event()
         self._news_at = float('-inf')
+        self._unheard = False
         self.instances = 0
         self.loading_s = {}
         self.shortfalls_s = {}
@@ -147,6 +148,7 @@
     def _read(self, head, body, record):
         if head.status != 200:
             self._note_failed(record, f'status {head.status}', False)
+            self._duty.holder_resigned()
             return None
         try:
             news = messages.decode_news(body)
@@ -157,10 +159,11 @@
             )
             return None
         self._duty.heard_holder()
+        self._unheard = False
         return news
 
     def _note_failed(self, record, reason, refuses):
-        if self.is_fresh:
+        if not self._unheard:
             LOG.info(
                 'duty holder unheard',
                 extra={
@@ -169,6 +172,7 @@
                     'reason': str(reason),
                 },
             )
+        self._unheard = True
         self._duty.holder_failed(refuses)
 
     def _take(self, news, sent_at):
--- a/packages/gateway/src/wagtailtide_gateway/control/hub.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -46,7 +46,8 @@
         adapter_wishes: Adapters that were asked for, with the time.
     """
 
-    def __init__(self, config, duty):
+    def __init__(self, config, servers, duty):
+        self._servers = servers
         self._config = config
         self._duty = duty
         self._heard = {}
@@ -56,12 +57,13 @@
         self._news_number = 0
         self._crashes = {}
         self._loading = {}
+        self._first_at = {}
         self._wished = anyio.Event()
         self.adapter_wishes = {}
 
     def restart(self):
         """Forget everything, at the begin of a duty."""
-        self.__init__(self._config, self._duty)
+        self.__init__(self._config, self._servers, self._duty)
 
     @property
     def instance_count(self):
@@ -135,6 +137,11 @@
         use = self._uses.get((service, model), _ModelUse())
         return use.rate_per_s, now - use.last_at
 
+    def observed_s(self, service, now):
+        """Return the seconds since a service's first request, 0 if none."""
+        first_at = self._first_at.get(service)
+        return 0.0 if first_at is None else now - first_at
+
     def advance_rates(self, elapsed_s):
         """Fold the arrivals of the last interval into the rates."""
         weight = min(1.0, RATE_SMOOTHING * elapsed_s)
@@ -147,6 +154,7 @@
         for row in report.demand:
             use = self._uses.setdefault((row.service, row.model), _ModelUse())
             if row.arrivals or row.waiting:
+                self._first_at.setdefault(row.service, now)
                 use.arrivals += row.arrivals
                 use.last_at = now
 
@@ -191,6 +199,14 @@
                 for key, ready_at in self._loading.items()
             },
             crashes=tuple(self._crashes),
+            leaving=self._leaving(),
+        )
+
+    def _leaving(self):
+        return tuple(
+            server_id
+            for server_id, state in self._servers.states.items()
+            if state.server.leaving
         )
 
     def _loads_of_others(self, report):
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -104,6 +104,7 @@
         loading_s: Seconds until models that load are ready, by service and
             model.
         crashes: Crashes of all instances.
+        leaving: Servers that take no new work.
     """
 
     fence: int
@@ -118,6 +119,7 @@
     residencies: Mapping[str, backend.Residency]
     loading_s: Mapping[tuple[str, str], float]
     crashes: tuple[CrashNote, ...]
+    leaving: tuple[str, ...]
 
 
 def _pack(values):
@@ -189,13 +191,14 @@
             residencies,
             [[*key, value] for key, value in news.loading_s.items()],
             _pack(news.crashes),
+            list(news.leaving),
         ]
     )
 
 
 def decode_news(data):
     """Return the News in bytes; raises BadMessage."""
-    fields = _fields(data, 13)
+    fields = _fields(data, 14)
     try:
         return News(
             int(fields[1]),
@@ -210,6 +213,7 @@
             {str(k): _residency(v) for k, v in fields[10].items()},
             {(str(s), str(m)): float(v) for s, m, v in fields[11]},
             tuple(CrashNote(*row) for row in fields[12]),
+            tuple(str(server) for server in fields[13]),
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected news, got {exc}') from exc
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -29,6 +29,8 @@
         others_load: Requests of the other instances, as last heard.
         news: Residency that the duty holder passed on, or None.
         lapsed_at: Time at which the entry went missing, or None.
+        said_to_leave: Whether the duty holder says that it leaves.
+        lacks: Times until which it lacks a model and adapter.
     """
 
     server: backend.BackendServer
@@ -36,6 +38,7 @@
     others_load: int = 0
     news: backend.Residency | None = None
     lapsed_at: float | None = None
+    said_to_leave: bool = False
     lacks: dict = dataclasses.field(default_factory=dict)
 
     @property
@@ -43,6 +46,12 @@
         """Requests in the server by estimate."""
         return self.own_load + self.others_load
 
+    @property
+    def takes_work(self):
+        """Whether requests may be sent to it."""
+        leaves = self.server.leaving or self.said_to_leave
+        return not leaves and self.lapsed_at is None
+
     @property
     def residency(self):
         """What the server holds, as far as is known.
--- a/packages/gateway/src/wagtailtide_gateway/control/sync.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sync.py
@@ -17,8 +17,11 @@
 # key has to die within seconds of the store's return.
 RETRY_S = 0.25
 
-# Pause between two watches of the servers, in which changes gather.
-GATHER_S = 0.1
+# Pause between two watches of the servers, in which changes gather: each
+# answer costs a call. The duty holder looks at once, and tells the others
+# what leaves; they have to see it themselves within the time to drain.
+HOLDER_GATHERS_S = 0.1
+OTHERS_GATHER_S = 1.0
 
 # How often the age of the configuration is checked.
 CHECK_S = 0.25
@@ -61,7 +64,7 @@
                     )
                     sink(changes, None, sent_at)
                     if kind == self._port.servers_kind:
-                        await anyio.sleep(GATHER_S)
+                        await anyio.sleep(self._gather_s())
             except stores.HistoryGone:
                 LOG.info('store history gone', extra={'kind': kind})
                 revision = None
@@ -110,6 +113,9 @@
                 if self._config.deployment is not None:
                     self._config.confirm(sent_at)
 
+    def _gather_s(self):
+        return HOLDER_GATHERS_S if self._holds_duty() else OTHERS_GATHER_S
+
     def _ask_after_s(self):
         if self._holds_duty():
             return trust.HOLDER_ASKS_AFTER_S
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -18,6 +18,9 @@
 # Value of a first copy: a model without one serves nothing at all.
 FIRST_COPY_GAIN = 6.0
 
+# Value of a copy for which no request has come in the first seconds.
+UNSEEN_VALUE = 3.0
+
 # Loads of the weight store that are kept for models that are asked for.
 STORE_RESERVE = 4
 
@@ -67,12 +70,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
-    """One order: load a model, or unload one to make room for another."""
+    """A load, after the models that have to make room are unloaded."""
 
     engine: str
-    load: bool
     model: str
-    for_model: str
+    victims: tuple[str, ...]
+    from_store: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +89,7 @@
         demand: Demand by model.
         slots: Slots of an engine.
         store_loads_left: Loads that the weight store allows now.
+        observed_s: Seconds since the first request for any model.
         now: Time in seconds.
     """
 
@@ -95,6 +99,7 @@
     demand: Mapping[str, Demand]
     slots: int
     store_loads_left: int
+    observed_s: float
     now: float
 
 
@@ -123,9 +128,10 @@
 def copy_value(situation, model):
     """Return what one more or one less copy of a model is worth."""
     demand = situation.demand.get(model)
-    if demand is None or (demand.idle_s > IDLE_S and not demand.waiting):
-        return 0.0
     copies = max(situation.copies.get(model, 0), 1)
+    if demand is None or (demand.idle_s > IDLE_S and not demand.waiting):
+        # Before demand has shown itself, what was placed counts as wanted.
+        return UNSEEN_VALUE if situation.observed_s < IDLE_S else 0.0
     value = demand.busy_slots / copies
     return value + (FIRST_COPY_GAIN if copies == 1 else 0.0)
 
@@ -139,7 +145,8 @@
     """
     steps, left = [], situation.store_loads_left
     free = {engine.id: engine for engine in situation.engines}
-    for name in lacking(situation):
+    wanting = lacking(situation)
+    for name in wanting:
         if name not in models:
             continue
         found = _cheapest(situation, models, models[name], free, left > 0)
@@ -147,13 +154,12 @@
             continue
         engine, victims = found
         del free[engine.id]
-        if victims:
-            steps.append(Step(engine.id, False, victims[0], name))
-            continue
-        if is_from_store(models[name], engine):
-            left -= 1
-        steps.append(Step(engine.id, True, name, name))
-    return steps + _fill_steps(situation, models, free.values(), left)
+        from_store = is_from_store(models[name], engine)
+        left -= from_store
+        steps.append(Step(engine.id, name, tuple(victims), from_store))
+    if wanting:
+        return steps
+    return _fill_steps(situation, models, free.values(), left)
 
 
 def _fill_steps(situation, models, engines, left):
@@ -169,8 +175,9 @@
         )
         if model is not None:
             absent.remove(model)
-            left -= is_from_store(model, engine)
-            steps.append(Step(engine.id, True, model.name, model.name))
+            from_store = is_from_store(model, engine)
+            left -= from_store
+            steps.append(Step(engine.id, model.name, (), from_store))
     return steps
 
 
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -57,7 +57,7 @@
         self.duty = duties.Duty(
             client, store_port, cfg, clock, lambda: self.hub.instance_count
         )
-        self.hub = hubs.Hub(self.parts.config, self.duty)
+        self.hub = hubs.Hub(self.parts.config, self.parts.servers, self.duty)
         self.exchange = exchanges.Exchange(
             self.duty, self.hub, self.parts, cfg, self._pool, clock
         )
--- a/packages/gateway/src/wagtailtide_gateway/model/deployment.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/deployment.py
@@ -38,6 +38,8 @@
         open_access: Whether requests need no key.
         may_resume: Whether a stream may go on at another server.
         longest_gap_s: Longest pause between events of a stream.
+        first_event_s: Time in which callers want a stream's first event,
+            else they leave.
         services: Services that take its requests.
     """
 
@@ -52,6 +54,7 @@
     open_access: bool
     may_resume: bool
     longest_gap_s: float
+    first_event_s: float
     services: tuple[WeightedService, ...]
 
     @property
--- a/packages/gateway/src/wagtailtide_gateway/parts.py
+++ b/packages/gateway/src/wagtailtide_gateway/parts.py
@@ -102,6 +102,8 @@
             self.config.confirm(sent_at - news.config_age_s)
         for server_id, state in self.servers.states.items():
             state.others_load = news.loads.get(server_id, 0)
+            if server_id in news.leaving:
+                state.said_to_leave = True
         for server_id, residency in news.residencies.items():
             self.servers.adopt_news(server_id, residency)
         self._adopt_crashes(news.crashes, now)
--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -8,6 +8,7 @@
 from wagtailtide_core.quarantine import crashes
 
 from wagtailtide_gateway.decisions import trust
+from wagtailtide_gateway.model import deployment as deployments
 from wagtailtide_gateway.serving import job as jobs
 
 # When a caller should come back where an instance cannot decide yet. Another
@@ -51,6 +52,9 @@
             route.timeout_s or DEFAULT_DEADLINE_S,
             req.deadline_s or DEFAULT_DEADLINE_S,
         )
+        first_s = limit_s
+        if route.kind is deployments.RouteKind.STREAM:
+            first_s = min(limit_s, route.first_event_s)
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
@@ -63,6 +67,7 @@
             cost=organisation.cost(req.tokens) if organisation else 0.0,
             received_at=received_at,
             ends_at=received_at + limit_s - jobs.DEADLINE_MARGIN_S,
+            starts_by=received_at + first_s - jobs.DEADLINE_MARGIN_S,
             fingerprint=crashes.fingerprint(
                 organisation.name if organisation else '', req.path, req.body
             ),
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -88,7 +88,7 @@
         if self._needs_adapter(job):
             self._ask_for_adapter(job)
             look_s = ADAPTER_LOOK_S
-        await place.wait(max(0.0, min(look_s, job.time_left_s)))
+        await place.wait(max(0.0, min(look_s, job.wait_left_s)))
 
     def _ask_for_adapter(self, job):
         self._parts.wishes.add(
@@ -114,8 +114,7 @@
         return [
             state
             for state in self._servers.of_service(job.service.name)
-            if not state.server.leaving
-            and state.lapsed_at is None
+            if state.takes_work
             and state.server.id not in job.tried
             and not health.is_unreachable(state.server.id, now)
         ]
@@ -151,7 +150,7 @@
             ),
             ready_in_s=0.0 if able else self._ready_in_s(job, now),
         )
-        decision = admission.decide(pool, has_room, job.time_left_s)
+        decision = admission.decide(pool, has_room, job.wait_left_s)
         state = next(
             (s for s in able if best and s.server.id == best.id), None
         )
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -307,6 +307,8 @@
                 adapter=job.req.adapter,
                 servers=','.join(job.tried),
                 ran_on=job.ran_on,
+                organisation=job.organisation and job.organisation.name,
+                cost=job.cost,
                 waited_ms=round(job.waited_s * 1000),
                 config=self._parts.config.version,
                 config_age_ms=round(self._parts.config.age_s * 1000),
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -25,6 +25,7 @@
         cost: What it takes out of its organisation's rate.
         received_at: Time in seconds at which it came.
         ends_at: Time at which it is given up.
+        starts_by: Time by which its answer has to begin.
         fingerprint: Fingerprint by which a repeated request is known.
         prefix_hash: Hash of the shared part of its prompt, or None.
         tried: Servers that were sent the request.
@@ -42,6 +43,7 @@
     cost: float
     received_at: float
     ends_at: float
+    starts_by: float
     fingerprint: str
     prefix_hash: int | None
     tried: list = dataclasses.field(default_factory=list)
@@ -55,6 +57,11 @@
         """Seconds until it is given up."""
         return self.ends_at - anyio.current_time()
 
+    @property
+    def wait_left_s(self):
+        """Seconds for which it may still wait for a server."""
+        return self.starts_by - anyio.current_time()
+
     @property
     def is_plain(self):
         """Whether a plain service takes it."""
