--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # Commands are described in README.md.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := core testing server ctl bench
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+PACKAGES := $(addprefix packages/,core gateway testing server ctl bench) platform
+EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
+CODE := packages platform tools
 SEED ?= 1
 RUNS ?= 20
 
@@ -10,19 +11,19 @@
 
 venv: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
 	$(PY) -m pip install -q -r requirements.txt setuptools
 	$(PY) -m pip install -q --no-deps --no-build-isolation $(EDITABLE)
 	touch $@
 
 lint: venv
-	$(VENV)/bin/ruff format --check packages tools
-	$(VENV)/bin/ruff check packages tools
+	$(VENV)/bin/ruff format --check $(CODE)
+	$(VENV)/bin/ruff check $(CODE)
 
 format: venv
-	$(VENV)/bin/ruff check --fix packages tools
-	$(VENV)/bin/ruff format packages tools
+	$(VENV)/bin/ruff check --fix $(CODE)
+	$(VENV)/bin/ruff format $(CODE)
 
 test: lint
 	$(PY) tools/run_tests.py
--- a/packages/gateway/src/wagtailtide_gateway/control/engines.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engines.py
@@ -45,10 +45,12 @@
 # Pause after an engine refused or did not answer an order.
 BACK_OFF_S = 0.5
 
-# Part of the weight store's rate that is used, and what may be open at once
-# as seconds of that rate: beyond it every load takes longer.
+# Part of the weight store's rate that is used. What may be open at once is
+# bounded by the same number: beyond it every load takes longer.
 STORE_RATE_SHARE = 1.0
-STORE_OPEN_S = 5.0
+
+# Loads that the weight store allows beyond its rate in any window.
+SPARE_LOADS = 3
 
 
 @dataclasses.dataclass
@@ -61,6 +63,10 @@
         not_before: Time before which no order is given.
         loaded_at: Time at which each model was loaded.
         adapter_used_at: Time at which each adapter was last asked for.
+        lock: Held while an order is given, so that counts follow.
+        loading: Model that is to be loaded, or None.
+        victims: Models that are being unloaded for it.
+        from_store: Whether its weights come from the weight store.
     """
 
     residency: backend.Residency
@@ -70,6 +76,7 @@
     adapter_used_at: dict = dataclasses.field(default_factory=dict)
     lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
     loading: str | None = None
+    victims: frozenset[str] = frozenset()
     from_store: bool = False
 
 
@@ -112,12 +119,13 @@
         self._fence = self._duty.fence
         self._hub.restart()
         self._engines.clear()
-        # What the holder before loaded is unknown, so none is allowed for a
-        # window.
+        # What the holder before loaded in this window is unknown; the rule
+        # allows a few loads beyond the rate.
         now = anyio.current_time()
         self._store_loads.clear()
         if self._fence > 1:
-            self._store_loads.extend([now] * self._allowed_loads(1))
+            used = self._allowed_loads(1) - SPARE_LOADS
+            self._store_loads.extend([now] * used)
 
     def _allowed_loads(self, minimum):
         rates = [
@@ -177,7 +185,7 @@
         copies = collections.Counter()
         views = []
         for server_id, engine in self._members(service):
-            held = set(engine.residency.models)
+            held = set(engine.residency.models) - engine.victims
             if engine.loading:
                 held.add(engine.loading)
             copies.update(held)
@@ -254,6 +262,7 @@
         model = service.engine.models[step.model]
         engine.busy = True
         engine.loading = step.model
+        engine.victims = frozenset(step.victims)
         engine.from_store = step.from_store
         if step.from_store:
             self._store_loads.append(now)
@@ -293,7 +302,7 @@
                 engine.loaded_at[step.model] = anyio.current_time()
         finally:
             engine.busy = engine.from_store = False
-            engine.loading = None
+            engine.loading, engine.victims = None, frozenset()
             self._hub.publish(step.engine, engine.residency)
             self._hub.set_loading(service.name, step.model, None)
 
--- a/packages/gateway/src/wagtailtide_gateway/control/hub.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -51,7 +51,7 @@
         self._config = config
         self._duty = duty
         self._heard = {}
-        self._buckets = quota.Buckets()
+        self._buckets = quota.Buckets(anyio.current_time())
         self._uses = {}
         self._residencies = {}
         self._news_number = 0
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -123,7 +123,10 @@
 
 
 def _pack(values):
-    return [list(dataclasses.astuple(value)) for value in values]
+    return [
+        [getattr(value, name) for name in type(value).__slots__]
+        for value in values
+    ]
 
 
 def encode_report(report):
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -1,5 +1,6 @@
 """Which models engines should load and unload, for one service."""
 
+import collections
 from collections.abc import Mapping
 import dataclasses
 import math
@@ -19,7 +20,7 @@
 FIRST_COPY_GAIN = 6.0
 
 # Value of a copy for which no request has come in the first seconds.
-UNSEEN_VALUE = 3.0
+UNSEEN_VALUE = 2.0
 
 # Loads of the weight store that are kept for models that are asked for.
 STORE_RESERVE = 4
@@ -130,8 +131,10 @@
     demand = situation.demand.get(model)
     copies = max(situation.copies.get(model, 0), 1)
     if demand is None or (demand.idle_s > IDLE_S and not demand.waiting):
+        if situation.observed_s >= IDLE_S:
+            return 0.0
         # Before demand has shown itself, what was placed counts as wanted.
-        return UNSEEN_VALUE if situation.observed_s < IDLE_S else 0.0
+        return UNSEEN_VALUE + (FIRST_COPY_GAIN if copies == 1 else 0.0)
     value = demand.busy_slots / copies
     return value + (FIRST_COPY_GAIN if copies == 1 else 0.0)
 
@@ -146,6 +149,10 @@
     steps, left = [], situation.store_loads_left
     free = {engine.id: engine for engine in situation.engines}
     wanting = lacking(situation)
+    # Each step counts at once, so that one plan does not displace all copies
+    # of a model.
+    copies = collections.Counter(situation.copies)
+    situation = dataclasses.replace(situation, copies=copies)
     for name in wanting:
         if name not in models:
             continue
@@ -156,14 +163,20 @@
         del free[engine.id]
         from_store = is_from_store(models[name], engine)
         left -= from_store
+        copies[name] += 1
+        copies.subtract(victims)
         steps.append(Step(engine.id, name, tuple(victims), from_store))
-    if wanting:
+    if wanting or situation.observed_s > 0:
         return steps
     return _fill_steps(situation, models, free.values(), left)
 
 
 def _fill_steps(situation, models, engines, left):
-    """Load models that no engine holds into memory that nobody uses."""
+    """Load models that no engine holds into memory that nobody uses.
+
+    Only before the first request: a load keeps its engine from other orders
+    for seconds, in which demand may ask for one.
+    """
     steps = []
     absent = [m for m in models.values() if not situation.copies.get(m.name)]
     absent.sort(key=lambda model: (-model.weights_mb, model.name))
--- a/packages/gateway/src/wagtailtide_gateway/decisions/quota.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/quota.py
@@ -32,11 +32,15 @@
 class Buckets:
     """Buckets of all organisations, kept by the duty holder.
 
-    A bucket begins empty: the duty holder before may have just given out a
-    whole burst.
+    A bucket is empty at the begin of a duty: the holder before may have just
+    given out a whole burst.
+
+    Args:
+        begun_at: Begin of the duty, a time in seconds.
     """
 
-    def __init__(self):
+    def __init__(self, begun_at):
+        self._begun_at = begun_at
         self._accounts = {}
 
     def draw(self, org, amount, now):
@@ -63,7 +67,7 @@
     def _advance(self, org, now):
         account = self._accounts.get(org.name)
         if account is None:
-            account = self._accounts[org.name] = _Account(0.0, now)
+            account = self._accounts[org.name] = _Account(0.0, self._begun_at)
         added = (now - account.updated_at) * org.rate_per_s
         account.level = min(account.level + added, org.burst)
         account.updated_at = now
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -8,11 +8,15 @@
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.decisions import admission
 from wagtailtide_gateway.decisions import choose
+from wagtailtide_gateway.decisions import returns
 
 # Time in a slot that is assumed before any request was observed.
 DEFAULT_STREAM_S = 1.5
 DEFAULT_PLAIN_S = 0.1
 
+# Slots that are assumed while no server of a service is listed.
+DEFAULT_SLOTS = 8
+
 # Time in which an adapter is fetched and the news of it arrives.
 ADAPTER_S = 0.08
 
@@ -31,6 +35,9 @@
 PATIENCE_FACTOR = 2.0
 PATIENCE_S = 1.0
 
+# Retry-After of requests that have to go to another instance.
+ELSEWHERE_S = 0.1
+
 # A server that took no connection is gone or comes back within seconds.
 UNREACHABLE_SERVICE_S = 1.0
 
@@ -38,14 +45,16 @@
 class Finder:
     """Applies the decisions on choice and admission to what is known."""
 
-    def __init__(self, cfg, parts, exchange):
+    def __init__(self, cfg, parts, exchange, stopping):
         self._cfg = cfg
+        self._stopping = stopping
         self._servers = parts.servers
         self._room = parts.room
         self._demand = parts.demand
         self._wishes = parts.wishes
         self._parts = parts
         self._exchange = exchange
+        self._returns = returns.ReturnSchedule()
 
     async def find(self, job):
         """Return the ServerState that should run a request.
@@ -60,6 +69,8 @@
                 state, decision = self._decide(job, place)
                 if decision.verdict is admission.Verdict.SEND:
                     return state
+                if self._stopping():
+                    raise _elsewhere()
                 now = anyio.current_time()
                 if decision.verdict is admission.Verdict.REFUSE or (
                     patient_until is not None and now > patient_until
@@ -144,10 +155,7 @@
             load=sum(c.load for c in candidates),
             waiting_ahead=ahead,
             instances=max(1, self._exchange.instances),
-            service_s=self._servers.service_time_s(
-                job.service.name,
-                DEFAULT_PLAIN_S if job.is_plain else DEFAULT_STREAM_S,
-            ),
+            service_s=self._service_time_s(job),
             ready_in_s=0.0 if able else self._ready_in_s(job, now),
         )
         decision = admission.decide(pool, has_room, job.wait_left_s)
@@ -196,15 +204,37 @@
 
     def _refusal(self, job, decision):
         now = anyio.current_time()
-        if not self._usable(job, now):
+        usable = self._usable(job, now)
+        if not usable:
             kind = kinds.ErrorKind.NO_BACKEND_SERVER
         elif not self._able(job, now):
             kind = kinds.ErrorKind.MODEL_LOADING
         else:
             kind = kinds.ErrorKind.OVERLOADED
+        slots = max(
+            (state.server.slots for state in usable), default=DEFAULT_SLOTS
+        )
+        service_s = self._service_time_s(job)
+        turns_per_s = slots / service_s / max(1, self._exchange.instances)
+        return_s = self._returns.assign(
+            job.key, now + decision.retry_after_s, turns_per_s, now
+        )
         return kinds.ServingError(
             kind,
             f'expected to wait {decision.wait_s:.2f} s, more than the '
             'deadline allows; come back later',
-            retry_after_s=decision.retry_after_s,
+            retry_after_s=return_s,
         )
+
+    def _service_time_s(self, job):
+        default_s = DEFAULT_PLAIN_S if job.is_plain else DEFAULT_STREAM_S
+        return self._servers.service_time_s(job.service.name, default_s)
+
+
+def _elsewhere():
+    return kinds.ServingError(
+        kinds.ErrorKind.SHUTTING_DOWN,
+        'this instance stops and cannot wait for a server; come back to '
+        'another one',
+        retry_after_s=ELSEWHERE_S,
+    )
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -21,16 +21,10 @@
 # Servers that a request may reach although the former ones did not run it.
 MAX_ARRIVALS = 4
 
-# Pause before a request goes to the only server again that was just busy.
-BUSY_PAUSE_S = 0.05
-
 # Requests that come this long after the request to stop are refused, because
 # they might not end before the process is killed.
 ACCEPT_AFTER_STOP_S = 2.8
 
-# Retry-After of requests that have to go to another instance.
-ELSEWHERE_S = 0.1
-
 
 class Gateway:
     """Serves requests with what the instance knows."""
@@ -45,7 +39,9 @@
         self._exchange = exchange
         self._metrics = metrics
         self._access = access.Access(cfg, parts, exchange)
-        self._finder = finder.Finder(cfg, parts, exchange)
+        self._finder = finder.Finder(
+            cfg, parts, exchange, lambda: self.is_stopping
+        )
         self._budget = retries.SharedBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
@@ -54,6 +50,7 @@
     def begin_stop(self):
         """Refuse requests that come too late to be finished."""
         self._stopping_since = anyio.current_time()
+        self._parts.room.wake()
 
     @property
     def is_stopping(self):
@@ -99,7 +96,7 @@
             raise kinds.ServingError(
                 kinds.ErrorKind.SHUTTING_DOWN,
                 'this instance stops; come back to another one',
-                retry_after_s=ELSEWHERE_S,
+                retry_after_s=finder.ELSEWHERE_S,
             )
 
     def _too_late(self, job):
