Keep the only copy of models whose requests cannot wait for a load

Cause: rare requests with targets of seconds displaced idle models that then rose within a second and waited seven seconds for the weight store.

--- a/packages/gateway/src/wagtailtide_gateway/control/demand.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/demand.py
@@ -12,10 +12,15 @@
         self._arrivals = collections.Counter()
         self._running = collections.Counter()
         self._waiting = collections.Counter()
-
-    def arrived(self, service, model):
-        """Count a request that came."""
-        self._arrivals[(service, model)] += 1
+        self._targets_s = {}
+
+    def arrived(self, service, model, target_s):
+        """Count a request that came with a latency target in seconds."""
+        key = (service, model)
+        self._arrivals[key] += 1
+        self._targets_s[key] = min(
+            target_s, self._targets_s.get(key, target_s)
+        )
 
     def started(self, service, model):
         """Count a request that was sent to a server."""
@@ -44,6 +49,7 @@
                 self._arrivals[(service, model)],
                 self._running[(service, model)],
                 self._waiting[(service, model)],
+                self._targets_s[(service, model)],
             )
             for service, model in keys
         )
--- a/packages/gateway/src/wagtailtide_gateway/control/engines.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engines.py
@@ -22,7 +22,7 @@
 ADAPTER_READY_S = 0.012
 
 # Pause between reports while an order is carried out or its fate is unknown.
-REPORT_EVERY_S = 0.25
+REPORT_EVERY_S = 0.12
 
 # Time that an unload of a model takes that few requests run on.
 UNLOAD_S = 0.8
@@ -198,10 +198,22 @@
             demand=self._demand(service, now),
             slots=service.engine.slots,
             store_loads_left=self._store_loads_left(now),
+            cached=self._cached(service),
             observed_s=self._hub.observed_s(service.name, now),
             now=now,
         )
 
+    def _cached(self, service):
+        """Return the models of which some engine has or gets a copy."""
+        found = set()
+        for _, engine in self._members(service):
+            residency = engine.residency
+            found |= residency.in_memory | residency.on_disk
+            found |= residency.models.keys()
+            if engine.loading:
+                found.add(engine.loading)
+        return frozenset(found)
+
     def _members(self, service):
         return [
             (server_id, self._engines[server_id])
@@ -232,20 +244,22 @@
 
     def _demand(self, service, now):
         rows = self._hub.demand_of(service.name, now)
-        rate = sum(row[2] for row in rows.values())
-        running = sum(row[0] for row in rows.values())
+        rate = sum(row.rate_per_s for row in rows.values())
+        running = sum(row.running for row in rows.values())
         slot_s = self._servers.service_time_s(service.name, 1.5)
         if rate > 1.0 and running:
             slot_s = max(0.2, min(running / rate, 4.0))
         return {
             model: placement.Demand(
                 model=model,
-                busy_slots=max(row[0] + row[1], row[2] * slot_s),
-                waiting=row[1],
-                idle_s=row[3],
+                busy_slots=max(
+                    row.running + row.waiting, row.rate_per_s * slot_s
+                ),
+                waiting=row.waiting,
+                idle=placement.is_idle(row.idle_s, row.last_rate_per_s),
+                patient=row.target_s >= placement.SWAP_S,
             )
             for model, row in rows.items()
-            if row[1] or row[3] < placement.IDLE_S
         }
 
     def _store_loads_left(self, now):
--- a/packages/gateway/src/wagtailtide_gateway/control/hub.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -1,5 +1,6 @@
 """What the duty holder knows of all instances, and its answers to them."""
 
+import collections
 import dataclasses
 import logging
 
@@ -22,12 +23,34 @@
 MAX_CRASH_NOTES = 200
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelUse:
+    """Use of a model by all instances.
+
+    Attributes:
+        running: Requests in backend servers.
+        waiting: Requests that wait at instances.
+        rate_per_s: Requests a second.
+        last_rate_per_s: Requests a second up to the last one.
+        idle_s: Seconds since the last one.
+        target_s: Shortest latency target of its requests in seconds.
+    """
+
+    running: int
+    waiting: int
+    rate_per_s: float
+    last_rate_per_s: float
+    idle_s: float
+    target_s: float
+
+
 @dataclasses.dataclass
-class _ModelUse:
+class _Rate:
     rate_per_s: float = 0.0
+    last_rate_per_s: float = 0.0
     arrivals: int = 0
     last_at: float = float('-inf')
-    waited_at: float = float('-inf')
+    target_s: float = float('inf')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,28 +138,25 @@
         )
 
     def demand_of(self, service, now):
-        """Return running, waiting, rate and idle time by model."""
-        rows = {}
+        """Return the ModelUse of a service by model."""
+        counts = collections.defaultdict(lambda: [0, 0])
         for heard in self._heard.values():
             for row in heard.report.demand:
                 if row.service == service:
-                    running, waiting = rows.get(row.model, (0, 0))
-                    rows[row.model] = (
-                        running + row.running,
-                        waiting + row.waiting,
-                    )
-        for name, model in self._uses:
-            if name == service:
-                rows.setdefault(model, (0, 0))
+                    counts[row.model][0] += row.running
+                    counts[row.model][1] += row.waiting
         return {
-            model: (running, waiting, *self._use(service, model, now))
-            for model, (running, waiting) in rows.items()
+            model: ModelUse(
+                *counts[model],
+                use.rate_per_s,
+                use.last_rate_per_s,
+                now - use.last_at,
+                use.target_s,
+            )
+            for (name, model), use in self._uses.items()
+            if name == service
         }
 
-    def _use(self, service, model, now):
-        use = self._uses.get((service, model), _ModelUse())
-        return use.rate_per_s, now - use.last_at
-
     def observed_s(self, service, now):
         """Return the seconds since a service's first request, 0 if none."""
         first_at = self._first_at.get(service)
@@ -148,11 +168,14 @@
         for use in self._uses.values():
             newest = use.arrivals / elapsed_s
             use.rate_per_s += weight * (newest - use.rate_per_s)
+            if use.arrivals:
+                use.last_rate_per_s = use.rate_per_s
             use.arrivals = 0
 
     def _note_demand(self, report, now):
         for row in report.demand:
-            use = self._uses.setdefault((row.service, row.model), _ModelUse())
+            use = self._uses.setdefault((row.service, row.model), _Rate())
+            use.target_s = min(use.target_s, row.target_s)
             if row.arrivals or row.waiting:
                 self._first_at.setdefault(row.service, now)
                 use.arrivals += row.arrivals
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -26,6 +26,7 @@
         arrivals: Requests that came since the last message.
         running: Requests in backend servers.
         waiting: Requests that wait at the instance.
+        target_s: Shortest latency target of its requests in seconds.
     """
 
     service: str
@@ -33,6 +34,7 @@
     arrivals: int
     running: int
     waiting: int
+    target_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -9,21 +9,43 @@
 # hold several models that share their slots.
 COPY_FILL = 0.4
 
-# A model without a request for this long gives way to others.
+# A model without a request for this long gives way to others, one that had
+# many requests sooner: after this many times their usual distance.
 IDLE_S = 4.0
+MIN_IDLE_S = 1.0
+IDLE_GAPS = 6.0
+
+# Seconds for which a victim's requests are lost, until it is loaded again.
+VICTIM_S = 2.5
 
 # Gain of a copy must exceed the loss of what it displaces by this factor, so
 # that two models of like demand do not displace each other in turn.
 HYSTERESIS = 1.5
 
-# Value of a first copy: a model without one serves nothing at all.
-FIRST_COPY_GAIN = 6.0
+# Value of an only copy, in slots: as many times its model's busy slots, since
+# without it all of its requests wait or are lost, and a little for a model
+# whose requests are rare.
+ONLY_COPY_FACTOR = 4.0
+ONLY_COPY_GAIN = 0.5
+
+# Value of the only copy of a model whose requests cannot wait for a load, or
+# whose requests are not known, also while nobody asks for it: demand moves
+# among such models within seconds.
+KEPT_COPY_VALUE = 6.0
+
+# Value of a further copy of a model that nobody has asked for yet.
+UNSEEN_VALUE = 1.0
 
-# Value of a copy for which no request has come in the first seconds.
-UNSEEN_VALUE = 2.0
+# Targets of this many seconds leave time to make room and load from disk.
+SWAP_S = 2.5
 
-# Loads of the weight store that are kept for models that are asked for.
-STORE_RESERVE = 4
+# Models below this demand are rare. They may occupy engines for loads from
+# the weight store only while this share of the engines is free.
+RARE_SLOTS = 1.5
+
+# Demand from which a model does not wait for the engine with a copy on disk.
+PRESSED_SLOTS = 4.0
+KEPT_FREE = 0.5
 
 # Seconds for which a loaded model stays, so that it serves what waited.
 MIN_STAY_S = 2.5
@@ -51,6 +73,11 @@
     load: float
     loaded_at: Mapping[str, float]
 
+    @property
+    def cached(self):
+        """Models that it can load without the weight store."""
+        return self.in_memory | self.on_disk
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -60,13 +87,16 @@
         model: Its name.
         busy_slots: Slots that its requests take or wait for.
         waiting: Requests that wait because no copy can run them.
-        idle_s: Seconds since its last request.
+        idle: Whether requests for it seem to have ceased.
+        patient: Whether the targets of its requests leave time for a load
+            from disk.
     """
 
     model: str
     busy_slots: float
     waiting: int
-    idle_s: float
+    idle: bool
+    patient: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +120,7 @@
         demand: Demand by model.
         slots: Slots of an engine.
         store_loads_left: Loads that the weight store allows now.
+        cached: Models of which some engine has a copy, on disk or resident.
         observed_s: Seconds since the first request for any model.
         now: Time in seconds.
     """
@@ -100,13 +131,14 @@
     demand: Mapping[str, Demand]
     slots: int
     store_loads_left: int
+    cached: frozenset[str]
     observed_s: float
     now: float
 
 
 def wanted_copies(demand, slots, engine_count):
     """Return how many engines should hold a model."""
-    if demand is None or (demand.idle_s > IDLE_S and not demand.waiting):
+    if demand is None or (demand.idle and not demand.waiting):
         return 0
     copies = math.ceil(demand.busy_slots / (slots * COPY_FILL))
     return max(1, min(copies, engine_count))
@@ -123,20 +155,30 @@
 
 def is_from_store(model, engine):
     """Return whether a load takes the weights from the weight store."""
-    return model.name not in engine.in_memory | engine.on_disk
+    return model.name not in engine.cached
 
 
 def copy_value(situation, model):
-    """Return what one more or one less copy of a model is worth."""
+    """Return what a model would lose with one of its copies, in slots."""
     demand = situation.demand.get(model)
     copies = max(situation.copies.get(model, 0), 1)
-    if demand is None or (demand.idle_s > IDLE_S and not demand.waiting):
-        if situation.observed_s >= IDLE_S:
-            return 0.0
-        # Before demand has shown itself, what was placed counts as wanted.
-        return UNSEEN_VALUE + (FIRST_COPY_GAIN if copies == 1 else 0.0)
-    value = demand.busy_slots / copies
-    return value + (FIRST_COPY_GAIN if copies == 1 else 0.0)
+    if copies > 1:
+        return demand.busy_slots / copies if demand else UNSEEN_VALUE
+    if demand is None:
+        return KEPT_COPY_VALUE
+    kept = 0.0 if demand.patient else KEPT_COPY_VALUE
+    if demand.idle and not demand.waiting:
+        return kept
+    return max(kept, ONLY_COPY_FACTOR * demand.busy_slots + ONLY_COPY_GAIN)
+
+
+def copy_gain(situation, model):
+    """Return what a model would gain by one more copy, in slots."""
+    demand = situation.demand[model]
+    copies = situation.copies.get(model, 0)
+    if copies == 0:
+        return ONLY_COPY_FACTOR * demand.busy_slots + ONLY_COPY_GAIN
+    return demand.busy_slots / (copies + 1)
 
 
 def plan(situation, models):
@@ -148,15 +190,17 @@
     """
     steps, left = [], situation.store_loads_left
     free = {engine.id: engine for engine in situation.engines}
-    wanting = lacking(situation)
+    if situation.observed_s <= 0:
+        return _fill(situation, models, free)
     # Each step counts at once, so that one plan does not displace all copies
     # of a model.
     copies = collections.Counter(situation.copies)
     situation = dataclasses.replace(situation, copies=copies)
-    for name in wanting:
+    for name in lacking(situation):
         if name not in models:
             continue
-        found = _cheapest(situation, models, models[name], free, left > 0)
+        may_use_store = left > 0 and _may_occupy(situation, name, free)
+        found = _cheapest(situation, models, models[name], free, may_use_store)
         if found is None:
             continue
         engine, victims = found
@@ -166,31 +210,42 @@
         copies[name] += 1
         copies.subtract(victims)
         steps.append(Step(engine.id, name, tuple(victims), from_store))
-    if wanting or situation.observed_s > 0:
-        return steps
-    return _fill_steps(situation, models, free.values(), left)
+    return steps
+
 
+def _may_occupy(situation, name, free):
+    """Return whether a load from the weight store may keep an engine.
+
+    It does so for seconds. Rare models wait for the engine that has a copy
+    on disk, and leave some engines for models that rise quickly.
+    """
+    demand = situation.demand[name]
+    if name in situation.cached and not situation.copies.get(name):
+        return demand.busy_slots >= PRESSED_SLOTS
+    if demand.busy_slots >= RARE_SLOTS:
+        return True
+    return len(free) > situation.engine_count * KEPT_FREE
 
-def _fill_steps(situation, models, engines, left):
-    """Load models that no engine holds into memory that nobody uses.
+
+def _fill(situation, models, free):
+    """Load models that no engine has into memory that nobody uses.
 
     Only before the first request: a load keeps its engine from other orders
     for seconds, in which demand may ask for one.
     """
-    steps = []
-    absent = [m for m in models.values() if not situation.copies.get(m.name)]
+    steps, left = [], situation.store_loads_left
+    absent = [m for m in models.values() if m.name not in situation.cached]
     absent.sort(key=lambda model: (-model.weights_mb, model.name))
-    for engine in engines:
-        if left <= STORE_RESERVE:
+    for engine in free.values():
+        if left <= 0:
             break
         model = next(
             (m for m in absent if m.weights_mb <= engine.free_mb), None
         )
         if model is not None:
             absent.remove(model)
-            from_store = is_from_store(model, engine)
-            left -= from_store
-            steps.append(Step(engine.id, model.name, (), from_store))
+            left -= 1
+            steps.append(Step(engine.id, model.name, (), True))
     return steps
 
 
@@ -201,11 +256,22 @@
     for name, demand in situation.demand.items():
         copies = situation.copies.get(name, 0)
         if copies < wanted_copies(demand, situation.slots, count):
-            gain = demand.busy_slots / (copies + 1)
-            rows.append((copies > 0, -demand.waiting, -gain, name))
+            gain = copy_gain(situation, name)
+            rows.append((copies > 0, -gain, name))
     return [name for *_, name in sorted(rows)]
 
 
+def is_idle(idle_s, rate_per_s):
+    """Return whether requests for a model seem to have ceased.
+
+    Args:
+        idle_s: Seconds since the last one.
+        rate_per_s: Rate of requests up to then.
+    """
+    limit_s = IDLE_GAPS / rate_per_s if rate_per_s > 0 else IDLE_S
+    return idle_s > min(max(limit_s, MIN_IDLE_S), IDLE_S)
+
+
 def _cheapest(situation, models, model, free, may_use_store):
     best = None
     for engine in free.values():
@@ -217,7 +283,8 @@
         if victims is None:
             continue
         loss = sum(copy_value(situation, name) for name in victims)
-        cost = loss + load_time_s(model, engine)
+        waits = max(1.0, situation.demand[model.name].busy_slots)
+        cost = VICTIM_S * loss + waits * load_time_s(model, engine)
         cost += engine.load / situation.slots
         if best is None or cost < best[0]:
             best = (cost, engine, victims)
@@ -226,11 +293,7 @@
 
 def _victims(situation, models, model, engine):
     """Return the models to unload, or None if they are worth more."""
-    demand = situation.demand[model.name]
-    copies = situation.copies.get(model.name, 0)
-    gain = demand.busy_slots / (copies + 1)
-    if copies == 0:
-        gain += FIRST_COPY_GAIN
+    gain = copy_gain(situation, model.name)
     missing_mb = model.weights_mb - engine.free_mb
     victims, loss = [], 0.0
     ranked = sorted(engine.models, key=lambda n: copy_value(situation, n))
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -127,7 +127,7 @@
         now = anyio.current_time()
         self._budget.record_request(job.service.name, now)
         if job.req.model is not None:
-            self._parts.demand.arrived(*job.key)
+            self._parts.demand.arrived(*job.key, job.route.latency_target_s)
         try:
             await self._run_until_answered(job, relays.Relay(job, out), out)
         finally:
