--- a/packages/gateway/src/wagtailtide_gateway/control/engines.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engines.py
@@ -117,7 +117,7 @@
         if self._fence == self._duty.fence:
             return
         self._fence = self._duty.fence
-        self._hub.restart()
+        self._hub.follow_duty()
         self._engines.clear()
         # What the holder before loaded in this window is unknown; the rule
         # allows a few loads beyond the rate.
--- a/packages/gateway/src/wagtailtide_gateway/control/hub.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -73,6 +73,7 @@
         self._servers = servers
         self._config = config
         self._duty = duty
+        self._fence = None
         self._heard = {}
         self._buckets = quota.Buckets(anyio.current_time())
         self._uses = {}
@@ -84,9 +85,15 @@
         self._wished = anyio.Event()
         self.adapter_wishes = {}
 
-    def restart(self):
-        """Forget everything, at the begin of a duty."""
+    def follow_duty(self):
+        """Forget everything if this instance has taken the duty anew."""
+        if self._fence == self._duty.fence:
+            return
         self.__init__(self._config, self._servers, self._duty)
+        self._fence = self._duty.fence
+        if self._fence == 1:
+            # Nobody held the duty before, so nothing was drawn.
+            self._buckets = quota.Buckets(float('-inf'))
 
     @property
     def instance_count(self):
@@ -96,6 +103,7 @@
     def answer(self, report):
         """Take a report and return the News for its sender."""
         now = anyio.current_time()
+        self.follow_duty()
         self._heard[report.instance] = _Heard(report, now)
         self._drop_gone(now)
         self._note_demand(report, now)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/quota.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/quota.py
@@ -36,7 +36,8 @@
     given out a whole burst.
 
     Args:
-        begun_at: Begin of the duty, a time in seconds.
+        begun_at: Begin of the duty, a time in seconds; minus infinity if
+            nobody held it before.
     """
 
     def __init__(self, begun_at):
--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -283,20 +283,20 @@
             await responder.answer(exc.status, headers, body)
 
 
-class Listener:
-    """Takes connections at one address.
+def _default_limits():
+    return deployment.CallerLimits()
 
-    Attributes:
-        limits: Bounds for connections that come from now on.
-    """
 
-    def __init__(self, address, handle, stopping):
+class Listener:
+    """Takes connections at one address."""
+
+    def __init__(self, address, handle, stopping, limits=_default_limits):
         self._address = address
         self._handle = handle
         self._stopping = stopping
         self._open = set()
         self._listener = None
-        self.limits = deployment.CallerLimits()
+        self._limits = limits
 
     async def listen(self):
         """Bind the address; raises OSError."""
@@ -314,7 +314,7 @@
     async def _serve_connection(self, stream):
         sockets.detect_silence(stream)
         conn = CallerConnection(
-            stream, self._handle, self.limits, self._stopping
+            stream, self._handle, self._limits(), self._stopping
         )
         self._open.add(conn)
         try:
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -18,6 +18,7 @@
 from wagtailtide_gateway.decisions import trust
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import gateway
 
 LOG = logging.getLogger(__name__)
@@ -87,7 +88,12 @@
             self.exchange,
             self.metrics,
         )
-        self._callers = self._listener(cfg.callers, self.gateway.handle)
+        self._callers = incoming.Listener(
+            cfg.callers,
+            self.gateway.handle,
+            lambda: self.gateway.is_stopping,
+            self._caller_limits,
+        )
         self._readiness = self._listener(cfg.readiness, self._answer_ready)
         self._peers = self._listener(cfg.peers, self._answer_peer)
         self.metrics.gauges = {
@@ -99,6 +105,10 @@
             'backend_servers': lambda: len(self.parts.servers.states),
         }
 
+    def _caller_limits(self):
+        found = self.parts.config.deployment
+        return found.limits if found else deployment.CallerLimits()
+
     def _listener(self, address, handle):
         return incoming.Listener(
             address, handle, lambda: self.gateway.is_stopping
@@ -138,7 +148,6 @@
                 self.duty.run,
                 self.exchange.run,
                 self._orders.run,
-                self._follow_limits,
             ):
                 tg.start_soon(_restart_on_fault, task)
             tg.start_soon(self._watch_signals)
@@ -160,14 +169,6 @@
                 if number != signal.SIGHUP:
                     self.stop()
 
-    async def _follow_limits(self):
-        """Use the limits of the configuration for new connections."""
-        while True:
-            deployment = self.parts.config.deployment
-            if deployment is not None:
-                self._callers.limits = deployment.limits
-            await anyio.sleep(exchanges.INTERVAL_S)
-
     async def _drain(self):
         started_at = anyio.current_time()
         LOG.info('stopping', extra={'open': self._callers.open_count})
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -271,8 +271,7 @@
             self._parts.servers.health.record_unreachable(server_id, now)
             self._parts.note_crash(server_id, state.server.residency.born_ms)
         elif failed.lacks:
-            state.note_lacks(job.req.model, job.req.adapter, now)
-            job.tried.remove(server_id)
+            self._note_lacks(job, state, now)
         elif failed.reason != 'caller left':
             self._parts.servers.health.record(server_id, True, now)
         LOG.info(
@@ -287,6 +286,12 @@
             },
         )
 
+    def _note_lacks(self, job, state, now):
+        """Note what a server lacks; one that lacks a model may get it."""
+        if job.req.model is not None:
+            state.note_lacks(job.req.model, job.req.adapter, now)
+            job.tried.remove(state.server.id)
+
     def _log(self, request, job, out, outcome):
         now = anyio.current_time()
         total_s = now - request.received_at
--- /dev/null
+++ b/packages/gateway/tests/builders.py
@@ -0,0 +1,147 @@
+"""Builders of test data of the gateway."""
+
+from wagtailtide_gateway import settings
+from wagtailtide_gateway.decisions import placement
+from wagtailtide_gateway.model import backend
+from wagtailtide_gateway.model import deployment
+
+
+def make_model(name='m1', weights_mb=70_000.0, **changes):
+    fields = {
+        'name': name,
+        'weights_mb': weights_mb,
+        'adapter_mb': 60.0,
+        'store_load_s': 6.0,
+        'memory_load_s': 0.6,
+        'disk_load_s': 1.2,
+    }
+    return deployment.Model(**fields | changes)
+
+
+def make_engine_view(id_='e1', models=(), **changes):
+    fields = {
+        'id': id_,
+        'free_mb': 200_000.0 - 70_000.0 * len(models),
+        'models': frozenset(models),
+        'in_memory': frozenset(),
+        'on_disk': frozenset(models),
+        'load': 0.0,
+        'loaded_at': {},
+    }
+    return placement.EngineView(**fields | changes)
+
+
+def make_demand(model='m1', busy_slots=1.0, **changes):
+    fields = {
+        'model': model,
+        'busy_slots': busy_slots,
+        'waiting': 0,
+        'idle': False,
+        'patient': False,
+    }
+    return placement.Demand(**fields | changes)
+
+
+def make_situation(engines, demand=(), **changes):
+    copies = {}
+    for engine in engines:
+        for name in engine.models:
+            copies[name] = copies.get(name, 0) + 1
+    fields = {
+        'engines': tuple(engines),
+        'engine_count': len(engines),
+        'copies': copies,
+        'demand': {d.model: d for d in demand},
+        'slots': 24,
+        'store_loads_left': 12,
+        'cached': frozenset().union(*(e.models | e.cached for e in engines)),
+        'observed_s': 10.0,
+        'now': 100.0,
+    }
+    return placement.Situation(**fields | changes)
+
+
+def make_organisation(rate_per_s=1_000.0, burst=1_000.0, **changes):
+    fields = {
+        'name': 'club',
+        'priority': None,
+        'counts_tokens': True,
+        'default_tokens': 200,
+        'rate_per_s': rate_per_s,
+        'burst': burst,
+    }
+    return deployment.Organisation(**fields | changes)
+
+
+def make_route(name='letters', path_prefix='/letters/', **changes):
+    fields = {
+        'name': name,
+        'host': 'desk.example',
+        'path_prefix': path_prefix,
+        'kind': deployment.RouteKind.STREAM,
+        'timeout_s': 12.0,
+        'latency_target_s': 0.4,
+        'priority': 1,
+        'attempts': 2,
+        'open_access': False,
+        'may_resume': True,
+        'longest_gap_s': 0.25,
+        'first_event_s': 2.0,
+        'services': (deployment.WeightedService('engines', 1.0),),
+    }
+    return deployment.Route(**fields | changes)
+
+
+def make_deployment(routes=(), version=1, **changes):
+    fields = {
+        'version': version,
+        'routes': tuple(routes),
+        'services': {},
+        'organisations': {},
+        'limits': deployment.CallerLimits(),
+        'uses_keys': True,
+    }
+    return deployment.Deployment(**fields | changes)
+
+
+def make_residency(models=(), born_ms=1, order_count=0, **changes):
+    held = {
+        name: backend.ResidentModel(name, 1, frozenset()) for name in models
+    }
+    fields = {'born_ms': born_ms, 'order_count': order_count, 'models': held}
+    return backend.Residency(**fields | changes)
+
+
+def make_server(id_='s1', **changes):
+    fields = {
+        'id': id_,
+        'service': 'engines',
+        'address': backend.Address('127.0.0.1', 9),
+        'zone': 'z1',
+        'slots': 24,
+        'leaving': False,
+        'time_left_s': None,
+        'residency': make_residency(),
+    }
+    return backend.BackendServer(**fields | changes)
+
+
+def make_settings(**changes):
+    address = backend.Address('127.0.0.1', 0)
+    fields = {
+        'instance': 'front-1',
+        'zone': 'z1',
+        'callers': address,
+        'readiness': address,
+        'peers': address,
+        'store': address,
+        'stop_s': 8.0,
+        'key_withdrawal_s': 5.0,
+        'server_drain_s': 2.0,
+        'lease_s': 3.0,
+        'retry_ratio': 0.2,
+        'retry_slack': 100.0,
+        'retry_window_s': 10.0,
+        'load_window_s': 5.0,
+    }
+    return settings.Settings(**fields | changes)
--- /dev/null
+++ b/packages/gateway/tests/control/test_config.py
@@ -0,0 +1,35 @@
+import unittest
+
+from wagtailtide_gateway.control import config
+
+from tests import builders
+
+
+def decode(value):
+    return builders.make_deployment(version=value['version'])
+
+
+def make_view(clock=lambda: 100.0):
+    return config.ConfigView(decode, clock, lambda: None)
+
+
+class ConfigViewTest(unittest.TestCase):
+    def test_older_version_never_replaces_a_newer_one(self):
+        # Guards against a configuration that reverts.
+        view = make_view()
+        for version in (4, 9, 7):
+            view.offer({'version': version}, 'store')
+        self.assertEqual(view.version, 9)
+
+    def test_version_that_cannot_be_used_keeps_the_last_good_one(self):
+        view = make_view()
+        view.offer({'version': 4}, 'store')
+        with self.assertLogs(config.LOG, 'ERROR'):
+            view.offer({'routes': 5}, 'store', revision=17)
+        self.assertEqual(view.version, 4)
+
+    def test_confirmation_never_grows_older(self):
+        view = make_view()
+        view.confirm(98.0)
+        view.confirm(95.0)
+        self.assertEqual(view.age_s, 2.0)
--- /dev/null
+++ b/packages/gateway/tests/control/test_messages.py
@@ -0,0 +1,56 @@
+import unittest
+
+import cbor2
+from wagtailtide_gateway.control import messages
+
+from tests import builders
+
+REPORT = messages.Report(
+    'front-1',
+    4,
+    0.3,
+    7,
+    {'club': 12.5},
+    {'s1': 3},
+    (messages.ModelDemand('engines', 'm1', 2, 1, 0, 0.4),),
+    (messages.AdapterWish('engines', 'm1', 'a1'),),
+    (messages.CrashNote('abc', 's1', 17),),
+)
+NEWS = messages.News(
+    3,
+    12,
+    4,
+    0.1,
+    {'version': 4},
+    9,
+    {'club': 12.5},
+    {},
+    {'s1': 5},
+    {'s1': builders.make_residency(['m1'], order_count=2)},
+    {('engines', 'm2'): 1.5},
+    (),
+    ('s2',),
+)
+
+
+class MessagesTest(unittest.TestCase):
+    def test_messages_survive_the_wire(self):
+        report = messages.decode_report(messages.encode_report(REPORT))
+        news = messages.decode_news(messages.encode_news(NEWS))
+        self.assertEqual((report, news), (REPORT, NEWS))
+
+    def test_bad_bytes_are_refused(self):
+        # One row for each kind of bad input of a peer.
+        fields = cbor2.loads(messages.encode_report(REPORT))
+        rows = {
+            'not CBOR': b'\xff\x00\x13',
+            'cut': messages.encode_report(REPORT)[:-3],
+            'no list': cbor2.dumps({'a': 1}),
+            'too few fields': cbor2.dumps(fields[:-1]),
+            'other version': cbor2.dumps([99, *fields[1:]]),
+            'wrong type': cbor2.dumps([*fields[:5], 'x', *fields[6:]]),
+            'too big': b'\x00' * (messages.MAX_BYTES + 1),
+        }
+        for name, data in rows.items():
+            with self.subTest(name), self.assertRaises(messages.BadMessage):
+                messages.decode_report(data)
--- /dev/null
+++ b/packages/gateway/tests/decisions/test_choose.py
@@ -0,0 +1,70 @@
+import collections
+import random
+import unittest
+
+from wagtailtide_gateway.decisions import choose
+
+
+def make_candidate(id_, load=0.0, **changes):
+    fields = {
+        'id': id_,
+        'zone': 'z1',
+        'slots': 24,
+        'load': load,
+        'failure_rate': 0.0,
+    }
+    return choose.Candidate(**fields | changes)
+
+
+class ChooseTest(unittest.TestCase):
+    def test_least_loaded_server_is_chosen(self):
+        found = choose.choose(
+            [make_candidate('a', 20.0), make_candidate('b', 3.0)],
+            'z1',
+            None,
+            random.Random(1).random,
+        )
+        self.assertEqual(found.id, 'b')
+
+    def test_prompts_with_a_shared_part_meet_at_one_server(self):
+        # Guards against reading the same prompt part on every server.
+        rng = random.Random(2)
+        servers = [make_candidate(f's{i}') for i in range(5)]
+        found = {
+            choose.choose(servers, 'z1', 1234, rng.random).id
+            for _ in range(50)
+        }
+        self.assertEqual(len(found), 1)
+
+    def test_shared_part_does_not_overload_its_server(self):
+        preferred = choose.choose(
+            [make_candidate('a'), make_candidate('b')],
+            'z1',
+            77,
+            random.Random(3).random,
+        ).id
+        servers = [
+            make_candidate(i, 15.0 if i == preferred else 2.0) for i in 'ab'
+        ]
+        found = choose.choose(servers, 'z1', 77, random.Random(3).random)
+        self.assertNotEqual(found.id, preferred)
+
+    def test_instances_with_one_stale_view_do_not_herd(self):
+        # The load pattern: twelve instances choose within one exchange.
+        servers = [make_candidate(f's{i}', 10.0) for i in range(6)]
+        rng = random.Random(4)
+        counts = collections.Counter(
+            choose.choose(servers, 'z1', None, rng.random).id
+            for _ in range(60)
+        )
+        self.assertLessEqual(max(counts.values()), 20)
+
+    def test_failing_server_is_taken_only_where_others_are_full(self):
+        failing = make_candidate('a', 0.0, failure_rate=0.5)
+        found = choose.choose(
+            [failing, make_candidate('b', 12.0)],
+            'z1',
+            None,
+            random.Random(5).random,
+        )
+        self.assertEqual(found.id, 'b')
--- /dev/null
+++ b/packages/gateway/tests/decisions/test_health.py
@@ -0,0 +1,26 @@
+import unittest
+
+from wagtailtide_gateway.decisions import health
+
+
+class HealthTest(unittest.TestCase):
+    def test_failure_rate_follows_requests_and_fades(self):
+        # Guards against a server that answers its health check and fails its
+        # requests, and against one that is avoided for ever.
+        found = health.Health()
+        for _ in range(10):
+            found.record('s1', True, 0.0)
+        self.assertGreater(found.failure_rate('s1', 0.0), 0.7)
+        self.assertLess(found.failure_rate('s1', 12.0), 0.2)
+
+    def test_unreachable_server_is_tried_again(self):
+        found = health.Health()
+        found.record_unreachable('s1', 10.0)
+        self.assertTrue(found.is_unreachable('s1', 10.5))
+        self.assertFalse(found.is_unreachable('s1', 11.5))
+
+    def test_gone_servers_are_forgotten(self):
+        found = health.Health()
+        found.record('s1', True, 0.0)
+        found.keep_only({'s2'})
+        self.assertEqual(found.failure_rate('s1', 0.0), 0.0)
--- /dev/null
+++ b/packages/gateway/tests/model/test_deployment.py
@@ -0,0 +1,31 @@
+import unittest
+
+from tests import builders
+
+
+class RouteForTest(unittest.TestCase):
+    def test_longest_prefix_of_the_host_is_selected(self):
+        found = builders.make_deployment(
+            [
+                builders.make_route('all', '/'),
+                builders.make_route('desk', '/desk/'),
+                builders.make_route('letters', '/desk/letters/'),
+                builders.make_route('other', '/desk/', host='other.example'),
+            ]
+        )
+        rows = {
+            '/desk/letters/7': 'letters',
+            '/desk/letters': 'desk',
+            '/desk/x': 'desk',
+            '/': 'all',
+            '/elsewhere/desk/': 'all',
+        }
+        for path, name in rows.items():
+            with self.subTest(path):
+                route = found.route_for('desk.example', path)
+                self.assertEqual(route.name, name)
+
+    def test_no_route_for_another_host_or_a_bare_target(self):
+        found = builders.make_deployment([builders.make_route()])
+        self.assertIsNone(found.route_for('x.example', '/letters/1'))
+        self.assertIsNone(found.route_for('desk.example', '*'))
--- /dev/null
+++ b/packages/gateway/tests/serving/test_events.py
@@ -0,0 +1,32 @@
+import unittest
+
+from wagtailtide_gateway.serving import events
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_only_whole_events_are_passed_on(self):
+        # Guards against half an event of a server that crashed, followed by
+        # the same event of the next server.
+        splitter = events.EventSplitter()
+        first = splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+        second = splitter.feed(b'ta: b\n\n')
+        self.assertEqual(first, b'id: 1\ndata: a\n\n')
+        self.assertEqual(second, b'id: 2\ndata: b\n\n')
+        self.assertEqual((splitter.last_id, splitter.count), ('2', 2))
+
+    def test_unfinished_event_does_not_count(self):
+        splitter = events.EventSplitter('7')
+        self.assertEqual(splitter.feed(b'id: 8\ndata: x\n'), b'')
+        self.assertEqual(splitter.last_id, '7')
+        self.assertEqual(splitter.take_rest(), b'id: 8\ndata: x\n')
+
+    def test_version_line_before_the_identifier(self):
+        splitter = events.EventSplitter()
+        splitter.feed(b'x-weight-versions: 2\nid: 5\ndata: x\n\n')
+        self.assertEqual(splitter.last_id, '5')
+
+    def test_lines_may_end_with_carriage_returns(self):
+        splitter = events.EventSplitter()
+        whole = splitter.feed(b'id: 3\r\ndata: x\r\n\r\nid')
+        self.assertEqual(whole, b'id: 3\r\ndata: x\r\n\r\n')
+        self.assertEqual(splitter.last_id, '3')
