--- a/packages/gateway/src/wagtailtide_gateway/control/engines.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engines.py
@@ -220,7 +220,8 @@
             for server_id, state in self._servers.states.items()
             if state.server.service == service.name
             and server_id in self._engines
-            and not state.server.leaving
+            and state.takes_work
+            and not self._hub.is_down(server_id)
         ]
 
     def _view(self, service, server_id, engine):
--- a/packages/gateway/src/wagtailtide_gateway/control/hub.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -145,6 +145,18 @@
             for heard in self._heard.values()
         )
 
+    def is_down(self, server_id):
+        """Return whether a server takes no connections.
+
+        One instance may be cut off from a server that the others reach, so
+        all that have requests for it count: none has any in it.
+        """
+        heard = [h.report for h in self._heard.values()]
+        reported = sum(server_id in report.unreachable for report in heard)
+        if not reported:
+            return False
+        return reported > 1 or not self.load_of(server_id)
+
     def demand_of(self, service, now):
         """Return the ModelUse of a service by model."""
         counts = collections.defaultdict(lambda: [0, 0])
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -75,6 +75,7 @@
         demand: Its demand by model.
         adapters: Adapters that its requests wait for.
         crashes: Crashes that it saw.
+        unreachable: Servers that just took no connection from it.
     """
 
     instance: str
@@ -86,6 +87,7 @@
     demand: tuple[ModelDemand, ...]
     adapters: tuple[AdapterWish, ...]
     crashes: tuple[CrashNote, ...]
+    unreachable: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,13 +147,14 @@
             _pack(report.demand),
             _pack(report.adapters),
             _pack(report.crashes),
+            list(report.unreachable),
         ]
     )
 
 
 def decode_report(data):
     """Return the Report in bytes; raises BadMessage."""
-    fields = _fields(data, 10)
+    fields = _fields(data, 11)
     try:
         return Report(
             str(fields[1]),
@@ -163,6 +166,7 @@
             tuple(ModelDemand(*row) for row in fields[7]),
             tuple(AdapterWish(*row) for row in fields[8]),
             tuple(CrashNote(*row) for row in fields[9]),
+            tuple(str(server) for server in fields[10]),
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected a report, got {exc}') from exc
--- a/packages/gateway/src/wagtailtide_gateway/decisions/health.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/health.py
@@ -9,9 +9,6 @@
 # that a server that was avoided is tried again.
 FORGET_S = 4.0
 
-# Failure rate above which a server is left out while others are there.
-EJECT_ABOVE = 0.6
-
 # Seconds for which a server is left out that takes no connection.
 UNREACHABLE_S = 1.0
 
@@ -46,6 +43,14 @@
         record = self._records.get(server_id)
         return record is not None and now < record.unreachable_until
 
+    def unreachable(self, now):
+        """Return the servers that took no connection just now."""
+        return [
+            server_id
+            for server_id, record in self._records.items()
+            if now < record.unreachable_until
+        ]
+
     def failure_rate(self, server_id, now):
         """Return the recent share of failed requests, 0 to 1."""
         record = self._records.get(server_id)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -256,9 +256,8 @@
     for name, demand in situation.demand.items():
         copies = situation.copies.get(name, 0)
         if copies < wanted_copies(demand, situation.slots, count):
-            gain = copy_gain(situation, name)
-            rows.append((copies > 0, -gain, name))
-    return [name for *_, name in sorted(rows)]
+            rows.append((-copy_gain(situation, name), name))
+    return [name for _, name in sorted(rows)]
 
 
 def is_idle(idle_s, rate_per_s):
--- a/packages/gateway/src/wagtailtide_gateway/parts.py
+++ b/packages/gateway/src/wagtailtide_gateway/parts.py
@@ -51,6 +51,7 @@
 
     def make_report(self, instance, seen_news, elapsed_s):
         """Return the Report to the duty holder."""
+        now = anyio.current_time()
         notes, self._notes = self._notes[:MAX_NOTES], self._notes[MAX_NOTES:]
         wishes, self.wishes = self.wishes, set()
         return messages.Report(
@@ -67,6 +68,7 @@
             demand=self.demand.take(),
             adapters=tuple(wishes),
             crashes=tuple(notes),
+            unreachable=tuple(self.servers.health.unreachable(now)),
         )
 
     def put_back(self, report):
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -15,6 +15,7 @@
     (messages.ModelDemand('engines', 'm1', 2, 1, 0, 0.4),),
     (messages.AdapterWish('engines', 'm1', 'a1'),),
     (messages.CrashNote('abc', 's1', 17),),
+    ('s9',),
 )
 NEWS = messages.News(
     3,
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -120,3 +120,21 @@
         self.assertTrue(placement.is_idle(1.5, rate_per_s=8.0))
         self.assertFalse(placement.is_idle(1.5, rate_per_s=0.5))
         self.assertTrue(placement.is_idle(4.5, rate_per_s=0.5))
+
+
+class OrderTest(unittest.TestCase):
+    def test_overloaded_model_goes_before_a_rare_first_copy(self):
+        # Guards against engines that load for one request while dozens a
+        # second are refused for a further copy of another model.
+        engines = [
+            builders.make_engine_view('e1', ('a',)),
+            builders.make_engine_view('e2'),
+        ]
+        demand = [
+            builders.make_demand('a', 70.0),
+            builders.make_demand('b', 1.0, waiting=1),
+        ]
+        self.assertEqual(
+            placement.lacking(builders.make_situation(engines, demand)),
+            ['a', 'b'],
+        )
