--- a/packages/server/src/wagtailtide_server/claims/objects.py
+++ b/packages/server/src/wagtailtide_server/claims/objects.py
@@ -5,8 +5,8 @@
 from wagtailtide_core.claims import codec
 from wagtailtide_core.claims import model
 
-from wagtailtide_server.platform import budget
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import budget
+from wagtailtide_server.storage import client
 
 # Segments whose claims are kept decoded; the index covers all segments.
 CACHED_SEGMENTS = 16
--- a/packages/server/src/wagtailtide_server/claims/outcomes.py
+++ b/packages/server/src/wagtailtide_server/claims/outcomes.py
@@ -5,8 +5,8 @@
 from wagtailtide_core.claims import model
 from wagtailtide_core.errors import kinds
 
-from wagtailtide_server.platform import budget
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import budget
+from wagtailtide_server.storage import client
 
 INLINE_BODY_BYTES = 4096
 # The platform holds values up to 1 MB, which travel as base64 text.
--- a/packages/server/src/wagtailtide_server/claims/writer.py
+++ b/packages/server/src/wagtailtide_server/claims/writer.py
@@ -8,7 +8,7 @@
 from wagtailtide_core.claims import partition
 
 from wagtailtide_server.claims import objects
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 
 # Claims that arrive within this time share a write.
 BATCH_WINDOW_S = 0.02
--- a/packages/server/src/wagtailtide_server/control/config_sync.py
+++ b/packages/server/src/wagtailtide_server/control/config_sync.py
@@ -9,8 +9,8 @@
 from wagtailtide_core.membership import overlay
 
 from wagtailtide_server.peers import rpc
-from wagtailtide_server.platform import budget
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import budget
+from wagtailtide_server.storage import client
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/server/src/wagtailtide_server/control/listing.py
+++ b/packages/server/src/wagtailtide_server/control/listing.py
@@ -5,9 +5,9 @@
 
 from wagtailtide_core.placement import last_copy
 
-from wagtailtide_server.platform import budget as budgets
-from wagtailtide_server.platform import client
-from wagtailtide_server.platform import settle
+from wagtailtide_server.storage import budget as budgets
+from wagtailtide_server.storage import client
+from wagtailtide_server.storage import settle
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/server/src/wagtailtide_server/control/membership.py
+++ b/packages/server/src/wagtailtide_server/control/membership.py
@@ -10,7 +10,7 @@
 from wagtailtide_core.membership import view as views
 
 from wagtailtide_server.peers import listener
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/server/src/wagtailtide_server/control/owner_watch.py
+++ b/packages/server/src/wagtailtide_server/control/owner_watch.py
@@ -6,8 +6,8 @@
 from wagtailtide_core.leases import session as sessions
 from wagtailtide_core.membership import view as views
 
-from wagtailtide_server.platform import budget as budgets
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import budget as budgets
+from wagtailtide_server.storage import client
 
 
 class OwnerWatch:
--- a/packages/server/src/wagtailtide_server/control/ownership.py
+++ b/packages/server/src/wagtailtide_server/control/ownership.py
@@ -12,9 +12,9 @@
 from wagtailtide_core.membership import overlay
 
 from wagtailtide_server.control import owner_watch
-from wagtailtide_server.platform import budget as budgets
-from wagtailtide_server.platform import client
-from wagtailtide_server.platform import settle
+from wagtailtide_server.storage import budget as budgets
+from wagtailtide_server.storage import client
+from wagtailtide_server.storage import settle
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/server/src/wagtailtide_server/control/placement.py
+++ b/packages/server/src/wagtailtide_server/control/placement.py
@@ -17,7 +17,7 @@
 from wagtailtide_server.control import replica_guard
 from wagtailtide_server.engines import engine as engines
 from wagtailtide_server.engines import reports
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/server/src/wagtailtide_server/control/roster.py
+++ b/packages/server/src/wagtailtide_server/control/roster.py
@@ -9,8 +9,8 @@
 from wagtailtide_core.leases import session as sessions
 
 from wagtailtide_server.control import session as session_tasks
-from wagtailtide_server.platform import budget as budgets
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import budget as budgets
+from wagtailtide_server.storage import client
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/server/src/wagtailtide_server/control/session.py
+++ b/packages/server/src/wagtailtide_server/control/session.py
@@ -6,8 +6,8 @@
 from wagtailtide_core.document import schema
 from wagtailtide_core.leases import session as sessions
 
-from wagtailtide_server.platform import budget as budgets
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import budget as budgets
+from wagtailtide_server.storage import client
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/server/src/wagtailtide_server/main.py
+++ b/packages/server/src/wagtailtide_server/main.py
@@ -11,7 +11,7 @@
 from wagtailtide_server import instance
 from wagtailtide_server import logs
 from wagtailtide_server import settings as settings_module
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 
 EXIT_BAD_SETTINGS = 2
 _DISTRIBUTION = 'wagtailtide-server'
--- a/packages/server/src/wagtailtide_server/platform/client.py
+++ b/packages/server/src/wagtailtide_server/storage/client.py
@@ -8,10 +8,10 @@
 import anyio
 import httpx
 
-from wagtailtide_server.platform import budget as budgets
-from wagtailtide_server.platform import lists
-from wagtailtide_server.platform import objects
-from wagtailtide_server.platform import settle
+from wagtailtide_server.storage import budget as budgets
+from wagtailtide_server.storage import lists
+from wagtailtide_server.storage import objects
+from wagtailtide_server.storage import settle
 
 CALL_TIMEOUT_S = 1.0
 # A watch that has nothing to report answers after the time it was given.
--- a/packages/server/src/wagtailtide_server/platform/settle.py
+++ b/packages/server/src/wagtailtide_server/storage/settle.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from wagtailtide_server.platform import budget as budgets
-from wagtailtide_server.platform import objects
+from wagtailtide_server.storage import budget as budgets
+from wagtailtide_server.storage import objects
 
 SETTLE_TIMEOUT_S = 30.0
 
--- a/packages/server/src/wagtailtide_server/upstream/watch.py
+++ b/packages/server/src/wagtailtide_server/upstream/watch.py
@@ -7,7 +7,7 @@
 import anyio
 from wagtailtide_core.document import schema
 
-from wagtailtide_server.platform import client as platform_client
+from wagtailtide_server.storage import client as platform_client
 from wagtailtide_server.upstream import failures
 from wagtailtide_server.upstream import load_news
 from wagtailtide_server.upstream import news
--- a/packages/server/tests/control/fleet.py
+++ b/packages/server/tests/control/fleet.py
@@ -10,7 +10,7 @@
 from wagtailtide_core.invariants import checks
 from wagtailtide_server.control import plane as planes
 from wagtailtide_server.peers import listener
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 from wagtailtide_testing import serving
 from wagtailtide_testing.standins import platform
 
--- a/packages/server/tests/control/placement_fleet.py
+++ b/packages/server/tests/control/placement_fleet.py
@@ -17,7 +17,7 @@
 from wagtailtide_server.control import ensure
 from wagtailtide_server.control import orders
 from wagtailtide_server.control import placement
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 from wagtailtide_testing import memory
 from wagtailtide_testing.standins import engine as engines
 
--- a/packages/server/tests/control/slot_fleet.py
+++ b/packages/server/tests/control/slot_fleet.py
@@ -16,7 +16,7 @@
 from wagtailtide_core.membership import view as views
 from wagtailtide_server.control import session
 from wagtailtide_server.control import shares
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 from wagtailtide_testing.standins import platform
 
 ORG, RATE, BURST = 'org', 100.0, 1200
--- a/packages/server/tests/harness.py
+++ b/packages/server/tests/harness.py
@@ -10,7 +10,7 @@
 from wagtailtide_core.keys import keys
 from wagtailtide_server import instance
 from wagtailtide_server import settings
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 from wagtailtide_testing import serving
 from wagtailtide_testing.standins import engine
 from wagtailtide_testing.standins import ledger
--- a/packages/server/tests/platform/test_client.py
+++ b/packages/server/tests/storage/test_client.py
@@ -5,8 +5,8 @@
 
 import anyio
 import httpx
-from wagtailtide_server.platform import budget as budgets
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import budget as budgets
+from wagtailtide_server.storage import client
 from wagtailtide_testing import virtual_time
 
 
--- a/packages/testing/src/wagtailtide_testing/fleet.py
+++ b/packages/testing/src/wagtailtide_testing/fleet.py
@@ -13,7 +13,7 @@
 import anyio
 from wagtailtide_server import instance
 from wagtailtide_server import settings
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 
 from wagtailtide_testing import builders
 from wagtailtide_testing import fleet_network
--- a/packages/testing/src/wagtailtide_testing/memory.py
+++ b/packages/testing/src/wagtailtide_testing/memory.py
@@ -1,7 +1,7 @@
 """In-memory store and peer network with switchable faults."""
 
 import anyio
-from wagtailtide_server.platform import client
+from wagtailtide_server.storage import client
 
 CALL_TIME_S = 0.002
 
