Pass the list of servers on from the duty holder; draw advances apart

The holder lists the servers each 0.4 s; the others list them only when its list is older than 0.55 of the time to drain.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -46,6 +46,8 @@
         self._clock = clock
         self._kick = anyio.Event()
         self._news_number = 0
+        self._entry_number = 0
+        self._full_at = 0.0
         self._fence = None
         self._last_draw_at = None
         self._answered = anyio.Event()
@@ -75,8 +77,8 @@
         """Exchange until cancelled."""
         while True:
             await self._exchange()
-            interval_s = max(INTERVAL_S, self.instances / HOLDER_RATE_PER_S)
-            with anyio.move_on_after(interval_s):
+            wait_s = max(0.0, self._full_at - anyio.current_time())
+            with anyio.move_on_after(wait_s):
                 await self._kick.wait()
                 # Requests that come close together share one exchange.
                 await anyio.sleep(0.002)
@@ -84,7 +86,10 @@
 
     async def _exchange(self):
         now = anyio.current_time()
-        report = self._make_report(now)
+        urgent = now < self._full_at
+        if not urgent:
+            self._full_at = now + self._interval_s()
+        report = self._make_report(now, urgent)
         sent_at = self._clock()
         if self._duty.fence is not None:
             news = self._hub.answer(report)
@@ -95,11 +100,11 @@
             self._parts.put_back(report)
             if not self.is_fresh:
                 self._parts.servers.forget_news()
-                self._news_number = 0
+                self._news_number = self._entry_number = 0
                 self.loading_s = {}
                 self.shortfalls_s = {}
         else:
-            self._take(news, sent_at)
+            self._take(news, sent_at, now, urgent)
         answered, self._answered = self._answered, anyio.Event()
         answered.set()
 
@@ -107,11 +112,17 @@
         record = self._duty.record
         return max(1, record.instances if record else 1)
 
-    def _make_report(self, now):
+    def _interval_s(self):
+        return max(INTERVAL_S, self.instances / HOLDER_RATE_PER_S)
+
+    def _make_report(self, now, urgent):
         elapsed_s = now - (self._last_draw_at or now - INTERVAL_S)
         self._last_draw_at = now
         return self._parts.make_report(
-            self._cfg.instance, self._news_number, elapsed_s
+            self._cfg.instance,
+            (self._news_number, self._entry_number),
+            elapsed_s,
+            urgent,
         )
 
     async def _ask(self, report):
@@ -175,16 +186,26 @@
         self._unheard = True
         self._duty.holder_failed(refuses)
 
-    def _take(self, news, sent_at):
+    def _take(self, news, sent_at, now, urgent):
         self._news_at = anyio.current_time()
         self.instances = news.instances
         if news.fence != self._fence:
             # A new holder numbers its news anew; what it sent now was made
             # for another number, so the next exchange brings all of it.
-            self._fence, self._news_number = news.fence, 0
+            self._fence = news.fence
+            self._news_number = self._entry_number = 0
+            self._full_at = 0.0
             self._parts.servers.forget_news()
-        else:
-            self._news_number = news.news_number
-        self.loading_s = news.loading_s
+            self._parts.take_news(news, sent_at)
+            return
+        self._news_number = news.news_number
         self.shortfalls_s = news.shortfalls_s
         self._parts.take_news(news, sent_at)
+        if urgent:
+            return
+        self.loading_s = news.loading_s
+        if self._duty.fence is None:
+            self._parts.take_view(news, now, self._entry_number)
+            self._entry_number = news.entry_number
+        else:
+            self._parts.take_loads(news)
--- a/packages/gateway/src/wagtailtide_gateway/control/hub.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -75,6 +75,7 @@
         self._duty = duty
         self._fence = None
         self._heard = {}
+        self._loads = collections.Counter()
         self._buckets = quota.Buckets(anyio.current_time())
         self._uses = {}
         self._residencies = {}
@@ -104,9 +105,8 @@
         """Take a report and return the News for its sender."""
         now = anyio.current_time()
         self.follow_duty()
-        self._heard[report.instance] = _Heard(report, now)
-        self._drop_gone(now)
-        self._note_demand(report, now)
+        if not report.urgent:
+            self._hear(report, now)
         for wish in report.adapters:
             self.adapter_wishes[wish] = now
         if report.adapters:
@@ -117,6 +117,15 @@
             del self._crashes[next(iter(self._crashes))]
         return self._make_news(report, now)
 
+    def _hear(self, report, now):
+        previous = self._heard.get(report.instance)
+        if previous is not None:
+            self._loads.subtract(previous.report.loads)
+        self._loads.update(report.loads)
+        self._heard[report.instance] = _Heard(report, now)
+        self._drop_gone(now)
+        self._note_demand(report, now)
+
     async def next_wish(self, timeout_s):
         """Wait until an adapter is asked for, up to a time."""
         with anyio.move_on_after(timeout_s):
@@ -140,10 +149,7 @@
 
     def load_of(self, server_id):
         """Return the requests of all instances in a server."""
-        return sum(
-            heard.report.loads.get(server_id, 0)
-            for heard in self._heard.values()
-        )
+        return self._loads[server_id]
 
     def is_down(self, server_id):
         """Return whether a server takes no connections.
@@ -205,24 +211,13 @@
         for name, heard in list(self._heard.items()):
             if now - heard.at > INSTANCE_GONE_S:
                 del self._heard[name]
+                self._loads.subtract(heard.report.loads)
                 LOG.info('instance unheard', extra={'peer': name})
 
     def _make_news(self, report, now):
-        deployment = self._config.deployment
-        organisations = deployment.organisations_by_name if deployment else {}
-        grants, shortfalls_s = {}, {}
-        for name, amount in report.draws.items():
-            org = organisations.get(name)
-            if org is None or not org.rate_per_s:
-                continue
-            grants[name] = self._buckets.draw(org, amount, now)
-            if grants[name] < amount:
-                missing = amount - grants[name]
-                shortfalls_s[name] = self._buckets.shortfall_s(
-                    org, missing, now
-                )
+        grants, shortfalls_s = self._grant(report, now)
         newer = self._config.version > report.config_version
-        return messages.News(
+        news = messages.News(
             fence=self._duty.fence or 0,
             instances=self.instance_count,
             config_version=self._config.version,
@@ -231,12 +226,24 @@
             news_number=self._news_number,
             grants=grants,
             shortfalls_s=shortfalls_s,
-            loads=self._loads_of_others(report),
+            loads={},
             residencies={
                 server: residency
                 for server, (number, residency) in self._residencies.items()
                 if number > report.seen_news
             },
+            loading_s={},
+            crashes=(),
+            leaving=(),
+            entries_age_s=self._servers.age_s(now),
+            entry_number=self._servers.entry_number,
+            entries=self._servers.entries_after(report.seen_entries),
+        )
+        if report.urgent:
+            return news
+        return dataclasses.replace(
+            news,
+            loads=self._loads_of_others(report),
             loading_s={
                 key: max(0.0, ready_at - now)
                 for key, ready_at in self._loading.items()
@@ -245,17 +252,32 @@
             leaving=self._leaving(),
         )
 
+    def _grant(self, report, now):
+        deployment = self._config.deployment
+        organisations = deployment.organisations_by_name if deployment else {}
+        grants, shortfalls_s = {}, {}
+        for name, amount in report.draws.items():
+            org = organisations.get(name)
+            if org is None or not org.rate_per_s:
+                continue
+            grants[name] = self._buckets.draw(org, amount, now)
+            if grants[name] < amount:
+                missing = amount - grants[name]
+                shortfalls_s[name] = self._buckets.shortfall_s(
+                    org, missing, now
+                )
+        return grants, shortfalls_s
+
     def _leaving(self):
         return tuple(
             server_id
             for server_id, state in self._servers.states.items()
-            if state.server.leaving
+            if not state.takes_work
         )
 
     def _loads_of_others(self, report):
-        loads = {}
-        for name, heard in self._heard.items():
-            if name != report.instance:
-                for server, count in heard.report.loads.items():
-                    loads[server] = loads.get(server, 0) + count
-        return loads
+        return {
+            server: count - report.loads.get(server, 0)
+            for server, count in self._loads.items()
+            if count > report.loads.get(server, 0)
+        }
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -5,6 +5,7 @@
 
 import cbor2
 
+from wagtailtide_gateway import ports
 from wagtailtide_gateway.model import backend
 
 PROTOCOL_VERSION = 1
@@ -67,9 +68,13 @@
 
     Attributes:
         instance: Its name.
+        urgent: Whether it only draws and asks for adapters; the fields on
+            loads and demand are empty then, and so is the answer's.
         config_version: Version that it has in force.
         config_age_s: Age of its confirmation.
         seen_news: Number of the last residency change that it has.
+        seen_entries: Number of the last change of a server's entry that it
+            has, 0 if it needs all of them.
         draws: What it wants of each organisation's rate.
         loads: Its requests in each backend server.
         demand: Its demand by model.
@@ -79,9 +84,11 @@
     """
 
     instance: str
+    urgent: bool
     config_version: int
     config_age_s: float
     seen_news: int
+    seen_entries: int
     draws: Mapping[str, float]
     loads: Mapping[str, int]
     demand: tuple[ModelDemand, ...]
@@ -109,6 +116,9 @@
             model.
         crashes: Crashes of all instances.
         leaving: Servers that take no new work.
+        entries_age_s: Age of the holder's list of servers.
+        entry_number: Number of the last change of an entry included.
+        entries: Entries that changed, None for one that was removed.
     """
 
     fence: int
@@ -124,6 +134,9 @@
     loading_s: Mapping[tuple[str, str], float]
     crashes: tuple[CrashNote, ...]
     leaving: tuple[str, ...]
+    entries_age_s: float
+    entry_number: int
+    entries: Mapping[str, ports.StoredObject | None]
 
 
 def _pack(values):
@@ -139,9 +152,11 @@
         [
             PROTOCOL_VERSION,
             report.instance,
+            report.urgent,
             report.config_version,
             report.config_age_s,
             report.seen_news,
+            report.seen_entries,
             dict(report.draws),
             dict(report.loads),
             _pack(report.demand),
@@ -154,19 +169,21 @@
 
 def decode_report(data):
     """Return the Report in bytes; raises BadMessage."""
-    fields = _fields(data, 11)
+    fields = _fields(data, 13)
     try:
         return Report(
             str(fields[1]),
-            int(fields[2]),
-            float(fields[3]),
-            int(fields[4]),
-            {str(k): float(v) for k, v in fields[5].items()},
-            {str(k): int(v) for k, v in fields[6].items()},
-            tuple(ModelDemand(*row) for row in fields[7]),
-            tuple(AdapterWish(*row) for row in fields[8]),
-            tuple(CrashNote(*row) for row in fields[9]),
-            tuple(str(server) for server in fields[10]),
+            bool(fields[2]),
+            int(fields[3]),
+            float(fields[4]),
+            int(fields[5]),
+            int(fields[6]),
+            {str(k): float(v) for k, v in fields[7].items()},
+            {str(k): int(v) for k, v in fields[8].items()},
+            tuple(ModelDemand(*row) for row in fields[9]),
+            tuple(AdapterWish(*row) for row in fields[10]),
+            tuple(CrashNote(*row) for row in fields[11]),
+            tuple(str(server) for server in fields[12]),
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected a report, got {exc}') from exc
@@ -201,13 +218,19 @@
             [[*key, value] for key, value in news.loading_s.items()],
             _pack(news.crashes),
             list(news.leaving),
+            news.entries_age_s,
+            news.entry_number,
+            {
+                server: obj and [obj.name, obj.revision, obj.value]
+                for server, obj in news.entries.items()
+            },
         ]
     )
 
 
 def decode_news(data):
     """Return the News in bytes; raises BadMessage."""
-    fields = _fields(data, 14)
+    fields = _fields(data, 17)
     try:
         return News(
             int(fields[1]),
@@ -223,6 +246,12 @@
             {(str(s), str(m)): float(v) for s, m, v in fields[11]},
             tuple(CrashNote(*row) for row in fields[12]),
             tuple(str(server) for server in fields[13]),
+            float(fields[14]),
+            int(fields[15]),
+            {
+                str(server): row and ports.StoredObject(*row)
+                for server, row in fields[16].items()
+            },
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected news, got {exc}') from exc
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -1,6 +1,7 @@
 """Backend servers as this instance knows them."""
 
 import dataclasses
+import itertools
 import logging
 
 from wagtailtide_gateway.decisions import health
@@ -81,6 +82,8 @@
     Attributes:
         states: ServerState by id.
         health: Failure rates of the servers.
+        known: Whether a whole list was seen.
+        entry_number: Number of the last change of an entry.
     """
 
     def __init__(self, decode, on_change):
@@ -88,9 +91,13 @@
         self._on_change = on_change
         self._returned_at = None
         self._service_times = {}
+        self._numbers = itertools.count(1)
+        self._entries = {}
+        self._confirmed_at = float('-inf')
         self.states = {}
         self.health = health.Health()
         self.known = False
+        self.entry_number = 0
 
     def apply_list(self, objects, now):
         """Take a whole list; entries that are missing are gone."""
@@ -113,6 +120,46 @@
         if changes:
             self._on_change()
 
+    def _number_entry(self, server_id, obj):
+        self.entry_number = next(self._numbers)
+        self._entries[server_id] = (self.entry_number, obj)
+
+    def confirm(self, at):
+        """Note that the list was right at a time in seconds."""
+        self._confirmed_at = max(at, self._confirmed_at)
+
+    def age_s(self, now):
+        """Return the seconds since the list was known to be right."""
+        return now - self._confirmed_at
+
+    def entries_after(self, number):
+        """Return entries that changed since a number, None if removed."""
+        return {
+            server_id: obj
+            for server_id, (changed, obj) in self._entries.items()
+            if changed > number and (obj is not None or number)
+        }
+
+    def apply_entries(self, entries, whole, now):
+        """Take entries that the duty holder passed on.
+
+        Args:
+            entries: StoredObject by id, None for one that was removed.
+            whole: Whether these are all entries.
+            now: Time in seconds.
+        """
+        for server_id, obj in entries.items():
+            if obj is not None:
+                self._put(obj, now)
+            elif server_id in self.states:
+                self._forget(server_id, 'removed at the duty holder')
+        if whole:
+            for server_id in self.states.keys() - entries.keys():
+                self._forget(server_id, 'not known to the duty holder')
+            self.known = True
+        if entries:
+            self._on_change()
+
     def note_store_returned(self, now):
         """Note that the store answers again after it did not."""
         self._returned_at = now
@@ -165,6 +212,8 @@
                     'revision': obj.revision,
                 },
             )
+        if state.server != server or obj.name not in self._entries:
+            self._number_entry(obj.name, obj)
         state.server = server
         state.lapsed_at = None
 
@@ -182,6 +231,7 @@
 
     def _forget(self, server_id, reason):
         del self.states[server_id]
+        self._number_entry(server_id, None)
         self.health.keep_only(self.states.keys())
         LOG.info('server gone', extra={'server': server_id, 'reason': reason})
         self._on_change()
--- a/packages/gateway/src/wagtailtide_gateway/control/sync.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sync.py
@@ -9,19 +9,24 @@
 
 LOG = logging.getLogger(__name__)
 
-# Longest wait of a watch. A waiting watch is one call whatever it brings, so
-# long ones are cheap; the kernel's probes find a silent connection sooner.
-WATCH_S = 10.0
+# Longest wait of the watch on the configuration. A waiting watch is one call
+# whatever it brings; its age is confirmed by reads, and the kernel's probes
+# find a silent connection.
+WATCH_S = 25.0
 
 # Pause after a call that the store did not answer. Short, because a withdrawn
 # key has to die within seconds of the store's return.
 RETRY_S = 0.25
 
-# Pause between two watches of the servers, in which changes gather: each
-# answer costs a call. The duty holder looks at once, and tells the others
-# what leaves; they have to see it themselves within the time to drain.
-HOLDER_GATHERS_S = 0.1
-OTHERS_GATHER_S = 1.0
+# The duty holder lists the servers this often and passes changes on. Lists
+# and not a watch, because a watch does not tell when it has fallen silent.
+HOLDER_LISTS_EVERY_S = 0.4
+
+MIN_SLEEP_S = 0.01
+
+# Part of the time in which a leaving server may get work after which the list
+# of the duty holder is too old, and an instance lists the servers itself.
+LIST_AGE_SHARE = 0.55
 
 # How often the age of the configuration is checked.
 CHECK_S = 0.25
@@ -30,70 +35,79 @@
 class StoreSync:
     """Watches of one instance on the store."""
 
-    def __init__(self, client, port, config, servers, clock, holds_duty):
+    def __init__(self, cfg, client, port, parts, clock, holds_duty):
+        self._cfg = cfg
         self._client = client
         self._holds_duty = holds_duty
         self._port = port
-        self._config = config
-        self._servers = servers
+        self._config = parts.config
+        self._servers = parts.servers
         self._clock = clock
         self._reachable = True
 
     async def run(self):
         """Follow the store until cancelled."""
         async with anyio.create_task_group() as tg:
-            tg.start_soon(self._follow, self._port.config_kind, self._config_s)
-            tg.start_soon(
-                self._follow, self._port.servers_kind, self._servers_s
-            )
+            tg.start_soon(self._follow_config)
+            tg.start_soon(self._follow_servers)
             tg.start_soon(self._confirm_when_old)
             tg.start_soon(self._drop_lapsed)
 
-    async def _follow(self, kind, sink):
-        revision = None
+    async def _follow_config(self):
+        kind, revision = self._port.config_kind, None
         while True:
+            sent_at = self._clock()
             try:
                 if revision is None:
-                    sent_at = self._clock()
                     objects, revision = await self._client.list_all(kind)
-                    sink(None, objects, sent_at)
                 else:
-                    sent_at = self._clock()
                     changes, revision = await self._client.watch(
                         kind, revision, WATCH_S
                     )
-                    sink(changes, None, sent_at)
-                    if kind == self._port.servers_kind:
-                        await anyio.sleep(self._gather_s())
+                    objects = [c.object for c in changes if not c.deleted]
             except stores.HistoryGone:
                 LOG.info('store history gone', extra={'kind': kind})
                 revision = None
             except (stores.StoreUnavailable, stores.Conflict) as exc:
                 self._note_lost(kind, exc)
-                # What was missed meanwhile may be out of the history.
                 await anyio.sleep(RETRY_S)
             else:
                 self._note_reached()
+                self._take_config(objects, sent_at)
 
-    def _config_s(self, changes, objects, sent_at):
-        values = (
-            objects
-            if objects is not None
-            else [c.object for c in changes if not c.deleted]
-        )
-        for obj in values:
+    async def _follow_servers(self):
+        """List the servers, unless the duty holder's list is fresh."""
+        kind = self._port.servers_kind
+        while True:
+            sent_at = anyio.current_time()
+            wait_s = self._next_list_s(sent_at)
+            if wait_s > 0:
+                # A remainder below the clock's resolution would never pass.
+                await anyio.sleep(max(wait_s, MIN_SLEEP_S))
+                continue
+            try:
+                objects, _ = await self._client.list_all(kind)
+            except (stores.StoreUnavailable, stores.Conflict) as exc:
+                self._note_lost(kind, exc)
+                await anyio.sleep(RETRY_S)
+                continue
+            self._note_reached()
+            self._servers.apply_list(objects, anyio.current_time())
+            self._servers.confirm(sent_at)
+
+    def _next_list_s(self, now):
+        age_s = self._servers.age_s(now)
+        if self._holds_duty():
+            return HOLDER_LISTS_EVERY_S - age_s
+        return self._cfg.server_drain_s * LIST_AGE_SHARE - age_s
+
+    def _take_config(self, objects, sent_at):
+        for obj in objects:
             if obj.name == self._port.config_name:
                 self._config.offer(obj.value, 'store', obj.revision)
         if self._config.deployment is not None:
             self._config.confirm(sent_at)
 
-    def _servers_s(self, changes, objects, sent_at):
-        now = anyio.current_time()
-        if objects is not None:
-            self._servers.apply_list(objects, now)
-        else:
-            self._servers.apply_changes(changes, now)
-
     async def _confirm_when_old(self):
         """Read the configuration when neither watch nor peers confirm it."""
         kind, name = self._port.config_kind, self._port.config_name
@@ -113,9 +127,6 @@
                 if self._config.deployment is not None:
                     self._config.confirm(sent_at)
 
-    def _gather_s(self):
-        return HOLDER_GATHERS_S if self._holds_duty() else OTHERS_GATHER_S
-
     def _ask_after_s(self):
         if self._holds_duty():
             return trust.HOLDER_ASKS_AFTER_S
--- a/packages/gateway/src/wagtailtide_gateway/decisions/trust.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/trust.py
@@ -14,7 +14,7 @@
 # Age at which the duty holder reads the configuration again. The others hear
 # the age from it, and read themselves only when it has grown beyond theirs.
 HOLDER_ASKS_AFTER_S = 0.8
-OTHERS_ASK_AFTER_S = 1.8
+OTHERS_ASK_AFTER_S = 2.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -63,10 +63,10 @@
             self.duty, self.hub, self.parts, cfg, self._pool, clock
         )
         self._sync = sync.StoreSync(
+            cfg,
             client,
             store_port,
-            self.parts.config,
-            self.parts.servers,
+            self.parts,
             clock,
             lambda: self.duty.is_held,
         )
--- a/packages/gateway/src/wagtailtide_gateway/parts.py
+++ b/packages/gateway/src/wagtailtide_gateway/parts.py
@@ -49,28 +49,45 @@
         ]
         return len(records)
 
-    def make_report(self, instance, seen_news, elapsed_s):
-        """Return the Report to the duty holder."""
+    def make_report(self, instance, seen, elapsed_s, urgent):
+        """Return the Report to the duty holder.
+
+        Args:
+            instance: Name of this instance.
+            seen: Numbers of the last residency change and the last entry.
+            elapsed_s: Seconds since the last report.
+            urgent: Whether it only draws and asks for adapters.
+        """
         now = anyio.current_time()
         notes, self._notes = self._notes[:MAX_NOTES], self._notes[MAX_NOTES:]
         wishes, self.wishes = self.wishes, set()
+        draws = self.advances.wants(elapsed_s)
+        if urgent:
+            loads, rows = {}, ()
+        else:
+            loads, rows = self._loads(), self.demand.take()
         return messages.Report(
             instance=instance,
+            urgent=urgent,
             config_version=self.config.version,
             config_age_s=self.config.age_s,
-            seen_news=seen_news,
-            draws=self.advances.wants(elapsed_s),
-            loads={
-                server_id: state.own_load
-                for server_id, state in self.servers.states.items()
-                if state.own_load
-            },
-            demand=self.demand.take(),
+            seen_news=seen[0],
+            seen_entries=seen[1],
+            draws=draws,
+            loads=loads,
+            demand=rows,
             adapters=tuple(wishes),
             crashes=tuple(notes),
             unreachable=tuple(self.servers.health.unreachable(now)),
         )
 
+    def _loads(self):
+        return {
+            server_id: state.own_load
+            for server_id, state in self.servers.states.items()
+            if state.own_load
+        }
+
     def put_back(self, report):
         """Keep what a report carried that did not arrive."""
         self._notes = list(report.crashes) + self._notes
@@ -94,7 +111,7 @@
             sent_at: Time in seconds at which the report was sent, suspended
                 time included.
         """
-        now = anyio.current_time()
+        anyio.current_time()
         self.advances.end_alone()
         for name, amount in news.grants.items():
             self.advances.grant(name, amount)
@@ -102,15 +119,31 @@
             self.config.offer(news.config_value, 'duty holder')
         if news.config_version == self.config.version and self.config.version:
             self.config.confirm(sent_at - news.config_age_s)
-        for server_id, state in self.servers.states.items():
-            state.others_load = news.loads.get(server_id, 0)
-            if server_id in news.leaving:
-                state.said_to_leave = True
         for server_id, residency in news.residencies.items():
             self.servers.adopt_news(server_id, residency)
-        self._adopt_crashes(news.crashes, now)
         self.room.wake()
 
+    def take_view(self, news, sent_at, seen_entries):
+        """Take the holder's view of the servers.
+
+        Args:
+            news: The News, not of an urgent report.
+            sent_at: Time in seconds at which the report was sent.
+            seen_entries: Number of the last entry that this instance had.
+        """
+        now = anyio.current_time()
+        self.servers.apply_entries(news.entries, not seen_entries, now)
+        self.servers.confirm(sent_at - news.entries_age_s)
+        for server_id, state in self.servers.states.items():
+            state.said_to_leave = server_id in news.leaving
+        self.take_loads(news)
+
+    def take_loads(self, news):
+        """Take the loads of the other instances and crashes."""
+        for server_id, state in self.servers.states.items():
+            state.others_load = news.loads.get(server_id, 0)
+        self._adopt_crashes(news.crashes, anyio.current_time())
+
     def _adopt_crashes(self, notes, now):
         by_mark = {}
         for note in notes:
--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -15,8 +15,9 @@
 # instance is likely to be able to.
 ELSEWHERE_S = 0.2
 
-# Longest wait for an advance from the duty holder.
-ADVANCE_TIMEOUT_S = 0.12
+# Longest wait for an advance from the duty holder, which answers within
+# milliseconds unless its machine is slow.
+ADVANCE_TIMEOUT_S = 0.4
 
 # Deadline of requests that state none and whose route has no timeout.
 DEFAULT_DEADLINE_S = 30.0
--- a/packages/gateway/tests/control/test_hub.py
+++ b/packages/gateway/tests/control/test_hub.py
@@ -13,9 +13,17 @@
 
 
 class FakeServers:
+    entry_number = 0
+
     def __init__(self):
         self.states = {}
 
+    def age_s(self, now):
+        return 0.0
+
+    def entries_after(self, number):
+        return {}
+
 
 class FakeConfig:
     deployment = None
@@ -27,9 +35,11 @@
 def make_report(instance='front-1', **changes):
     fields = {
         'instance': instance,
+        'urgent': False,
         'config_version': 0,
         'config_age_s': 0.0,
         'seen_news': 0,
+        'seen_entries': 0,
         'draws': {},
         'loads': {},
         'demand': (),
@@ -104,3 +114,11 @@
         found._duty.fence = 2
         news = found.answer(make_report('front-2'))
         self.assertEqual(news.loads, {})
+
+    @virtual_time.run_without_io
+    async def test_urgent_report_does_not_erase_the_load(self):
+        # Guards against loads that vanish whenever an instance draws.
+        found = make_hub()
+        found.answer(make_report('front-1', loads={'s1': 3}))
+        found.answer(make_report('front-1', urgent=True))
+        self.assertEqual(found.load_of('s1'), 3)
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -77,3 +77,31 @@
         state.note_lacks('m1', None, 5.0)
         self.assertFalse(state.holds('m1', None, 5.1))
         self.assertTrue(state.holds('m1', None, 6.0))
+
+
+class EntriesTest(unittest.TestCase):
+    def test_another_instance_follows_by_changes_alone(self):
+        holder = make_view(
+            builders.make_server('s1'), builders.make_server('s2')
+        )
+        other = servers.ServerView(decode, lambda: None)
+        other.apply_entries(holder.entries_after(0), True, 0.0)
+        seen = holder.entry_number
+        leaving = builders.make_server('s1', leaving=True)
+        holder.apply_list([stored(leaving)], 1.0)
+        other.apply_entries(holder.entries_after(seen), False, 1.0)
+        self.assertEqual(set(other.states), {'s1'})
+        self.assertFalse(other.states['s1'].takes_work)
+
+    def test_unchanged_entries_are_not_passed_on(self):
+        # Guards against check-ins that cost bytes at every instance.
+        holder = make_view(builders.make_server('s1'))
+        seen = holder.entry_number
+        holder.apply_list([stored(builders.make_server('s1'), 9)], 1.0)
+        self.assertEqual(holder.entries_after(seen), {})
+
+    def test_whole_list_of_a_new_holder_removes_what_it_lacks(self):
+        other = make_view(builders.make_server('s1'))
+        entries = make_view(builders.make_server('s2')).entries_after(0)
+        other.apply_entries(entries, True, 1.0)
+        self.assertEqual(set(other.states), {'s2'})
