--- /dev/null
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -0,0 +1,164 @@
+import contextlib
+import unittest
+
+import anyio
+from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.model import backend
+from wagtailtide_gateway.model import deployment
+from wagtailtide_testing import virtual_time
+
+LIMITS = deployment.CallerLimits(
+    max_header_bytes=1_000,
+    max_body_bytes=100,
+    header_timeout_s=3.0,
+    idle_timeout_s=5.0,
+)
+
+# Connections to loopback come from 127.0.0.1 and cannot take a port here.
+LISTEN_IP = '127.0.0.2'
+
+
+async def echo(request, out):
+    await out.answer(200, [], request.target + b' ' + request.body)
+
+
+@contextlib.asynccontextmanager
+async def listening(handle=echo, stopping=lambda: False):
+    """Yield a function that opens a connection to a listener."""
+    listener = await anyio.create_tcp_listener(local_host=LISTEN_IP)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    await listener.aclose()
+    address = backend.Address(LISTEN_IP, port)
+    served = incoming.Listener(address, handle, stopping, lambda: LIMITS)
+    await served.listen()
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(served.serve)
+        yield lambda: anyio.connect_tcp(LISTEN_IP, port)
+        tg.cancel_scope.cancel()
+
+
+async def read_all(stream):
+    parts = []
+    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while True:
+            parts.append(await stream.receive())
+    return b''.join(parts)
+
+
+class BadInputTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_bad_bytes_get_an_answer_and_the_end(self):
+        # One row for each kind of bad input on a caller's connection.
+        rows = {
+            'no HTTP': (b'\x16\x03\x01 hello\r\n\r\n', b'400'),
+            'two lengths': (
+                b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n'
+                b'Content-Length: 2\r\n\r\nab',
+                b'400',
+            ),
+            'bad length': (
+                b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n',
+                b'400',
+            ),
+            'two hosts': (
+                b'GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n',
+                b'400',
+            ),
+            'no host': (b'GET / HTTP/1.1\r\n\r\n', b'400'),
+            'space before colon': (
+                b'GET / HTTP/1.1\r\nHost : a\r\n\r\n',
+                b'400',
+            ),
+            'head too large': (
+                b'GET / HTTP/1.1\r\nHost: a\r\nX: ' + b'x' * 2_000,
+                b'431',
+            ),
+            'body too large': (
+                b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n'
+                + b'x' * 101,
+                b'413',
+            ),
+            'head too slow': (b'GET / HTTP/1.1\r\nHo', b'408'),
+        }
+        async with listening() as connect:
+            for name, (data, status) in rows.items():
+                with self.subTest(name):
+                    stream = await connect()
+                    await stream.send(data)
+                    answer = await read_all(stream)
+                    self.assertEqual(answer.split(b' ')[1], status)
+
+    @virtual_time.run_in_virtual_time
+    async def test_request_inside_a_body_is_never_served(self):
+        # Guards against a request smuggled behind two framings.
+        served = []
+
+        async def note(request, out):
+            served.append(request.target)
+            await out.answer(200, [], b'')
+
+        async with listening(note) as connect:
+            stream = await connect()
+            await stream.send(
+                b'POST /outer HTTP/1.1\r\nHost: a\r\nContent-Length: 44\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+                b'2c\r\nGET /inner HTTP/1.1\r\nHost: a\r\nX: 0123456\r\n\r\n'
+                b'\r\n0\r\n\r\n'
+            )
+            with anyio.move_on_after(1):
+                await read_all(stream)
+        self.assertNotIn(b'/inner', served)
+
+
+class ConnectionTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_requests_that_come_together_are_answered_in_order(self):
+        async with listening() as connect:
+            stream = await connect()
+            await stream.send(
+                b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\n'
+                b'POST /2 HTTP/1.1\r\nHost: a\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n'
+                b'GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+            )
+            answer = await read_all(stream)
+        bodies = [part.split(b'\r\n')[0] for part in answer.split(b'\r\n\r\n')]
+        order = [body[:2] for body in bodies if body.startswith(b'/')]
+        self.assertEqual(order, [b'/1', b'/2', b'/3'])
+        self.assertIn(b'/2 ab', answer)
+
+    @virtual_time.run_in_virtual_time
+    async def test_fault_of_a_handler_ends_its_connection_only(self):
+        async def fail(request, out):
+            raise RuntimeError('broken')
+
+        async with listening(fail) as connect:
+            for _ in range(2):
+                stream = await connect()
+                await stream.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+                self.assertEqual(await read_all(stream), b'')
+
+    @virtual_time.run_in_virtual_time
+    async def test_handler_is_cancelled_when_its_caller_leaves(self):
+        ended = anyio.Event()
+
+        async def wait(request, out):
+            try:
+                await anyio.sleep_forever()
+            finally:
+                ended.set()
+
+        async with listening(wait) as connect:
+            stream = await connect()
+            await stream.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+            await anyio.sleep(0.1)
+            await stream.aclose()
+            with anyio.fail_after(0.5):
+                await ended.wait()
+
+    @virtual_time.run_in_virtual_time
+    async def test_idle_connection_is_closed_after_its_time(self):
+        async with listening() as connect:
+            stream = await connect()
+            with anyio.fail_after(LIMITS.idle_timeout_s + 0.5):
+                self.assertEqual(await read_all(stream), b'')
--- /dev/null
+++ b/packages/gateway/tests/http/test_outgoing.py
@@ -0,0 +1,152 @@
+import contextlib
+import unittest
+
+import anyio
+from wagtailtide_core.retries import fate
+from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.model import backend
+from wagtailtide_testing import virtual_time
+
+LISTEN_IP = '127.0.0.2'
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+HEADERS = [(b'Host', b'a')]
+
+
+@contextlib.asynccontextmanager
+async def serving(behave):
+    """Yield the address of a server and count its connections."""
+    listener = await anyio.create_tcp_listener(local_host=LISTEN_IP)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+    async def serve(stream):
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                await behave(stream)
+
+    async with listener, anyio.create_task_group() as tg:
+        tg.start_soon(listener.serve, serve)
+        yield backend.Address(LISTEN_IP, port)
+        tg.cancel_scope.cancel()
+
+
+async def call(pool, address, body=b''):
+    conn = await pool.acquire(address)
+    try:
+        head = await conn.request(b'POST', b'/', HEADERS, body)
+        answer = await conn.read_body()
+    except BaseException:
+        await conn.close()
+        raise
+    await pool.release(conn)
+    return head.status, answer
+
+
+async def answer_always(stream):
+    while True:
+        await stream.receive()
+        await stream.send(OK)
+
+
+class PoolTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_connection_is_used_again(self):
+        pool = outgoing.ConnectionPool()
+        async with serving(answer_always) as address:
+            for _ in range(3):
+                self.assertEqual(await call(pool, address), (200, b'ok'))
+        self.assertEqual(pool.opened_count, 1)
+
+    @virtual_time.run_in_virtual_time
+    async def test_connection_that_the_server_closed_is_not_used(self):
+        # Guards against a request of unknown fate on a dropped connection.
+        async def answer_once(stream):
+            await stream.receive()
+            await stream.send(OK)
+
+        pool = outgoing.ConnectionPool()
+        async with serving(answer_once) as address:
+            for _ in range(2):
+                self.assertEqual(await call(pool, address), (200, b'ok'))
+                await anyio.sleep(0.1)
+        self.assertEqual(pool.opened_count, 2)
+
+    @virtual_time.run_in_virtual_time
+    async def test_connection_with_bytes_after_its_answer_is_not_used(self):
+        # Guards against bytes of one answer that reach another caller.
+        async def answer_twice(stream):
+            while True:
+                await stream.receive()
+                await stream.send(OK)
+                await anyio.sleep(0.05)
+                await stream.send(OK)
+
+        pool = outgoing.ConnectionPool()
+        async with serving(answer_twice) as address:
+            await call(pool, address)
+            await anyio.sleep(0.1)
+            await call(pool, address)
+        self.assertEqual(pool.opened_count, 2)
+
+    @virtual_time.run_in_virtual_time
+    async def test_early_answer_to_a_long_body_ends_the_connection(self):
+        # Guards against a second request where the server still expects the
+        # rest of the first one's body.
+        async def answer_early(stream):
+            await stream.receive(10)
+            await stream.send(OK)
+            await anyio.sleep_forever()
+
+        pool = outgoing.ConnectionPool()
+        body = b'x' * 8_000_000
+        async with serving(answer_early) as address:
+            self.assertEqual(await call(pool, address, body), (200, b'ok'))
+            conn = await pool.acquire(address)
+            await conn.close()
+        self.assertEqual(pool.opened_count, 2)
+
+
+class BrokenTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_progress_tells_whether_the_request_may_have_run(self):
+        async def close(stream):
+            await stream.receive()
+
+        pool = outgoing.ConnectionPool()
+        async with serving(close) as address:
+            with self.assertRaises(outgoing.ConnectionBroken) as caught:
+                await call(pool, address)
+        self.assertIs(caught.exception.progress, fate.Progress.SENDING)
+        with self.assertRaises(outgoing.ConnectionBroken) as caught:
+            await pool.acquire(address)
+        self.assertIs(caught.exception.progress, fate.Progress.CONNECTING)
+
+    @virtual_time.run_in_virtual_time
+    async def test_bad_answers_are_told_from_whole_ones(self):
+        rows = {
+            'cut': b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc',
+            'no HTTP': b'\x00\x01\x02garbage\r\n\r\n',
+            'cut chunk': b'HTTP/1.1 200 OK\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n5\r\nab',
+        }
+        for name, data in rows.items():
+
+            async def behave(stream, data=data):
+                await stream.receive()
+                await stream.send(data)
+
+            with self.subTest(name):
+                async with serving(behave) as address:
+                    with self.assertRaises(outgoing.ConnectionBroken):
+                        await call(outgoing.ConnectionPool(), address)
+
+    @virtual_time.run_in_virtual_time
+    async def test_answer_without_a_length_ends_with_its_connection(self):
+        async def behave(stream):
+            await stream.receive()
+            await stream.send(b'HTTP/1.1 200 OK\r\n\r\nall of it')
+
+        async with serving(behave) as address:
+            found = await call(outgoing.ConnectionPool(), address)
+        self.assertEqual(found, (200, b'all of it'))
