--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -59,6 +59,9 @@
     async def find(self, job):
         """Return the ServerState that should run a request.
 
+        A stream that has begun cannot be refused any more: it waits for a
+        server that takes it up, until it is given up.
+
         Raises:
             ServingError: It cannot be run in time; it has not been sent.
         """
@@ -69,13 +72,18 @@
                 state, decision = self._decide(job, place)
                 if decision.verdict is admission.Verdict.SEND:
                     return state
-                if self._stopping():
-                    raise _elsewhere()
                 now = anyio.current_time()
-                if decision.verdict is admission.Verdict.REFUSE or (
-                    patient_until is not None and now > patient_until
-                ):
-                    raise self._refusal(job, decision)
+                lost_patience = patient_until is not None and (
+                    now > patient_until
+                )
+                if not job.has_begun:
+                    if self._stopping():
+                        raise _elsewhere()
+                    if (
+                        decision.verdict is admission.Verdict.REFUSE
+                        or lost_patience
+                    ):
+                        raise self._refusal(job, decision)
                 if place is None:
                     place = self._enter(job)
                     patience_s = PATIENCE_FACTOR * decision.wait_s
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -60,7 +60,13 @@
     @property
     def wait_left_s(self):
         """Seconds for which it may still wait for a server."""
-        return self.starts_by - anyio.current_time()
+        until = self.ends_at if self.has_begun else self.starts_by
+        return until - anyio.current_time()
+
+    @property
+    def has_begun(self):
+        """Whether a part of its answer has been sent to the caller."""
+        return self.first_at is not None
 
     @property
     def is_plain(self):
