--- a/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -11,7 +11,7 @@
 
 # Part of the time left that a predicted wait may take. The rest is for
 # running the request and for the error of the prediction.
-WAIT_SHARE = 0.6
+WAIT_SHARE = 0.8
 
 # Bounds of the time after which a refused caller is asked to come back.
 MIN_RETRY_AFTER_S = 0.3
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -96,6 +96,7 @@
         )
         self._readiness = self._listener(cfg.readiness, self._answer_ready)
         self._peers = self._listener(cfg.peers, self._answer_peer)
+        self._admin = self._listener(cfg.admin, self._answer_admin)
         self.metrics.gauges = {
             'connections': lambda: self._callers.open_count,
             'waiting_requests': lambda: self.parts.room.count,
@@ -128,7 +129,12 @@
 
     async def run(self):
         """Serve until told to stop."""
-        listeners = (self._callers, self._readiness, self._peers)
+        listeners = (
+            self._callers,
+            self._readiness,
+            self._peers,
+            self._admin,
+        )
         for listener in listeners:
             await listener.listen()
         LOG.info(
@@ -189,9 +195,15 @@
         await _answer(out, status, b'')
 
     async def _answer_peer(self, request, out):
-        target = request.target
-        if target == exchanges.EXCHANGE_TARGET:
+        if request.target == exchanges.EXCHANGE_TARGET:
             await self._answer_exchange(request, out)
+        else:
+            await _answer(out, 404, b'')
+
+    async def _answer_admin(self, request, out):
+        target = request.target
+        if target == b'/healthz':
+            await _answer(out, 200, b'')
         elif target == b'/metrics':
             await _answer(out, 200, self.metrics.expose())
         elif target == b'/dump':
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -15,6 +15,7 @@
         callers: Where it takes requests.
         readiness: Where it answers the balancer.
         peers: Where it takes calls of other instances.
+        admin: Where it serves metrics and its dump.
         store: Where the store listens.
         stop_s: Seconds from the request to stop to the kill.
         key_withdrawal_s: Seconds after which a withdrawn key is dead.
@@ -31,6 +32,7 @@
     callers: backend.Address
     readiness: backend.Address
     peers: backend.Address
+    admin: backend.Address
     store: backend.Address
     stop_s: float
     key_withdrawal_s: float
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -134,6 +134,7 @@
         'callers': address,
         'readiness': address,
         'peers': address,
+        'admin': address,
         'store': address,
         'stop_s': 8.0,
         'key_withdrawal_s': 5.0,
