Bound the queue in a server by the latency target

The queue in them cost each stream 1.2 s before its first token, while it let none more run. Ruled out: waits at the instance (few waited over 300 ms).

--- a/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -3,11 +3,14 @@
 import dataclasses
 import enum
 
-# Load as a share of the slots up to which a request is sent. Above the slots
-# it waits in the server, which starts the most urgent first; a few waiting
-# requests keep a batch full while news of free slots travels.
-FILL_URGENT = 1.5
-FILL_OTHERS = 1.15
+# Part of a latency target that a request may spend in the queue of a server.
+# The rest is for the prompt, and for a view of the load that is late.
+QUEUE_SHARE = 0.4
+
+# Load as a share of the slots up to which a request is sent at most. A few
+# waiting requests keep a batch full while news of free slots travels.
+MAX_FILL_URGENT = 1.5
+MAX_FILL_OTHERS = 1.0
 
 # Part of the time left that a predicted wait may take. The rest is for
 # running the request and for the error of the prediction.
@@ -62,10 +65,20 @@
     retry_after_s: float = 0.0
 
 
-def fill_limit(priority, slots):
-    """Return the load up to which a server is sent a request."""
-    share = FILL_URGENT if priority == 0 else FILL_OTHERS
-    return slots * share
+def fill_limit(priority, slots, target_s, service_s):
+    """Return the load up to which a server is sent a request.
+
+    Answers the load of more requests than the copies of a model can run: a
+    longer queue in the server runs none more, and makes all of them late.
+
+    Args:
+        priority: Rank of the request, 0 is first.
+        slots: Slots of the server.
+        target_s: Latency target of the request in seconds.
+        service_s: Time that a request takes in a slot.
+    """
+    most = MAX_FILL_URGENT if priority == 0 else MAX_FILL_OTHERS
+    return slots * min(most, 1.0 + QUEUE_SHARE * target_s / service_s)
 
 
 def predict_wait_s(pool):
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -155,15 +155,16 @@
         ahead = self._room.ahead(
             job.service.name, job.req.model, job.priority, place
         )
-        has_room = best is not None and (
-            best.load < admission.fill_limit(job.priority, best.slots)
+        service_s = self._service_time_s(job)
+        has_room = best is not None and best.load < admission.fill_limit(
+            job.priority, best.slots, job.route.latency_target_s, service_s
         )
         pool = admission.Pool(
             slots=sum(c.slots for c in candidates),
             load=sum(c.load for c in candidates),
             waiting_ahead=ahead,
             instances=max(1, self._exchange.instances),
-            service_s=self._service_time_s(job),
+            service_s=service_s,
             ready_in_s=0.0 if able else self._ready_in_s(job, now),
         )
         decision = admission.decide(pool, has_room, job.wait_left_s)
--- a/packages/gateway/tests/decisions/test_admission.py
+++ b/packages/gateway/tests/decisions/test_admission.py
@@ -42,9 +42,20 @@
 
     def test_urgent_requests_may_fill_a_server_further(self):
         self.assertGreater(
-            admission.fill_limit(0, 24), admission.fill_limit(1, 24)
+            admission.fill_limit(0, 24, 0.4, 1.5),
+            admission.fill_limit(1, 24, 0.4, 1.5),
         )
 
+    def test_queue_in_a_server_leaves_a_request_in_its_target(self):
+        # The load pattern: a model's copies are asked for more than they can
+        # run, for ten seconds. A queue of half the slots, as it once was,
+        # keeps every request for 1.2 s before its first token.
+        service_s = 2.5
+        queued = admission.fill_limit(0, 64, 0.4, service_s) - 64
+        wait_s = queued / (64 / service_s)
+        self.assertGreater(wait_s, 0.0)
+        self.assertLess(wait_s, 0.4 / 2)
+
 
 class ReturnScheduleTest(unittest.TestCase):
     def test_callers_of_a_loading_model_return_one_after_the_other(self):
