Keep engines for urgent requests from loads for patient ones

Ruled out: the rate of the weight store (56 loads in 50 s of 120 allowed). Change: at most a quarter of a service's engines fetch from the weight store for requests that can wait.

--- a/packages/gateway/src/wagtailtide_gateway/control/engines.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engines.py
@@ -198,11 +198,19 @@
             demand=self._demand(service, now),
             slots=service.engine.slots,
             store_loads_left=self._store_loads_left(now),
+            patient_loads=sum(
+                engine.from_store and self._is_patient(service, engine.loading)
+                for _, engine in self._members(service)
+            ),
             cached=self._cached(service),
             observed_s=self._hub.observed_s(service.name, now),
             now=now,
         )
 
+    def _is_patient(self, service, model):
+        target_s = self._hub.target_s(service.name, model)
+        return target_s is not None and target_s >= placement.SWAP_S
+
     def _cached(self, service):
         """Return the models of which some engine has or gets a copy."""
         found = set()
--- a/packages/gateway/src/wagtailtide_gateway/control/hub.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -183,6 +183,14 @@
             if name == service
         }
 
+    def target_s(self, service, model):
+        """Return the shortest latency target of a model's requests, or None.
+
+        None also if no request for it was seen.
+        """
+        use = self._uses.get((service, model))
+        return use.target_s if use else None
+
     def observed_s(self, service, now):
         """Return the seconds since a service's first request, 0 if none."""
         first_at = self._first_at.get(service)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -47,6 +47,11 @@
 PRESSED_SLOTS = 4.0
 KEPT_FREE = 0.5
 
+# Share of the engines that may at one time fetch models from the weight store
+# for requests that can wait. Each of these loads keeps its engine from other
+# orders for seconds, and urgent requests cannot wait that long.
+PATIENT_LOADS_SHARE = 0.25
+
 # Seconds for which a loaded model stays, so that it serves what waited.
 MIN_STAY_S = 2.5
 
@@ -120,6 +125,8 @@
         demand: Demand by model.
         slots: Slots of an engine.
         store_loads_left: Loads that the weight store allows now.
+        patient_loads: Loads from the weight store in progress, of models
+            whose requests can wait.
         cached: Models of which some engine has a copy, on disk or resident.
         observed_s: Seconds since the first request for any model.
         now: Time in seconds.
@@ -131,6 +138,7 @@
     demand: Mapping[str, Demand]
     slots: int
     store_loads_left: int
+    patient_loads: int
     cached: frozenset[str]
     observed_s: float
     now: float
@@ -189,6 +197,7 @@
         models: Model by name.
     """
     steps, left = [], situation.store_loads_left
+    patient_loads = situation.patient_loads
     free = {engine.id: engine for engine in situation.engines}
     if situation.observed_s <= 0:
         return _fill(situation, models, free)
@@ -199,7 +208,9 @@
     for name in lacking(situation):
         if name not in models:
             continue
-        may_use_store = left > 0 and _may_occupy(situation, name, free)
+        may_use_store = left > 0 and _may_occupy(
+            situation, name, free, patient_loads
+        )
         found = _cheapest(situation, models, models[name], free, may_use_store)
         if found is None:
             continue
@@ -207,19 +218,24 @@
         del free[engine.id]
         from_store = is_from_store(models[name], engine)
         left -= from_store
+        patient_loads += from_store and situation.demand[name].patient
         copies[name] += 1
         copies.subtract(victims)
         steps.append(Step(engine.id, name, tuple(victims), from_store))
     return steps
 
 
-def _may_occupy(situation, name, free):
+def _may_occupy(situation, name, free, patient_loads):
     """Return whether a load from the weight store may keep an engine.
 
     It does so for seconds. Rare models wait for the engine that has a copy
     on disk, and leave some engines for models that rise quickly.
     """
     demand = situation.demand[name]
+    if demand.patient:
+        most = max(1, situation.engine_count * PATIENT_LOADS_SHARE)
+        if patient_loads + 1 > most:
+            return False
     if name in situation.cached and not situation.copies.get(name):
         return demand.busy_slots >= PRESSED_SLOTS
     if demand.busy_slots >= RARE_SLOTS:
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -53,6 +53,7 @@
         'copies': copies,
         'demand': {d.model: d for d in demand},
         'slots': 24,
+        'patient_loads': 0,
         'store_loads_left': 12,
         'cached': frozenset().union(*(e.models | e.cached for e in engines)),
         'observed_s': 10.0,
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -74,6 +74,20 @@
         steps = plan(engines, demand, store_loads_left=2)
         self.assertEqual(2, sum(step.from_store for step in steps))
 
+    def test_loads_for_patient_requests_leave_engines_to_urgent_ones(self):
+        # The load pattern: many rare models are asked for at once. Each load
+        # keeps its engine for six seconds; when demand then moves, there is
+        # no engine that could follow it.
+        engines = [builders.make_engine_view(f'e{i}') for i in range(4)]
+        rare = [
+            builders.make_demand(m, 3.0, waiting=3, patient=True)
+            for m in 'abcd'
+        ]
+        self.assertEqual(1, len(plan(engines, rare)))
+        self.assertEqual([], plan(engines, rare, patient_loads=1))
+        urgent = builders.make_demand('e', 5.0, waiting=3)
+        self.assertEqual(2, len(plan(engines, [urgent, *rare])))
+
     def test_busy_model_gets_copies_by_its_slots(self):
         engines = [
             builders.make_engine_view('e1', ('a',)),
