Load no further copy of a model whose engines have room

Change: a model gets a further copy only if requests wait for it or its engines are more than 0.6 full.

--- a/packages/gateway/src/wagtailtide_gateway/control/engines.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engines.py
@@ -195,6 +195,7 @@
             engines=tuple(views),
             engine_count=len(self._members(service)),
             copies=copies,
+            fills=self._fills(service),
             demand=self._demand(service, now),
             slots=service.engine.slots,
             store_loads_left=self._store_loads_left(now),
@@ -207,6 +208,16 @@
             now=now,
         )
 
+    def _fills(self, service):
+        loads = collections.defaultdict(list)
+        for server_id, engine in self._members(service):
+            for name in engine.residency.models:
+                loads[name].append(self._hub.load_of(server_id))
+        return {
+            name: sum(of_model) / len(of_model) / service.engine.slots
+            for name, of_model in loads.items()
+        }
+
     def _is_patient(self, service, model):
         target_s = self._hub.target_s(service.name, model)
         return target_s is not None and target_s >= placement.SWAP_S
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -9,6 +9,10 @@
 # hold several models that share their slots.
 COPY_FILL = 0.4
 
+# Load of the engines that hold a model, as a share of their slots, below which
+# it needs no further copy while nothing waits for it.
+ROOMY_FILL = 0.6
+
 # A model without a request for this long gives way to others, one that had
 # many requests sooner: after this many times their usual distance.
 IDLE_S = 4.0
@@ -50,7 +54,7 @@
 # Share of the engines that may at one time fetch models from the weight store
 # for requests that can wait. Each of these loads keeps its engine from other
 # orders for seconds, and urgent requests cannot wait that long.
-PATIENT_LOADS_SHARE = 0.25
+PATIENT_LOADS_SHARE = 0.34
 
 # Seconds for which a loaded model stays, so that it serves what waited.
 MIN_STAY_S = 2.5
@@ -122,6 +126,8 @@
         engines: Engines that take orders and have none in progress.
         engine_count: Number of engines, those with orders included.
         copies: Number of copies of each model, those on their way included.
+        fills: Load of the engines that hold each model, as a share of their
+            slots.
         demand: Demand by model.
         slots: Slots of an engine.
         store_loads_left: Loads that the weight store allows now.
@@ -135,6 +141,7 @@
     engines: tuple[EngineView, ...]
     engine_count: int
     copies: Mapping[str, int]
+    fills: Mapping[str, float]
     demand: Mapping[str, Demand]
     slots: int
     store_loads_left: int
@@ -144,12 +151,22 @@
     now: float
 
 
-def wanted_copies(demand, slots, engine_count):
-    """Return how many engines should hold a model."""
+def wanted_copies(situation, name):
+    """Return how many engines should hold a model.
+
+    Answers the load of a model whose engines have room: a further copy keeps
+    an engine busy for seconds and serves nobody sooner.
+    """
+    demand = situation.demand.get(name)
     if demand is None or (demand.idle and not demand.waiting):
         return 0
-    copies = math.ceil(demand.busy_slots / (slots * COPY_FILL))
-    return max(1, min(copies, engine_count))
+    copies = math.ceil(demand.busy_slots / (situation.slots * COPY_FILL))
+    copies = max(1, min(copies, situation.engine_count))
+    present = situation.copies.get(name, 0)
+    has_room = situation.fills.get(name, math.inf) < ROOMY_FILL
+    if present and has_room and not demand.waiting:
+        return min(copies, present)
+    return copies
 
 
 def load_time_s(model, engine):
@@ -267,11 +284,9 @@
 
 def lacking(situation):
     """Return the models that lack copies, the most urgent first."""
-    count = max(situation.engine_count, 1)
     rows = []
-    for name, demand in situation.demand.items():
-        copies = situation.copies.get(name, 0)
-        if copies < wanted_copies(demand, situation.slots, count):
+    for name in situation.demand:
+        if situation.copies.get(name, 0) < wanted_copies(situation, name):
             rows.append((-copy_gain(situation, name), name))
     return [name for _, name in sorted(rows)]
 
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -51,6 +51,7 @@
         'engines': tuple(engines),
         'engine_count': len(engines),
         'copies': copies,
+        'fills': dict.fromkeys(copies, 1.0),
         'demand': {d.model: d for d in demand},
         'slots': 24,
         'patient_loads': 0,
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -98,6 +98,20 @@
         self.assertEqual('a', step.model)
         self.assertNotEqual('e1', step.engine)
 
+    def test_busy_model_whose_engines_have_room_gets_no_further_copy(self):
+        # The load pattern: demand moves to a few models. One of them fits on
+        # its engine; a load for it, as once ordered, kept two engines from
+        # another model that then lost its only copy.
+        engines = [
+            builders.make_engine_view('e1', ('a',)),
+            builders.make_engine_view('e2'),
+        ]
+        demand = [builders.make_demand('a', 12.0)]
+        self.assertEqual([], plan(engines, demand, fills={'a': 0.5}))
+        self.assertEqual(1, len(plan(engines, demand, fills={'a': 0.9})))
+        waited_for = [builders.make_demand('a', 12.0, waiting=1)]
+        self.assertEqual(1, len(plan(engines, waited_for, fills={'a': 0.5})))
+
     def test_just_loaded_model_is_not_displaced(self):
         # Guards against two models that take turns without serving anyone.
         engines = [
