--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -20,9 +20,6 @@
 # small instance's processor. Larger fleets exchange less often.
 HOLDER_RATE_PER_S = 120.0
 
-# Interval while a request waits for an adapter or an advance.
-URGENT_INTERVAL_S = 0.03
-
 ANSWER_TIMEOUT_S = 0.8
 
 # Time without an exchange after which loads and numbers of others are void.
--- a/packages/gateway/src/wagtailtide_gateway/control/hub.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/hub.py
@@ -17,9 +17,6 @@
 # Weight of the newest second in the rate of a model's requests.
 RATE_SMOOTHING = 0.5
 
-# Time in a slot that is assumed before any was observed.
-DEFAULT_SERVICE_S = 1.5
-
 MAX_CRASH_NOTES = 200
 
 
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -0,0 +1,256 @@
+"""Orders of the duty holder on models."""
+
+import collections
+import dataclasses
+import logging
+
+import anyio
+
+from wagtailtide_gateway.control import engine_calls
+from wagtailtide_gateway.control import store_loads
+from wagtailtide_gateway.decisions import placement
+
+LOG = logging.getLogger(__name__)
+
+# Pause between reports while an order is carried out or its fate is unknown.
+REPORT_EVERY_S = 0.12
+
+# Time that an unload of a model takes that few requests run on.
+UNLOAD_S = 0.8
+
+# Time in which news reaches all instances of a small fleet.
+NEWS_TRAVEL_S = 0.3
+
+# An engine whose order is not done after this factor of the expected time,
+# and this many seconds more, is read again and planned anew.
+OVERDUE_FACTOR = 3.0
+OVERDUE_S = 5.0
+
+# Pause after an engine refused or did not answer an order.
+BACK_OFF_S = 0.5
+
+
+class ModelOrders:
+    """Plans which engines hold which models, and carries the plan out."""
+
+    def __init__(self, config, servers, fleet, hub, calls, cfg):
+        self._config = config
+        self._servers = servers
+        self._fleet = fleet
+        self._hub = hub
+        self._calls = calls
+        self._store_loads = store_loads.StoreLoads(cfg.load_window_s)
+
+    def begin_duty(self, now):
+        """Start anew as the holder of the duty."""
+        self._store_loads.begin_duty(
+            self._config.deployment, self._fleet.fence, now
+        )
+
+    async def learn(self, server_id):
+        """Read a new engine until it has no order in progress."""
+        engine = self._fleet.engines[server_id]
+        while self._fleet.engines.get(server_id) is engine:
+            report = await self._calls.refresh(server_id, engine)
+            if report is not None and not report.busy:
+                engine.busy = False
+                return
+            await anyio.sleep(REPORT_EVERY_S)
+
+    def plan(self, tg, now):
+        """Plan for all services and start the steps."""
+        for service in self._config.deployment.services.values():
+            if service.engine is None:
+                continue
+            situation = self._situation(service, now)
+            for step in placement.plan(situation, service.engine.models):
+                self._start_step(tg, service, step, now)
+
+    def _situation(self, service, now):
+        copies = collections.Counter()
+        views = []
+        for server_id, engine in self._fleet.members(service):
+            copies.update(engine.coming_models)
+            if not engine.busy and now >= engine.not_before:
+                views.append(self._view(service, server_id, engine))
+        return placement.Situation(
+            engines=tuple(views),
+            engine_count=len(self._fleet.members(service)),
+            copies=copies,
+            fills=self._fills(service),
+            demand=self._demand(service, now),
+            slots=service.engine.slots,
+            store_loads_left=self._store_loads_left(now),
+            patient_loads=sum(
+                engine.from_store and self._is_patient(service, engine.loading)
+                for _, engine in self._fleet.members(service)
+            ),
+            cached=self._cached(service),
+            observed_s=self._hub.observed_s(service.name, now),
+            now=now,
+        )
+
+    def _fills(self, service):
+        loads = collections.defaultdict(list)
+        for server_id, engine in self._fleet.members(service):
+            for name in engine.residency.models:
+                loads[name].append(self._hub.load_of(server_id))
+        return {
+            name: sum(of_model) / len(of_model) / service.engine.slots
+            for name, of_model in loads.items()
+        }
+
+    def _is_patient(self, service, model):
+        target_s = self._hub.target_s(service.name, model)
+        return target_s is not None and target_s >= placement.SWAP_S
+
+    def _cached(self, service):
+        """Return the models of which some engine has or gets a copy."""
+        found = set()
+        for _, engine in self._fleet.members(service):
+            residency = engine.residency
+            found |= residency.in_memory | residency.on_disk
+            found |= residency.models.keys()
+            if engine.loading:
+                found.add(engine.loading)
+        return frozenset(found)
+
+    def _view(self, service, server_id, engine):
+        spec, residency = service.engine, engine.residency
+        adapter_mb = max(
+            (m.adapter_mb for m in spec.models.values()), default=0
+        )
+        used_mb = spec.adapter_slots * adapter_mb
+        for name in residency.models:
+            known = spec.models.get(name)
+            used_mb += known.weights_mb if known else spec.weights_mb
+        return placement.EngineView(
+            id=server_id,
+            free_mb=spec.weights_mb - used_mb,
+            models=frozenset(residency.models),
+            in_memory=residency.in_memory,
+            on_disk=residency.on_disk,
+            load=self._hub.load_of(server_id),
+            loaded_at=engine.loaded_at,
+        )
+
+    def _demand(self, service, now):
+        rows = self._hub.demand_of(service.name, now)
+        rate = sum(row.rate_per_s for row in rows.values())
+        running = sum(row.running for row in rows.values())
+        slot_s = self._servers.service_time_s(service.name, 1.5)
+        if rate > 1.0 and running:
+            slot_s = max(0.2, min(running / rate, 4.0))
+        return {
+            model: placement.Demand(
+                model=model,
+                busy_slots=max(
+                    row.running + row.waiting, row.rate_per_s * slot_s
+                ),
+                waiting=row.waiting,
+                idle=placement.is_idle(row.idle_s, row.last_rate_per_s),
+                patient=row.target_s >= placement.SWAP_S,
+            )
+            for model, row in rows.items()
+        }
+
+    def _store_loads_left(self, now):
+        open_loads = sum(e.from_store for e in self._fleet.engines.values())
+        return self._store_loads.left(self._config.deployment, open_loads, now)
+
+    def _start_step(self, tg, service, step, now):
+        engine = self._fleet.engines[step.engine]
+        model = service.engine.models[step.model]
+        engine.busy = True
+        engine.loading = step.model
+        engine.victims = frozenset(step.victims)
+        engine.from_store = step.from_store
+        if step.from_store:
+            self._store_loads.count(now)
+        view = self._view(service, step.engine, engine)
+        load_s = placement.load_time_s(model, view)
+        expected_s = load_s + UNLOAD_S * len(step.victims)
+        self._hub.set_loading(service.name, step.model, now + expected_s)
+        LOG.info(
+            'model step',
+            extra={
+                'server': step.engine,
+                'model': step.model,
+                'victims': ','.join(step.victims),
+                'from_store': step.from_store,
+                'expected_s': round(expected_s, 2),
+                'demand': self._hub.demand_of(service.name, now).get(
+                    step.model
+                ),
+                'fence': self._fleet.fence,
+            },
+        )
+        tg.start_soon(self._carry_out, service, step, engine, load_s)
+
+    async def _carry_out(self, service, step, engine, load_s):
+        try:
+            if step.victims:
+                self._publish_without(step.engine, engine, step.victims)
+                await anyio.sleep(NEWS_TRAVEL_S)
+            for victim in step.victims:
+                if not await self._order_model(
+                    step.engine, engine, False, victim, 0.1
+                ):
+                    return
+            if await self._order_model(
+                step.engine, engine, True, step.model, load_s
+            ):
+                engine.loaded_at[step.model] = anyio.current_time()
+        finally:
+            engine.busy = engine.from_store = False
+            engine.loading, engine.victims = None, frozenset()
+            self._hub.publish(step.engine, engine.residency)
+            self._hub.set_loading(service.name, step.model, None)
+
+    def _publish_without(self, server_id, engine, victims):
+        """Let the instances stop using models before they are unloaded."""
+        models = {
+            name: resident
+            for name, resident in engine.residency.models.items()
+            if name not in victims
+        }
+        residency = dataclasses.replace(engine.residency, models=models)
+        self._hub.publish(server_id, residency)
+
+    async def _order_model(self, server_id, engine, load, name, expected_s):
+        """Order a load or unload; return whether it was carried out."""
+        async with engine.lock:
+            status = await self._calls.order(server_id, engine, load, name)
+            if status == 202:
+                engine.residency = dataclasses.replace(
+                    engine.residency,
+                    order_count=engine.residency.order_count + 1,
+                )
+        if status == 202:
+            return await self._await_done(
+                server_id, engine, load, name, expected_s
+            )
+        await anyio.sleep(engine_calls.REPORT_LAG_S)
+        await self._calls.refresh(server_id, engine)
+        engine.not_before = anyio.current_time() + BACK_OFF_S
+        return (name in engine.residency.models) == load
+
+    async def _await_done(self, server_id, engine, load, name, expected_s):
+        started_at = anyio.current_time()
+        await anyio.sleep(expected_s)
+        limit_s = expected_s * OVERDUE_FACTOR + OVERDUE_S
+        while anyio.current_time() - started_at < limit_s:
+            report = await self._calls.refresh(server_id, engine)
+            if report is not None and not report.busy:
+                return (name in engine.residency.models) == load
+            await anyio.sleep(REPORT_EVERY_S)
+        LOG.warning(
+            'model order overdue',
+            extra={
+                'server': server_id,
+                'load': load,
+                'model': name,
+                'waited_s': round(limit_s, 1),
+            },
+        )
+        return False
--- a/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -12,6 +12,9 @@
 MAX_FILL_URGENT = 1.5
 MAX_FILL_OTHERS = 1.0
 
+# Times in a slot are measured in steps of a millisecond.
+SHORTEST_SERVICE_S = 0.001
+
 # Part of the time left that a predicted wait may take. The rest is for
 # running the request and for the error of the prediction.
 WAIT_SHARE = 0.8
@@ -78,6 +81,7 @@
         service_s: Time that a request takes in a slot.
     """
     most = MAX_FILL_URGENT if priority == 0 else MAX_FILL_OTHERS
+    service_s = max(service_s, SHORTEST_SERVICE_S)
     return slots * min(most, 1.0 + QUEUE_SHARE * target_s / service_s)
 
 
--- a/packages/gateway/tests/decisions/test_admission.py
+++ b/packages/gateway/tests/decisions/test_admission.py
@@ -57,6 +57,11 @@
         self.assertLess(wait_s, 0.4 / 2)
 
 
+    def test_service_that_takes_no_measurable_time_has_a_fill_limit(self):
+        # Guards against a division by zero that failed every request.
+        self.assertEqual(36.0, admission.fill_limit(0, 24, 0.4, 0.0))
+
+
 class ReturnScheduleTest(unittest.TestCase):
     def test_callers_of_a_loading_model_return_one_after_the_other(self):
         # The load pattern: a model loads for three seconds while six callers
