--- a/packages/gateway/tests/decisions/test_admission.py
+++ b/packages/gateway/tests/decisions/test_admission.py
@@ -56,7 +56,6 @@
         self.assertGreater(wait_s, 0.0)
         self.assertLess(wait_s, 0.4 / 2)
 
-
     def test_service_that_takes_no_measurable_time_has_a_fill_limit(self):
         # Guards against a division by zero that failed every request.
         self.assertEqual(36.0, admission.fill_limit(0, 24, 0.4, 0.0))
