Find out at once whether a server whose connection broke has crashed

Cause: a request that crashes its servers was not recognised: a crash was noted only when a later request was refused a connection, and a server that failed is chosen last, so with other servers free no request went there. Change: after a broken connection the gateway opens a new one to that server, for at most 0.1 s. A refusal marks the server as unreachable and its requests as suspects. A connection that is taken serves the next request.

--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -13,6 +13,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+# An address that no process listens on refuses within a round trip; silence
+# tells nothing.
+PROBE_TIMEOUT_S = 0.1
+
 # Idle connections kept for each address: enough for the requests that one
 # instance usually has at a server at once.
 MAX_IDLE = 6
@@ -283,6 +287,21 @@
         self.opened_count += 1
         return Connection(stream, address, anyio.current_time())
 
+    async def refuses(self, address):
+        """Return whether an address refuses a new connection.
+
+        One that it takes is kept for the next request.
+        """
+        conn = None
+        with anyio.move_on_after(PROBE_TIMEOUT_S):
+            try:
+                conn = await self._open(address)
+            except ConnectionBroken:
+                return True
+        if conn is not None:
+            self._idle[address].append(conn)
+        return False
+
     async def release(self, conn):
         """Keep a connection whose request is answered, or close it."""
         idle = self._idle[conn.address]
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -153,10 +153,21 @@
             failed = await self._attempt(job, state, relay, out)
             if failed is None:
                 return
+            if failed.broken:
+                await self._look_for_crash(state)
             if failed.head is not None and not self._may_repeat(job, failed):
                 await self._pass_on(job, failed, relay, out)
                 return
 
+    async def _look_for_crash(self, state):
+        """Find out at once whether a server whose connection broke is gone.
+
+        A server that fails is chosen less, so that no later request may show
+        that it crashed and which requests were in it.
+        """
+        if await self._pool.refuses(state.server.address):
+            self._note_unreachable(state, anyio.current_time())
+
     def _may_repeat(self, job, failed):
         if failed.not_run:
             return job.arrivals < MAX_ARRIVALS
@@ -268,8 +279,7 @@
         if failed.not_run:
             job.ran_on -= 1
         if failed.unreachable:
-            self._parts.servers.health.record_unreachable(server_id, now)
-            self._parts.note_crash(server_id, state.server.residency.born_ms)
+            self._note_unreachable(state, now)
         elif failed.lacks:
             self._note_lacks(job, state, now)
         elif failed.reason != 'caller left':
@@ -286,6 +296,17 @@
             },
         )
 
+    def _note_unreachable(self, state, now):
+        server_id = state.server.id
+        self._parts.servers.health.record_unreachable(server_id, now)
+        count = self._parts.note_crash(
+            server_id, state.server.residency.born_ms
+        )
+        LOG.info(
+            'server takes no connection',
+            extra={'server': server_id, 'suspects': count},
+        )
+
     def _note_lacks(self, job, state, now):
         """Note what a server lacks; one that lacks a model may get it."""
         if job.req.model is not None:
