gateway: Log why a lease is taken over and what a leader answers

A takeover is logged with its reason and the time for which the lease was unchanged; the leader logs each renewal with its duration and the number and size of its responses. Without them the log cannot tell a takeover after a refused report from one of a lease that lapsed, nor a leader that is replaced from one whose link is full. Behaviour is unchanged; the response to a report moves to exchange.answer_report, so that tests use it without sockets.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -41,6 +41,21 @@
     target_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClusterSummary:
+    """Summary of a leader's term; its fields are logged.
+
+    Attributes:
+        instances: Number of instances that report, at least 1.
+        responses: Number of reports answered in this term.
+        response_bytes: Size of these responses in bytes.
+    """
+
+    instances: int
+    responses: int
+    response_bytes: int
+
+
 @dataclasses.dataclass
 class _ModelTraffic:
     rate_per_s: float = 0.0
@@ -82,6 +97,8 @@
         self._first_request_at = {}
         self._adapter_requested = anyio.Event()
         self.adapter_requests = {}
+        self._response_count = 0
+        self._response_bytes = 0
 
     def reset_on_new_term(self):
         """Drop all data if this instance leads in a new term."""
@@ -94,6 +111,12 @@
             # are full.
             self._buckets = quota.TokenBuckets(float('-inf'))
 
+    def summary(self):
+        """Return the ClusterSummary of this term."""
+        return ClusterSummary(
+            self.instance_count, self._response_count, self._response_bytes
+        )
+
     @property
     def instance_count(self):
         """Number of instances that report, at least 1."""
@@ -115,6 +138,11 @@
             del self._crashes[next(iter(self._crashes))]
         return self._make_update(report, now)
 
+    def record_response(self, size):
+        """Count a response of a size in bytes to a report."""
+        self._response_count += 1
+        self._response_bytes += size
+
     def _store_report(self, report, now):
         previous = self._reports.get(report.instance)
         if previous is not None:
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -28,6 +28,26 @@
 UPDATE_TTL_S = 3.0
 
 
+def answer_report(leadership, cluster, body):
+    """Return status and body of the response to another instance's report.
+
+    Args:
+        leadership: The Leadership of this instance.
+        cluster: Its ClusterState.
+        body: The report as received.
+    """
+    if not leadership.is_leader:
+        return 503, b''
+    try:
+        report = messages.decode_report(body)
+    except messages.BadMessage as exc:
+        LOG.warning('report refused', extra={'reason': str(exc)})
+        return 400, str(exc).encode()
+    response = messages.encode_update(cluster.handle_report(report))
+    cluster.record_response(len(response))
+    return 200, response
+
+
 class Exchange:
     """Sends reports to the leader and applies its updates.
 
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -33,13 +33,13 @@
         fence: Fencing token if this instance is the leader, else None.
     """
 
-    def __init__(self, client, port, cfg, clock, instance_count):
+    def __init__(self, client, port, cfg, clock, cluster_summary):
         self._client = client
         self._kind = port.lease_kind
         self._decode = _decode
         self._cfg = cfg
         self._clock = clock
-        self._instance_count = instance_count
+        self._cluster_summary = cluster_summary
         self._observer = lease.LeaseObserver()
         self._revision = None
         self._renewal_sent_at = float('-inf')
@@ -121,10 +121,11 @@
             LOG.info('duty released', extra={'fence': fence})
 
     async def _renew(self):
+        summary = self._cluster_summary()
         record = dataclasses.replace(
             self.record,
             renewals=self.record.renewals + 1,
-            instances=self._instance_count(),
+            instances=summary.instances,
         )
         sent_at = self._clock()
         try:
@@ -136,6 +137,14 @@
                 self.step_down(f'lease expired: {exc}')
         else:
             self._renewal_sent_at = sent_at
+            LOG.info(
+                'duty renewed',
+                extra={
+                    'fence': record.fence,
+                    'took_ms': round((self._clock() - sent_at) * 1000),
+                    **dataclasses.asdict(summary),
+                },
+            )
 
     async def _resolve_conflict(self, record, sent_at):
         """Read the lease after a conflict; stop leading if it is lost.
@@ -169,9 +178,9 @@
         if resigned or self._observer.may_take_over(
             self._cfg.lease_s, self._connection_refused, self._cfg.instance
         ):
-            await self._take_over()
+            await self._take_over('resigned' if resigned else 'lapsed')
 
-    async def _take_over(self):
+    async def _take_over(self, reason):
         previous = self.record
         record = lease.DutyRecord(
             holder=self._cfg.instance,
@@ -194,6 +203,8 @@
             extra={
                 'fence': record.fence,
                 'previous': previous.holder if previous else None,
+                'reason': reason,
+                'unchanged_s': round(self._observer.unchanged_s, 2),
                 'revision': self._revision,
             },
         )
--- a/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
@@ -61,6 +61,13 @@
             self._unchanged_since = received_at
         self._last_read_at = sent_at
 
+    @property
+    def unchanged_s(self):
+        """Seconds for which the object was seen unchanged."""
+        if self._unchanged_since is None:
+            return 0.0
+        return max(0.0, self._last_read_at - self._unchanged_since)
+
     def may_take_over(self, lease_s, connection_refused, own_name):
         """Return whether this instance may take over the leadership.
 
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -12,7 +12,6 @@
 from wagtailtide_gateway.control import engine_controller
 from wagtailtide_gateway.control import exchange as exchanges
 from wagtailtide_gateway.control import leadership as leadership_
-from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import store
 from wagtailtide_gateway.control import sync
 from wagtailtide_gateway.decisions import trust
@@ -65,7 +64,7 @@
             store_port, cfg.store, outgoing.ConnectionPool(), self.metrics
         )
         self.leadership = leadership_.Leadership(
-            client, store_port, cfg, clock, lambda: self.cluster.instance_count
+            client, store_port, cfg, clock, self._summarise_cluster
         )
         self.cluster = cluster_state_.ClusterState(
             self.shared_state.config,
@@ -124,6 +123,9 @@
             'backend_servers': lambda: len(self.shared_state.servers.states),
         }
 
+    def _summarise_cluster(self):
+        return self.cluster.summary()
+
     def _caller_limits(self):
         current = self.shared_state.config.deployment
         return current.limits if current else deployment.CallerLimits()
@@ -218,7 +220,10 @@
 
     async def _handle_peer(self, request, out):
         if request.target == exchanges.EXCHANGE_TARGET:
-            await self._handle_exchange(request, out)
+            status, body = exchanges.answer_report(
+                self.leadership, self.cluster, request.body
+            )
+            await _respond(out, status, body)
         else:
             await _respond(out, 404, b'')
 
@@ -233,19 +238,6 @@
         else:
             await _respond(out, 404, b'')
 
-    async def _handle_exchange(self, request, out):
-        if not self.leadership.is_leader:
-            await _respond(out, 503, b'')
-            return
-        try:
-            report = messages.decode_report(request.body)
-        except messages.BadMessage as exc:
-            LOG.warning('report refused', extra={'reason': str(exc)})
-            await _respond(out, 400, str(exc).encode())
-            return
-        update = self.cluster.handle_report(report)
-        await _respond(out, 200, messages.encode_update(update))
-
 
 async def _restart_on_error(task):
     """Run a background task and restart it after an unexpected error.
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data for the gateway."""
 
 from wagtailtide_gateway import settings
+from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.decisions import placement
 from wagtailtide_gateway.model import backend
 from wagtailtide_gateway.model import deployment
@@ -152,3 +153,21 @@
         'load_window_s': 5.0,
     }
     return settings.Settings(**fields | changes)
+
+
+def make_report(instance='front-1', **changes):
+    fields = {
+        'instance': instance,
+        'urgent': False,
+        'config_version': 0,
+        'config_age_s': 0.0,
+        'seen_residency_number': 0,
+        'seen_entry_number': 0,
+        'draws': {},
+        'loads': {},
+        'demand': (),
+        'adapters': (),
+        'crashes': (),
+        'unreachable': (),
+    }
+    return messages.Report(**fields | changes)
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -32,24 +32,6 @@
     value = None
 
 
-def make_report(instance='front-1', **changes):
-    fields = {
-        'instance': instance,
-        'urgent': False,
-        'config_version': 0,
-        'config_age_s': 0.0,
-        'seen_residency_number': 0,
-        'seen_entry_number': 0,
-        'draws': {},
-        'loads': {},
-        'demand': (),
-        'adapters': (),
-        'crashes': (),
-        'unreachable': (),
-    }
-    return messages.Report(**fields | changes)
-
-
 def make_cluster(config=None):
     return cluster_state.ClusterState(
         config or FakeConfig(), FakeServers(), FakeLeadership()
@@ -60,29 +42,31 @@
     @virtual_time.run_without_io
     async def test_update_contains_the_load_of_other_instances_only(self):
         cluster = make_cluster()
-        cluster.handle_report(make_report('front-1', loads={'s1': 3}))
-        update = cluster.handle_report(make_report('front-2', loads={'s1': 5}))
+        cluster.handle_report(builders.make_report('front-1', loads={'s1': 3}))
+        update = cluster.handle_report(
+            builders.make_report('front-2', loads={'s1': 5})
+        )
         self.assertEqual((update.loads, update.instances), ({'s1': 3}, 2))
 
     @virtual_time.run_without_io
     async def test_silent_instance_is_removed_with_its_load(self):
         # Guards against counting the load of a killed instance for ever.
         cluster = make_cluster()
-        cluster.handle_report(make_report('front-1', loads={'s1': 3}))
+        cluster.handle_report(builders.make_report('front-1', loads={'s1': 3}))
         await anyio.sleep(cluster_state.INSTANCE_TIMEOUT_S + 0.1)
-        update = cluster.handle_report(make_report('front-2'))
+        update = cluster.handle_report(builders.make_report('front-2'))
         self.assertEqual((update.loads, update.instances), ({}, 1))
 
     @virtual_time.run_without_io
     async def test_residency_is_sent_once_to_each_instance(self):
         cluster = make_cluster()
-        first = cluster.handle_report(make_report())
+        first = cluster.handle_report(builders.make_report())
         cluster.publish('s1', builders.make_residency(['m1']))
         second = cluster.handle_report(
-            make_report(seen_residency_number=first.residency_number)
+            builders.make_report(seen_residency_number=first.residency_number)
         )
         third = cluster.handle_report(
-            make_report(seen_residency_number=second.residency_number)
+            builders.make_report(seen_residency_number=second.residency_number)
         )
         self.assertEqual(list(second.residencies), ['s1'])
         self.assertEqual(third.residencies, {})
@@ -94,10 +78,14 @@
         # Guards against loads on all other engines when one instance is cut
         # off.
         cluster = make_cluster()
-        cluster.handle_report(make_report('front-1', unreachable=('s1',)))
-        cluster.handle_report(make_report('front-2', loads={'s1': 4}))
+        cluster.handle_report(
+            builders.make_report('front-1', unreachable=('s1',))
+        )
+        cluster.handle_report(builders.make_report('front-2', loads={'s1': 4}))
         self.assertFalse(cluster.is_unreachable('s1'))
-        cluster.handle_report(make_report('front-3', unreachable=('s1',)))
+        cluster.handle_report(
+            builders.make_report('front-3', unreachable=('s1',))
+        )
         self.assertTrue(cluster.is_unreachable('s1'))
 
     @virtual_time.run_without_io
@@ -107,7 +95,7 @@
         cluster = make_cluster()
         row = messages.ModelDemand('engines', 'm1', 6, 0, 0, 0.4)
         for _ in range(20):
-            cluster.handle_report(make_report(demand=(row,)))
+            cluster.handle_report(builders.make_report(demand=(row,)))
             await anyio.sleep(0.25)
             cluster.update_rates(0.25)
         now = anyio.current_time()
@@ -117,9 +105,9 @@
     @virtual_time.run_without_io
     async def test_new_term_starts_without_reports(self):
         cluster = make_cluster()
-        cluster.handle_report(make_report(loads={'s1': 3}))
+        cluster.handle_report(builders.make_report(loads={'s1': 3}))
         cluster._leadership.fence = 2
-        update = cluster.handle_report(make_report('front-2'))
+        update = cluster.handle_report(builders.make_report('front-2'))
         self.assertEqual(update.loads, {})
 
     @virtual_time.run_without_io
@@ -127,6 +115,6 @@
         # Guards against losing the load whenever an instance draws from a
         # rate.
         cluster = make_cluster()
-        cluster.handle_report(make_report('front-1', loads={'s1': 3}))
-        cluster.handle_report(make_report('front-1', urgent=True))
+        cluster.handle_report(builders.make_report('front-1', loads={'s1': 3}))
+        cluster.handle_report(builders.make_report('front-1', urgent=True))
         self.assertEqual(cluster.load_of('s1'), 3)
