gateway: Add failing tests of takeovers without an expired lease

Three ways in which a leader is replaced although its lease runs: a late refusal of its predecessor, a refusal of its own before the answer to its write arrives, and one lost answer to a renewal.

--- /dev/null
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -0,0 +1,192 @@
+"""Instances that elect a leader through a store in memory."""
+
+import types
+
+import anyio
+from wagtailtide_gateway import ports
+from wagtailtide_gateway import shared_state
+from wagtailtide_gateway.control import cluster_state
+from wagtailtide_gateway.control import exchange
+from wagtailtide_gateway.control import leadership
+from wagtailtide_gateway.control import store
+from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.model import backend
+
+from tests import builders
+
+PORT = types.SimpleNamespace(
+    lease_kind='leases',
+    decode_config=lambda value: value,
+    decode_server=lambda obj: obj.value,
+)
+
+ROUND_TRIP_S = 0.002
+
+
+class FakeStore:
+    """Store that holds the lease object.
+
+    Attributes:
+        obj: The lease as a StoredObject, or None.
+        holders: Holder of each stored version of the lease, in order.
+        write_delay_s: Time after which the answer to a write arrives, by
+            instance, in seconds.
+        lost_answers: Number of next writes that take effect and are not
+            answered.
+        down: Names of instances that get no answer.
+    """
+
+    def __init__(self):
+        self.obj = None
+        self.holders = []
+        self.write_delay_s = {}
+        self.lost_answers = 0
+        self.down = set()
+
+    def client(self, instance):
+        """Return the StoreClient stand-in of an instance."""
+        return _FakeClient(self, instance)
+
+
+class _FakeClient:
+    def __init__(self, fake_store, instance):
+        self._store = fake_store
+        self._instance = instance
+
+    async def get(self, kind, name):
+        await self._require_answer()
+        return self._store.obj
+
+    async def create(self, kind, name, value):
+        return await self._write(value, None)
+
+    async def replace(self, kind, name, value, revision):
+        return await self._write(value, revision)
+
+    async def _write(self, value, revision):
+        await self._require_answer()
+        current = self._store.obj
+        if revision != (current.revision if current else None):
+            raise store.Conflict('expected another revision')
+        obj = ports.StoredObject('holder', (revision or 0) + 1, value)
+        self._store.obj = obj
+        self._store.holders.append(value['holder'])
+        if self._store.lost_answers:
+            self._store.lost_answers -= 1
+            await self._fail()
+        await anyio.sleep(self._store.write_delay_s.get(self._instance, 0.004))
+        return obj
+
+    async def _require_answer(self):
+        if self._instance in self._store.down:
+            await self._fail()
+
+    async def _fail(self):
+        await anyio.sleep(store.CALL_TIMEOUT_S)
+        raise store.StoreUnavailable('no answer')
+
+
+class FakeNetwork:
+    """Connections between instances.
+
+    Attributes:
+        instances: Member by address.
+        before_answer: Coroutine function that is awaited before an instance
+            answers a report, by address.
+        exchanges: Time and address of each report that was sent.
+    """
+
+    def __init__(self):
+        self.instances = {}
+        self.before_answer = {}
+        self.exchanges = []
+
+    async def acquire(self, address):
+        """Return a connection to an instance."""
+        return _FakeConnection(self, address)
+
+    async def release(self, conn):
+        """Accept a connection for reuse."""
+
+
+class _FakeConnection:
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+        self._body = b''
+
+    async def request(self, method, target, headers, body):
+        self._network.exchanges.append((anyio.current_time(), self._address))
+        await anyio.sleep(ROUND_TRIP_S)
+        if before_answer := self._network.before_answer.get(self._address):
+            await before_answer()
+        status, self._body = self._network.instances[self._address].answer(
+            body
+        )
+        return outgoing.Head(status, ())
+
+    async def read_body(self):
+        return self._body
+
+    async def close(self):
+        pass
+
+
+class Member:
+    """One instance that takes part in the election.
+
+    Args:
+        name: Name of the instance.
+        fake_store: The FakeStore.
+        network: The FakeNetwork.
+        changes: Changed settings.
+
+    Attributes:
+        leadership: Its Leadership.
+        cluster: Its ClusterState.
+        exchange: Its Exchange.
+        shared_state: Its SharedState.
+    """
+
+    def __init__(self, name, fake_store, network, **changes):
+        self.name = name
+        self.address = backend.Address(f'10.0.0.{len(network.instances)}', 1)
+        network.instances[self.address] = self
+        cfg = builders.make_settings(
+            instance=name, peers=self.address, **changes
+        )
+        clock = anyio.current_time
+        self.shared_state = shared_state.SharedState(PORT, clock)
+        self.leadership = leadership.Leadership(
+            fake_store.client(name),
+            PORT,
+            cfg,
+            clock,
+            self._summarise_cluster,
+        )
+        self.cluster = cluster_state.ClusterState(
+            self.shared_state.config,
+            self.shared_state.servers,
+            self.leadership,
+        )
+        self.exchange = exchange.Exchange(
+            self.leadership,
+            self.cluster,
+            self.shared_state,
+            cfg,
+            network,
+            clock,
+        )
+
+    def _summarise_cluster(self):
+        return self.cluster.summary()
+
+    def answer(self, body):
+        """Return status and body of the response to a report."""
+        return exchange.answer_report(self.leadership, self.cluster, body)
+
+    async def run(self):
+        """Take part in the election until cancelled."""
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self.leadership.run)
+            tg.start_soon(self.exchange.run)
--- /dev/null
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -0,0 +1,111 @@
+import unittest
+
+import anyio
+from wagtailtide_testing import virtual_time
+
+from tests.control import election_fixture
+
+
+def make_members(*names, **changes):
+    fake_store = election_fixture.FakeStore()
+    network = election_fixture.FakeNetwork()
+    members = [
+        election_fixture.Member(name, fake_store, network, **changes)
+        for name in names
+    ]
+    return fake_store, network, members
+
+
+async def wait_until(condition, timeout_s=10.0):
+    with anyio.fail_after(timeout_s):
+        # The conditions are attributes of several objects without an event.
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(0.01)
+
+
+def leaders_of(members):
+    return [m.name for m in members if m.leadership.is_leader]
+
+
+class TakeoverTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_late_refusal_of_the_previous_leader_ends_no_new_lease(self):
+        # Guards against takeovers in turn: a refusal that arrives after the
+        # lease was read again says nothing about its new holder.
+        fake_store, network, members = make_members('old', 'new', 'other')
+        old, new, other = members
+
+        async def refuse_after_takeover():
+            # The first report is not answered, so that the lease is read.
+            network.before_answer[old.address] = wait_for_new_leader
+            await anyio.sleep_forever()
+
+        async def wait_for_new_leader():
+            await wait_until(lambda: other.leadership.record.holder == 'new')
+            fake_store.down.add('new')
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(old.leadership.run)
+            await wait_until(lambda: old.leadership.is_leader)
+            tg.start_soon(other.run)
+            await anyio.sleep(1.0)
+            network.before_answer[old.address] = refuse_after_takeover
+            await old.leadership.release_lease()
+            tg.start_soon(new.run)
+            await wait_until(lambda: 'new' in fake_store.down)
+            await anyio.sleep(1.0)
+            fake_store.down.clear()
+            await anyio.sleep(3.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(leaders_of(members), ['new'])
+        self.assertNotIn('other', fake_store.holders)
+
+    @virtual_time.run_without_io
+    async def test_leader_that_waits_for_its_write_is_not_replaced(self):
+        # Guards against a takeover from an instance whose write has taken
+        # effect but whose answer is still on its way.
+        fake_store, _, members = make_members('slow', 'other')
+        slow, other = members
+        fake_store.write_delay_s['slow'] = 1.2
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(slow.run)
+            await wait_until(lambda: fake_store.holders)
+            tg.start_soon(other.run)
+            await anyio.sleep(2.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(set(fake_store.holders), {'slow'})
+
+    @virtual_time.run_without_io
+    async def test_leader_that_gave_up_its_lease_is_replaced_at_once(self):
+        fake_store, _, members = make_members('old', 'other')
+        old, other = members
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(old.leadership.run)
+            await wait_until(lambda: old.leadership.is_leader)
+            tg.start_soon(other.run)
+            await anyio.sleep(2.0)
+            fake_store.down.add('old')
+            old.leadership.step_down('replaced at an engine')
+            with anyio.fail_after(1.5):
+                await wait_until(lambda: other.leadership.is_leader)
+            tg.cancel_scope.cancel()
+
+
+class RenewalTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_lost_answer_to_a_renewal_does_not_end_the_leadership(self):
+        # Guards against a leader that steps down although its renewal has
+        # taken effect.
+        fake_store, _, members = make_members('leader')
+        (leader,) = members
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(leader.leadership.run)
+            await wait_until(lambda: leader.leadership.is_leader)
+            fence = leader.leadership.fence
+            for _ in range(4):
+                fake_store.lost_answers = 1
+                for _ in range(40):
+                    await anyio.sleep(0.1)
+                    self.assertTrue(leader.leadership.is_leader)
+            tg.cancel_scope.cancel()
+        self.assertEqual(leader.leadership.fence, fence)
