gateway: Take over a lease only from a holder that gave it up

Callers saw 429 for most requests once a leader was lost on the grown deployments: leaders replaced each other every 1 to 2 s, though the lease is 3 s, and each new one began with empty buckets and no reports.

An instance took any 503 as the resignation of the record that it knew when the answer arrived. A late 503 of the previous leader thereby ended the lease of the new one, and a leader whose write had taken effect but whose answer was still on its way refused reports and was replaced. Now a refusal states the last fencing token that its sender gave up, and only a lease with that token or an older one may be taken over at once. A fencing token is given up for good, so a late refusal is harmless.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -37,7 +37,7 @@
         body: The report as received.
     """
     if not leadership.is_leader:
-        return 503, b''
+        return 503, messages.encode_refusal(leadership.resigned_fence)
     try:
         report = messages.decode_report(body)
     except messages.BadMessage as exc:
@@ -187,11 +187,11 @@
         return self._decode_response(head, body, record)
 
     def _decode_response(self, head, body, record):
-        if head.status != 200:
-            self._note_failure(record, f'status {head.status}', False)
-            self._leadership.note_resignation()
-            return None
         try:
+            if head.status != 200:
+                self._note_failure(record, f'status {head.status}', False)
+                self._leadership.note_refusal(messages.decode_refusal(body))
+                return None
             update = messages.decode_update(body)
         except messages.BadMessage as exc:
             LOG.warning(
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -31,6 +31,8 @@
     Attributes:
         record: The DutyRecord as last read or written, or None.
         fence: Fencing token if this instance is the leader, else None.
+        resigned_fence: Last fencing token that this instance gave up, 0 if
+            there is none.
     """
 
     def __init__(self, client, port, cfg, clock, cluster_summary):
@@ -45,10 +47,11 @@
         self._renewal_sent_at = float('-inf')
         self._last_response_at = clock()
         self._connection_refused = False
-        self._resigned_record = None
+        self._others_resigned_fence = 0
         self._stopping = False
         self.record = None
         self.fence = None
+        self.resigned_fence = 0
 
     @property
     def is_leader(self):
@@ -71,12 +74,19 @@
         """
         self._connection_refused = connection_refused
 
-    def note_resignation(self):
-        """Record that the instance named in the lease refused a report.
+    def note_refusal(self, resigned_fence):
+        """Record that an instance answered that it is not the leader.
 
-        The lease may then be taken over as long as it is unchanged.
+        The lease is read again. It may be taken over at once if its holder
+        has given it up; a holder that has not yet received the answer to its
+        own write has not.
+
+        Args:
+            resigned_fence: Last fencing token that the instance gave up.
         """
-        self._resigned_record = self.record
+        self._others_resigned_fence = max(
+            resigned_fence, self._others_resigned_fence
+        )
         self._last_response_at = float('-inf')
 
     def step_down(self, reason):
@@ -89,6 +99,7 @@
             LOG.warning(
                 'duty lost', extra={'fence': self.fence, 'reason': reason}
             )
+            self.resigned_fence = self.fence
         self.fence = None
         self._last_response_at = float('-inf')
 
@@ -110,6 +121,7 @@
         if self.fence is None:
             return
         fence, self.fence = self.fence, None
+        self.resigned_fence = fence
         released = dataclasses.replace(self.record, holder='')
         try:
             await self._write(released)
@@ -172,8 +184,8 @@
         received_at = self._clock()
         self._observer.observe(self.record, sent_at, received_at)
         resigned = (
-            self._resigned_record is not None
-            and self._resigned_record == self.record
+            self.record is not None
+            and self.record.fence <= self._others_resigned_fence
         )
         if resigned or self._observer.may_take_over(
             self._cfg.lease_s, self._connection_refused, self._cfg.instance
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -269,6 +269,23 @@
         ) from exc
 
 
+def encode_refusal(resigned_fence):
+    """Return the answer of an instance that does not lead, as bytes.
+
+    Args:
+        resigned_fence: Last fencing token that it gave up, 0 if there is none.
+    """
+    return cbor2.dumps([PROTOCOL_VERSION, resigned_fence])
+
+
+def decode_refusal(data):
+    """Return the resigned fencing token; raise BadMessage if invalid."""
+    fields = _fields(data, 2)
+    if not isinstance(fields[1], int):
+        raise BadMessage(f'expected a fencing token, got {fields[1]!r}')
+    return fields[1]
+
+
 def _fields(data, count):
     if len(data) > MAX_MESSAGE_BYTES:
         raise BadMessage(
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -46,6 +46,13 @@
         update = messages.decode_update(messages.encode_update(UPDATE))
         self.assertEqual((report, update), (REPORT, UPDATE))
 
+    def test_refusal_round_trips_and_invalid_ones_are_refused(self):
+        data = messages.encode_refusal(7)
+        self.assertEqual(messages.decode_refusal(data), 7)
+        for bad in (b'', data[:-1], cbor2.dumps([99, 7]), cbor2.dumps([1])):
+            with self.subTest(bad), self.assertRaises(messages.BadMessage):
+                messages.decode_refusal(bad)
+
     def test_invalid_messages_are_refused(self):
         # One row for each kind of invalid message from another instance.
         fields = cbor2.loads(messages.encode_report(REPORT))
