gateway: Keep the leadership after a lost answer to a renewal

Callers saw 429 and models that were not loaded while the leadership changed hands. A renewal waited 1.5 s for its answer and was repeated 1 s later, but the leader acts on its lease for 2.5 s after the last confirmed renewal: one lost answer ended the leadership, although the write had taken effect.

A renewal now fails after 0.6 s and is repeated at once. If the repeated write conflicts with an earlier one of the same leader, the lease counts from the first write that may have been it, so the leader never counts it longer than the others do.

--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -21,6 +21,13 @@
 # answer. A random factor spreads the reads of the instances.
 POLL_INTERVAL_S = 0.5
 
+# Timeout of a renewal, shorter than that of other calls: a renewal without an
+# answer has to be repeated before the lease expires.
+RENEWAL_TIMEOUT_S = 0.6
+
+# Delay before a failed renewal is repeated.
+RENEWAL_RETRY_DELAY_S = 0.1
+
 # The lease is read once the leader has not answered for this many seconds.
 LEADER_TIMEOUT_S = 1.0
 
@@ -45,6 +52,7 @@
         self._observer = lease.LeaseObserver()
         self._revision = None
         self._renewal_sent_at = float('-inf')
+        self._unconfirmed_since = None
         self._last_response_at = clock()
         self._connection_refused = False
         self._others_resigned_fence = 0
@@ -107,8 +115,12 @@
         """Renew the lease as the leader, else take over an expired one."""
         while not self._stopping:
             if self.fence is not None:
-                await self._renew()
-                await anyio.sleep(lease.RENEW_INTERVAL_S)
+                renewed = await self._renew()
+                await anyio.sleep(
+                    lease.RENEW_INTERVAL_S
+                    if renewed
+                    else RENEWAL_RETRY_DELAY_S
+                )
             else:
                 await self._poll()
                 await anyio.sleep(
@@ -133,6 +145,7 @@
             LOG.info('duty released', extra={'fence': fence})
 
     async def _renew(self):
+        """Renew the lease; return whether the store confirmed it."""
         summary = self._cluster_summary()
         record = dataclasses.replace(
             self.record,
@@ -140,15 +153,23 @@
             instances=summary.instances,
         )
         sent_at = self._clock()
+        if self._unconfirmed_since is None:
+            self._unconfirmed_since = sent_at
         try:
-            await self._write(record)
+            with anyio.fail_after(RENEWAL_TIMEOUT_S):
+                await self._write(record)
         except stores.Conflict:
-            await self._resolve_conflict(record, sent_at)
-        except stores.StoreUnavailable as exc:
+            await self._resolve_conflict(record)
+        except (stores.StoreUnavailable, TimeoutError) as exc:
+            reason = str(exc) or f'no answer in {RENEWAL_TIMEOUT_S} s'
+            LOG.info(
+                'duty not renewed',
+                extra={'fence': record.fence, 'reason': reason},
+            )
             if not self.is_leader:
-                self.step_down(f'lease expired: {exc}')
+                self.step_down(f'lease expired: {reason}')
         else:
-            self._renewal_sent_at = sent_at
+            self._note_renewal(sent_at)
             LOG.info(
                 'duty renewed',
                 extra={
@@ -157,20 +178,31 @@
                     **dataclasses.asdict(summary),
                 },
             )
+            return True
+        return False
 
-    async def _resolve_conflict(self, record, sent_at):
+    def _note_renewal(self, sent_at):
+        self._renewal_sent_at = sent_at
+        self._unconfirmed_since = None
+
+    async def _resolve_conflict(self, record):
         """Read the lease after a conflict; stop leading if it is lost.
 
         A conflict also arises if an earlier write took effect but its answer
-        was lost; then this instance is still the leader.
+        was lost; then this instance is still the leader, and its lease runs
+        from the first of the writes that may have taken effect.
         """
-        found = await self._read()
-        if found is None:
+        try:
+            with anyio.fail_after(RENEWAL_TIMEOUT_S):
+                found = await self._read()
+        except TimeoutError:
             return
-        if found.holder == record.holder and found.fence == record.fence:
-            self.record = found
+        if found is None:
             return
-        self.step_down(f'held by {found.holder}')
+        if found.holder != record.holder or found.fence != record.fence:
+            self.step_down(f'held by {found.holder}')
+        elif found.renewals >= record.renewals:
+            self._note_renewal(self._unconfirmed_since)
 
     async def _poll(self):
         if (
@@ -208,7 +240,7 @@
         except (stores.StoreUnavailable, stores.Conflict) as exc:
             LOG.info('duty not taken', extra={'reason': str(exc)})
             return
-        self._renewal_sent_at = sent_at
+        self._note_renewal(sent_at)
         self.fence = record.fence
         LOG.info(
             'duty taken',
