gateway: Pass restarted and relisted servers on to all instances

Callers were refused with model_loading while engines that had come back stood idle. A server whose entry had been removed and was listed again, or that restarted under its id, got no new number in the leader's list: the check for a change compared the entry with the state that had just been replaced by it. No other instance learned of it until its models changed: instances that had removed it sent it nothing, and those that knew its previous process ignored its residencies.

The entry is now compared with the state before it is replaced. Both tests failed before.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -209,6 +209,8 @@
             server.residency.process_start_ms
         ):
             return
+        if state is None or state.server != server:
+            self._number_entry(obj.name, obj)
         if state is None or state.server.residency.process_start_ms != (
             server.residency.process_start_ms
         ):
@@ -233,8 +235,6 @@
                     'revision': obj.revision,
                 },
             )
-        if state.server != server or obj.name not in self._entries:
-            self._number_entry(obj.name, obj)
         state.server = server
         state.missing_since = None
 
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -100,6 +100,31 @@
         leader.apply_list([stored(builders.make_server('s1'), 9)], 1.0)
         self.assertEqual(leader.changed_entries(seen), {})
 
+    def test_server_that_is_listed_again_is_passed_on(self):
+        # Guards against servers that only the leader uses after their entries
+        # lapsed during a store outage.
+        server = builders.make_server('s1')
+        leader = make_view(server)
+        follower = servers.ServerView(decode, lambda: None)
+        follower.apply_entries(leader.changed_entries(0), True, 0.0)
+        leader.apply_list([], 1.0)
+        seen = leader.entry_number
+        follower.apply_entries(leader.changed_entries(1), False, 1.0)
+        leader.apply_list([stored(server)], 2.0)
+        follower.apply_entries(leader.changed_entries(seen), False, 2.0)
+        self.assertEqual(set(follower.states), {'s1'})
+
+    def test_restart_with_the_same_id_is_passed_on(self):
+        # Guards against instances that ignore the residencies of a restarted
+        # server, because they know the start of its previous process.
+        leader = make_view(builders.make_server('s1'))
+        seen = leader.entry_number
+        restarted = builders.make_server(
+            's1', residency=builders.make_residency(process_start_ms=2)
+        )
+        leader.apply_list([stored(restarted)], 1.0)
+        self.assertEqual(set(leader.changed_entries(seen)), {'s1'})
+
     def test_whole_list_of_a_new_leader_removes_other_entries(self):
         follower = make_view(builders.make_server('s1'))
         entries = make_view(builders.make_server('s2')).changed_entries(0)
