gateway: Send an instance only what it lacks when the leader changes

Callers saw 429 and refusals for seconds after each change of the leader on the grown deployments, and the new leaders lost their leases in turn. Each instance dropped what it had of the previous leader and asked the new one for all of it: 24 KB for 49 servers, 2.9 MB for 120 instances, of which a link of 5 Mbit/s carries 0.5 MB within the 0.8 s that an exchange may take.

An instance now reports, in place of the numbers of the previous leader, the revisions of the entries and the digests of the residencies that it has, about 2 KB, and the leader sends the difference. A new leader begins with what it knew as a follower. Residencies of the previous leader stay in use until newer ones arrive or no leader answers for 3 s. The version of the messages between instances is now 2.

test_new_leader_on_a_slow_link_answers_a_large_fleet failed before (102 of 120 instances had an update 1.5 s after the takeover, now 120).

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -8,6 +8,7 @@
 
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.decisions import quota
+from wagtailtide_gateway.model import backend
 
 LOG = logging.getLogger(__name__)
 
@@ -65,6 +66,13 @@
     target_s: float = float('inf')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PublishedResidency:
+    number: int
+    residency: backend.Residency
+    digest: int
+
+
 @dataclasses.dataclass(frozen=True)
 class _ReceivedReport:
     report: messages.Report
@@ -106,6 +114,10 @@
             return
         self.__init__(self._config, self._servers, self._leadership)
         self._fence = self._leadership.fence
+        # What the previous leader published is what the instances have.
+        for server_id, state in self._servers.states.items():
+            if state.leader_residency is not None:
+                self.publish(server_id, state.leader_residency)
         if self._fence == 1:
             # There was no leader before, so nothing was drawn and the buckets
             # are full.
@@ -164,11 +176,14 @@
 
     def publish(self, server_id, residency):
         """Send a server's residency to all instances in the next update."""
+        digest = messages.residency_digest(residency)
         current = self._residencies.get(server_id)
-        if current is not None and current[1] == residency:
+        if current is not None and current.digest == digest:
             return
         self._residency_number += 1
-        self._residencies[server_id] = (self._residency_number, residency)
+        self._residencies[server_id] = _PublishedResidency(
+            self._residency_number, residency, digest
+        )
 
     def set_loading(self, service, model, ready_at):
         """Set the time at which a model is ready, None if it does not load."""
@@ -268,17 +283,15 @@
             grants=grants,
             refill_waits_s=refill_waits_s,
             loads={},
-            residencies={
-                server: residency
-                for server, (number, residency) in self._residencies.items()
-                if number > report.seen_residency_number
-            },
+            residencies=self._changed_residencies(report),
             loading_s={},
             crashes=(),
             leaving=(),
             entries_age_s=self._servers.age_s(now),
             entry_number=self._servers.entry_number,
-            entries=self._servers.changed_entries(report.seen_entry_number),
+            entries=self._servers.changed_entries(
+                report.seen_entry_number, report.known_entries
+            ),
         )
         if report.urgent:
             return update
@@ -293,6 +306,14 @@
             leaving=self._leaving(),
         )
 
+    def _changed_residencies(self, report):
+        return {
+            server: published.residency
+            for server, published in self._residencies.items()
+            if published.number > report.seen_residency_number
+            and published.digest != report.known_residencies.get(server)
+        }
+
     def _grant(self, report, now):
         deployment = self._config.deployment
         organisations = deployment.organisations_by_name if deployment else {}
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -70,7 +70,9 @@
         self._residency_number = 0
         self._entry_number = 0
         self._next_full_at = 0.0
-        self._fence = None
+        self._fence = 0
+        # Whether this instance has the data and numbers of the leader.
+        self._in_step = False
         self._last_draw_at = None
         self._completed = anyio.Event()
         self._last_update_at = float('-inf')
@@ -112,7 +114,8 @@
 
     async def _exchange(self):
         now = anyio.current_time()
-        urgent = now < self._next_full_at
+        self._follow_new_term()
+        urgent = self._in_step and now < self._next_full_at
         if not urgent:
             self._next_full_at = now + self._interval_s()
         report = self._make_report(now, urgent)
@@ -128,7 +131,7 @@
             self._shared_state.restore_report(report)
             if not self.has_recent_update:
                 self._shared_state.servers.discard_leader_residencies()
-                self._residency_number = self._entry_number = 0
+                self._start_term(self._fence)
                 self.loading_s = {}
                 self.refill_waits_s = {}
         else:
@@ -136,6 +139,19 @@
         completed, self._completed = self._completed, anyio.Event()
         completed.set()
 
+    def _follow_new_term(self):
+        """Drop the numbers of the previous leader once there is another."""
+        record = self._leadership.record
+        fence = self._leadership.fence or (record.fence if record else 0)
+        if fence > self._fence:
+            self._start_term(fence)
+
+    def _start_term(self, fence):
+        """Report next what this instance has, instead of numbers."""
+        self._fence = fence
+        self._in_step = False
+        self._residency_number = self._entry_number = 0
+
     def _recorded_instances(self):
         record = self._leadership.record
         return max(1, record.instances if record else 1)
@@ -220,13 +236,8 @@
         self._last_update_at = anyio.current_time()
         self.instances = update.instances
         if update.fence != self._fence:
-            # A new leader numbers its changes from the start. This update was
-            # computed for the numbers of the previous leader, so the next
-            # exchange asks for all data.
-            self._fence = update.fence
-            self._residency_number = self._entry_number = 0
-            self._next_full_at = 0.0
-            self._shared_state.servers.discard_leader_residencies()
+            # The report was made for the numbers of another term.
+            self._start_term(update.fence)
             self._shared_state.apply_update(update, sent_at)
             return
         self._residency_number = update.residency_number
@@ -234,11 +245,10 @@
         self._shared_state.apply_update(update, sent_at)
         if urgent:
             return
+        self._in_step = True
         self.loading_s = update.loading_s
         if self._leadership.fence is None:
-            self._shared_state.apply_server_entries(
-                update, now, self._entry_number
-            )
+            self._shared_state.apply_server_entries(update, now)
             self._entry_number = update.entry_number
         else:
             self._shared_state.apply_loads(update)
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -6,13 +6,14 @@
 
 from collections.abc import Mapping
 import dataclasses
+import zlib
 
 import cbor2
 
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.model import backend
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 MAX_MESSAGE_BYTES = 4_194_304
 
@@ -78,16 +79,20 @@
             loading_s, crashes or leaving.
         config_version: Configuration version in force.
         config_age_s: Seconds since the configuration was confirmed.
-        seen_residency_number: Number of the last residency change that it has
-            applied.
-        seen_entry_number: Number of the last server entry change that it has
-            applied, 0 to get all entries.
+        seen_residency_number: Number of the last residency change of this
+            leader that it has applied, 0 if there is none.
+        seen_entry_number: Number of the last server entry change of this
+            leader that it has applied, 0 if there is none.
         draws: Amount to draw for each organisation, negative to return it.
         loads: Number of its requests in each backend server.
         demand: Its demand by model.
         adapters: Adapters that its requests wait for.
         crashes: Requests that were in servers when these crashed.
         unreachable: Ids of servers to which a recent connection failed.
+        known_residencies: Digest of the residency that the instance has of
+            each server; empty if it has a seen_residency_number.
+        known_entries: Revision of the entry that the instance has of each
+            server; empty if it has a seen_entry_number.
     """
 
     instance: str
@@ -102,6 +107,8 @@
     adapters: tuple[AdapterRequest, ...]
     crashes: tuple[CrashReport, ...]
     unreachable: tuple[str, ...]
+    known_residencies: Mapping[str, int]
+    known_entries: Mapping[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,13 +180,15 @@
             _pack(report.adapters),
             _pack(report.crashes),
             list(report.unreachable),
+            dict(report.known_residencies),
+            dict(report.known_entries),
         ]
     )
 
 
 def decode_report(data):
     """Return the Report in a message; raise BadMessage if it is invalid."""
-    fields = _fields(data, 13)
+    fields = _fields(data, 15)
     try:
         return Report(
             str(fields[1]),
@@ -194,6 +203,8 @@
             tuple(AdapterRequest(*row) for row in fields[10]),
             tuple(CrashReport(*row) for row in fields[11]),
             tuple(str(server) for server in fields[12]),
+            {str(k): int(v) for k, v in fields[13].items()},
+            {str(k): int(v) for k, v in fields[14].items()},
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected the fields of a report: {exc}') from exc
@@ -202,15 +213,8 @@
 def encode_update(update):
     """Return a LeaderUpdate as bytes."""
     residencies = {
-        server: [
-            r.process_start_ms,
-            r.order_count,
-            {
-                m.name: [m.version, sorted(m.adapters)]
-                for m in r.models.values()
-            },
-        ]
-        for server, r in update.residencies.items()
+        server: [residency.order_count, *_residency_row(residency)]
+        for server, residency in update.residencies.items()
     }
     return cbor2.dumps(
         [
@@ -306,8 +310,27 @@
     return fields
 
 
+def _residency_row(residency):
+    return [
+        residency.process_start_ms,
+        {
+            name: [model.version, sorted(model.adapters)]
+            for name, model in sorted(residency.models.items())
+        },
+    ]
+
+
+def residency_digest(residency):
+    """Return a number that changes with the models of a residency.
+
+    Two instances compare their knowledge of a server by it, so it does not
+    cover what only the leader knows of the server.
+    """
+    return zlib.crc32(cbor2.dumps(_residency_row(residency)))
+
+
 def _residency(row):
-    process_start_ms, order_count, models = row
+    order_count, process_start_ms, models = row
     return backend.Residency(
         int(process_start_ms),
         int(order_count),
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -147,23 +147,41 @@
         """Return the seconds since the list was last known to be current."""
         return now - self._confirmed_at
 
-    def changed_entries(self, number):
-        """Return the entries whose last change has a larger number.
-
-        Removed entries are None, and are left out if the number is 0.
-        """
+    def known_entries(self):
+        """Return the revision of each listed entry by server id."""
         return {
-            server_id: obj
-            for server_id, (change_number, obj) in self._entries.items()
-            if change_number > number and (obj is not None or number)
+            server_id: obj.revision
+            for server_id, (_, obj) in self._entries.items()
+            if obj is not None
         }
 
-    def apply_entries(self, entries, whole, now):
-        """Apply entries from an update of the leader.
+    def changed_entries(self, number, known):
+        """Return the entries that an instance lacks, None for removed ones.
+
+        Args:
+            number: Number of the last change that it has, 0 if it has none of
+                this instance's changes.
+            known: Revision by server id of the entries that it has, used
+                without a number.
+        """
+        if number:
+            return {
+                server_id: obj
+                for server_id, (change_number, obj) in self._entries.items()
+                if change_number > number
+            }
+        current = self.known_entries()
+        entries = dict.fromkeys(known.keys() - current.keys())
+        for server_id, revision in current.items():
+            if known.get(server_id) != revision:
+                entries[server_id] = self._entries[server_id][1]
+        return entries
+
+    def apply_entries(self, entries, now):
+        """Apply the changed entries from an update of the leader.
 
         Args:
             entries: StoredObject by server id, None for a removed one.
-            whole: Whether these are all entries.
             now: Time in seconds.
         """
         for server_id, obj in entries.items():
@@ -171,10 +189,7 @@
                 self._upsert(obj, now)
             elif server_id in self.states:
                 self._delete(server_id, 'removed by the leader')
-        if whole:
-            for server_id in self.states.keys() - entries.keys():
-                self._delete(server_id, "not in the leader's list")
-            self.has_list = True
+        self.has_list = True
         if entries:
             self._on_change()
 
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -104,8 +104,17 @@
             adapters=tuple(adapter_requests),
             crashes=tuple(crash_reports),
             unreachable=tuple(self.servers.health.unreachable_servers(now)),
+            known_residencies={} if seen[0] else self._known_residencies(),
+            known_entries={} if seen[1] else self.servers.known_entries(),
         )
 
+    def _known_residencies(self):
+        return {
+            server_id: messages.residency_digest(state.leader_residency)
+            for server_id, state in self.servers.states.items()
+            if state.leader_residency is not None
+        }
+
     def _loads(self):
         return {
             server_id: state.own_load
@@ -155,18 +164,16 @@
             self.servers.apply_residency(server_id, residency)
         self.wait_queues.wake()
 
-    def apply_server_entries(self, update, sent_at, seen_entry_number):
+    def apply_server_entries(self, update, sent_at):
         """Apply the server entries in an update of the leader.
 
         Args:
             update: The LeaderUpdate; not the reply to an urgent report,
                 whose `loads` and `leaving` are empty.
             sent_at: Time in seconds at which the report was sent.
-            seen_entry_number: Number of the last change of a server entry that
-                this instance had, 0 if it had none.
         """
         now = anyio.current_time()
-        self.servers.apply_entries(update.entries, not seen_entry_number, now)
+        self.servers.apply_entries(update.entries, now)
         self.servers.confirm(sent_at - update.entries_age_s)
         for server_id, state in self.servers.states.items():
             state.reported_leaving = server_id in update.leaving
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -169,5 +169,7 @@
         'adapters': (),
         'crashes': (),
         'unreachable': (),
+        'known_residencies': {},
+        'known_entries': {},
     }
     return messages.Report(**fields | changes)
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -3,6 +3,7 @@
 import types
 
 import anyio
+from wagtailtide_core.retries import fate
 from wagtailtide_gateway import ports
 from wagtailtide_gateway import shared_state
 from wagtailtide_gateway.control import cluster_state
@@ -14,10 +15,16 @@
 
 from tests import builders
 
+
+def _decode_server(obj):
+    residency = builders.make_residency(obj.value['models'])
+    return builders.make_server(obj.name, residency=residency)
+
+
 PORT = types.SimpleNamespace(
     lease_kind='leases',
     decode_config=lambda value: value,
-    decode_server=lambda obj: obj.value,
+    decode_server=_decode_server,
 )
 
 ROUND_TRIP_S = 0.002
@@ -93,18 +100,32 @@
         instances: Member by address.
         before_answer: Coroutine function that is awaited before an instance
             answers a report, by address.
-        exchanges: Time and address of each report that was sent.
+        link_bytes_per_s: Rate at which an instance sends its answers, by
+            address; unlimited by default.
     """
 
     def __init__(self):
         self.instances = {}
+        self.link_bytes_per_s = {}
+        self._link_free_at = {}
         self.before_answer = {}
-        self.exchanges = []
 
     async def acquire(self, address):
         """Return a connection to an instance."""
+        if address not in self.instances:
+            raise outgoing.ConnectionBroken(
+                'refused', fate.Progress.CONNECTING
+            )
         return _FakeConnection(self, address)
 
+    async def transmit(self, address, size):
+        """Wait until an instance has sent an answer of a size in bytes."""
+        now = anyio.current_time()
+        rate = self.link_bytes_per_s.get(address, float('inf'))
+        sent_at = max(now, self._link_free_at.get(address, now)) + size / rate
+        self._link_free_at[address] = sent_at
+        await anyio.sleep(sent_at - now)
+
     async def release(self, conn):
         """Accept a connection for reuse."""
 
@@ -116,13 +137,13 @@
         self._body = b''
 
     async def request(self, method, target, headers, body):
-        self._network.exchanges.append((anyio.current_time(), self._address))
         await anyio.sleep(ROUND_TRIP_S)
         if before_answer := self._network.before_answer.get(self._address):
             await before_answer()
         status, self._body = self._network.instances[self._address].answer(
             body
         )
+        await self._network.transmit(self._address, len(self._body))
         return outgoing.Head(status, ())
 
     async def read_body(self):
@@ -185,6 +206,18 @@
         """Return status and body of the response to a report."""
         return exchange.answer_report(self.leadership, self.cluster, body)
 
+    def list_servers(self, count):
+        """Apply a list of servers that hold three models each."""
+        objects = []
+        for number in range(count):
+            value = {
+                'models': [f'model-{number}-{i}' for i in range(3)],
+                'description': 'x' * 200,
+            }
+            objects.append(ports.StoredObject(f's{number}', number, value))
+        self.shared_state.servers.apply_list(objects, anyio.current_time())
+        self.shared_state.servers.confirm(anyio.current_time())
+
     async def run(self):
         """Take part in the election until cancelled."""
         async with anyio.create_task_group() as tg:
--- a/packages/gateway/tests/control/leader_fixture.py
+++ b/packages/gateway/tests/control/leader_fixture.py
@@ -103,5 +103,5 @@
 
     def published_models(self, server_id):
         """Return the models published to the instances for a server."""
-        _, residency = self.cluster._residencies[server_id]
-        return set(residency.models)
+        published = self.cluster._residencies[server_id]
+        return set(published.residency.models)
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -21,7 +21,7 @@
     def age_s(self, now):
         return 0.0
 
-    def changed_entries(self, number):
+    def changed_entries(self, number, known):
         return {}
 
 
--- a/packages/gateway/tests/control/test_leadership.py
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -5,6 +5,9 @@
 
 from tests.control import election_fixture
 
+# Link of a small instance, 5 Mbit/s.
+SLOW_LINK_BYTES_PER_S = 625_000
+
 
 def make_members(*names, **changes):
     fake_store = election_fixture.FakeStore()
@@ -91,6 +94,38 @@
             tg.cancel_scope.cancel()
 
 
+class NewLeaderTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_new_leader_on_a_slow_link_answers_a_large_fleet(self):
+        # Guards against a new leader that spends its link on data that the
+        # instances have, until it loses its lease.
+        names = [f'front-{number}' for number in range(120)]
+        fake_store, network, members = make_members('first', *names)
+        first, *others = members
+        for member in others:
+            network.link_bytes_per_s[member.address] = SLOW_LINK_BYTES_PER_S
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(first.run)
+            await wait_until(lambda: first.leadership.is_leader)
+            first.list_servers(49)
+            for server_id, state in first.shared_state.servers.states.items():
+                first.cluster.publish(server_id, state.residency)
+            for member in others:
+                tg.start_soon(member.run)
+            await anyio.sleep(3.0)
+            del network.instances[first.address]
+            fake_store.down.add('first')
+            await wait_until(lambda: leaders_of(others))
+            await anyio.sleep(1.5)
+            answered = [m for m in others if m.exchange.has_recent_update]
+            listed = [len(m.shared_state.servers.states) for m in others]
+            await anyio.sleep(5.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(len(answered), len(others))
+        self.assertEqual(set(listed), {49})
+        self.assertEqual(len(set(fake_store.holders)), 2)
+
+
 class RenewalTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_lost_answer_to_a_renewal_does_not_end_the_leadership(self):
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -19,6 +19,8 @@
     (messages.AdapterRequest('engines', 'm1', 'a1'),),
     (messages.CrashReport('abc', 's1', 17),),
     ('s9',),
+    {'s1': 4_000_000_000},
+    {'s1': 12},
 )
 UPDATE = messages.LeaderUpdate(
     3,
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -37,10 +37,7 @@
         messages.ModelDemand(leader_fixture.SERVICE, model, 40, 0, 40, 0.4),
         messages.ModelDemand(leader_fixture.SERVICE, 'b', 10, 10, 0, 0.4),
     )
-    report = messages.Report(
-        'front-1', False, 1, 0.0, 0, 0, {}, {}, demand, (), (), ()
-    )
-    fixture.cluster.handle_report(report)
+    fixture.cluster.handle_report(builders.make_report(demand=demand))
     await anyio.sleep(1.0)
     fixture.cluster.update_rates(1.0)
     async with anyio.create_task_group() as tg:
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -85,11 +85,11 @@
             builders.make_server('s1'), builders.make_server('s2')
         )
         follower = servers.ServerView(decode, lambda: None)
-        follower.apply_entries(leader.changed_entries(0), True, 0.0)
+        follower.apply_entries(leader.changed_entries(0, {}), 0.0)
         seen = leader.entry_number
         leaving = builders.make_server('s1', leaving=True)
         leader.apply_list([stored(leaving)], 1.0)
-        follower.apply_entries(leader.changed_entries(seen), False, 1.0)
+        follower.apply_entries(leader.changed_entries(seen, {}), 1.0)
         self.assertEqual(set(follower.states), {'s1'})
         self.assertFalse(follower.states['s1'].accepts_requests)
 
@@ -98,7 +98,7 @@
         leader = make_view(builders.make_server('s1'))
         seen = leader.entry_number
         leader.apply_list([stored(builders.make_server('s1'), 9)], 1.0)
-        self.assertEqual(leader.changed_entries(seen), {})
+        self.assertEqual(leader.changed_entries(seen, {}), {})
 
     def test_server_that_is_listed_again_is_passed_on(self):
         # Guards against servers that only the leader uses after their entries
@@ -106,12 +106,12 @@
         server = builders.make_server('s1')
         leader = make_view(server)
         follower = servers.ServerView(decode, lambda: None)
-        follower.apply_entries(leader.changed_entries(0), True, 0.0)
+        follower.apply_entries(leader.changed_entries(0, {}), 0.0)
         leader.apply_list([], 1.0)
         seen = leader.entry_number
-        follower.apply_entries(leader.changed_entries(1), False, 1.0)
+        follower.apply_entries(leader.changed_entries(1, {}), 1.0)
         leader.apply_list([stored(server)], 2.0)
-        follower.apply_entries(leader.changed_entries(seen), False, 2.0)
+        follower.apply_entries(leader.changed_entries(seen, {}), 2.0)
         self.assertEqual(set(follower.states), {'s1'})
 
     def test_restart_with_the_same_id_is_passed_on(self):
@@ -123,10 +123,17 @@
             's1', residency=builders.make_residency(process_start_ms=2)
         )
         leader.apply_list([stored(restarted)], 1.0)
-        self.assertEqual(set(leader.changed_entries(seen)), {'s1'})
+        self.assertEqual(set(leader.changed_entries(seen, {})), {'s1'})
 
-    def test_whole_list_of_a_new_leader_removes_other_entries(self):
-        follower = make_view(builders.make_server('s1'))
-        entries = make_view(builders.make_server('s2')).changed_entries(0)
-        follower.apply_entries(entries, True, 1.0)
-        self.assertEqual(set(follower.states), {'s2'})
+    def test_new_leader_sends_only_what_an_instance_lacks(self):
+        # Guards against sending the whole list to each instance at a takeover.
+        follower = make_view(
+            builders.make_server('s1'), builders.make_server('s2')
+        )
+        leader = make_view(
+            builders.make_server('s1'), builders.make_server('s3')
+        )
+        entries = leader.changed_entries(0, follower.known_entries())
+        self.assertEqual(set(entries), {'s2', 's3'})
+        follower.apply_entries(entries, 1.0)
+        self.assertEqual(set(follower.states), {'s1', 's3'})
