gateway: Ignore the server list of a leader that has none

An instance that leads before it has read the list of servers (its process started just now, or the store refused the call) sent an empty list with an infinite age, and every other instance dropped all servers and refused all requests until its own list was read. Entries are now taken only from a leader that has a list. Found by reading; the test failed before.

--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -1,5 +1,7 @@
 """State that the tasks of one instance share, and reports made from it."""
 
+import math
+
 import anyio
 from wagtailtide_core.quarantine import crashes
 
@@ -172,9 +174,10 @@
                 whose `loads` and `leaving` are empty.
             sent_at: Time in seconds at which the report was sent.
         """
-        now = anyio.current_time()
-        self.servers.apply_entries(update.entries, now)
-        self.servers.confirm(sent_at - update.entries_age_s)
+        # The age is infinite while the leader itself has no list.
+        if math.isfinite(update.entries_age_s):
+            self.servers.apply_entries(update.entries, anyio.current_time())
+            self.servers.confirm(sent_at - update.entries_age_s)
         for server_id, state in self.servers.states.items():
             state.reported_leaving = server_id in update.leaving
         self.apply_loads(update)
--- a/packages/gateway/tests/control/test_leadership.py
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -125,6 +125,28 @@
         self.assertEqual(set(listed), {49})
         self.assertEqual(len(set(fake_store.holders)), 2)
 
+    @virtual_time.run_without_io
+    async def test_leader_without_a_list_leaves_the_servers_of_others(self):
+        # Guards against a leader that leads before it has read the list.
+        fake_store, _, members = make_members('first', 'second', 'other')
+        first, second, other = members
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(first.run)
+            await wait_until(lambda: first.leadership.is_leader)
+            first.list_servers(3)
+            tg.start_soon(other.exchange.run)
+            tg.start_soon(other.leadership.run)
+            await anyio.sleep(2.0)
+            await first.leadership.release_lease()
+            fake_store.down.add('other')
+            tg.start_soon(second.run)
+            await wait_until(lambda: second.leadership.is_leader)
+            fake_store.down.clear()
+            await anyio.sleep(3.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(leaders_of(members), ['second'])
+        self.assertEqual(len(other.shared_state.servers.states), 3)
+
 
 class RenewalTest(unittest.TestCase):
     @virtual_time.run_without_io
