gateway: Let the larger instances lead

On the grown deployments 118 of 126 (125 of 133) instances have a link of 5 Mbit/s and 0.36 of a core, and whoever read the lease first led. At 133 instances such a leader needs a large part of its link for updates, beside its own callers, and after a takeover more than all of it: updates and renewals timed out.

The lease record now has the capacity from which an instance takes over at once, half of the largest that reports (the smaller of cores and link / 100 Mbit/s). Others wait 1.3 s longer, so they still lead where all large ones are lost. A smaller leader releases the lease after 4 s of its term if larger instances report; in a fleet of equal instances nothing changes. Records without the field are still read.

Both tests of CapacityTest failed before (there was no such setting), and test_small_instance_waits_for_larger_ones.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -50,11 +50,14 @@
         instances: Number of instances that report, at least 1.
         responses: Number of reports answered in this term.
         response_bytes: Size of these responses in bytes.
+        largest_capacity: Largest capacity to lead of these instances, in
+            cores.
     """
 
     instances: int
     responses: int
     response_bytes: int
+    largest_capacity: float
 
 
 @dataclasses.dataclass
@@ -126,7 +129,13 @@
     def summary(self):
         """Return the ClusterSummary of this term."""
         return ClusterSummary(
-            self.instance_count, self._response_count, self._response_bytes
+            instances=self.instance_count,
+            responses=self._response_count,
+            response_bytes=self._response_bytes,
+            largest_capacity=max(
+                (r.report.capacity for r in self._reports.values()),
+                default=0.0,
+            ),
         )
 
     @property
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -49,7 +49,9 @@
         self._cfg = cfg
         self._clock = clock
         self._cluster_summary = cluster_summary
+        self._capacity = lease.leading_capacity(cfg.cpu_cores, cfg.link_mbps)
         self._observer = lease.LeaseObserver()
+        self._term_started_at = float('-inf')
         self._revision = None
         self._renewal_sent_at = float('-inf')
         self._unconfirmed_since = None
@@ -115,6 +117,9 @@
         """Renew the lease as the leader, else take over an expired one."""
         while not self._stopping:
             if self.fence is not None:
+                if self._should_hand_over():
+                    await self._give_up_lease()
+                    continue
                 renewed = await self._renew()
                 await anyio.sleep(
                     lease.RENEW_INTERVAL_S
@@ -130,10 +135,20 @@
     async def release_lease(self):
         """Release the lease, so that another instance can lead at once."""
         self._stopping = True
+        await self._give_up_lease()
+
+    def _should_hand_over(self):
+        return (
+            self._capacity < self.record.min_capacity
+            and self._clock() - self._term_started_at >= lease.MIN_TERM_S
+        )
+
+    async def _give_up_lease(self):
         if self.fence is None:
             return
         fence, self.fence = self.fence, None
         self.resigned_fence = fence
+        self._last_response_at = float('-inf')
         released = dataclasses.replace(self.record, holder='')
         try:
             await self._write(released)
@@ -142,7 +157,14 @@
                 'duty not released', extra={'fence': fence, 'reason': str(exc)}
             )
         else:
-            LOG.info('duty released', extra={'fence': fence})
+            LOG.info(
+                'duty released',
+                extra={
+                    'fence': fence,
+                    'stopping': self._stopping,
+                    'min_capacity': released.min_capacity,
+                },
+            )
 
     async def _renew(self):
         """Renew the lease; return whether the store confirmed it."""
@@ -151,6 +173,9 @@
             self.record,
             renewals=self.record.renewals + 1,
             instances=summary.instances,
+            min_capacity=lease.min_capacity(
+                (self._capacity, summary.largest_capacity)
+            ),
         )
         sent_at = self._clock()
         if self._unconfirmed_since is None:
@@ -219,8 +244,12 @@
             self.record is not None
             and self.record.fence <= self._others_resigned_fence
         )
-        if resigned or self._observer.may_take_over(
-            self._cfg.lease_s, self._connection_refused, self._cfg.instance
+        if self._observer.may_take_over(
+            self._cfg.lease_s,
+            self._cfg.instance,
+            capacity=self._capacity,
+            refused=self._connection_refused,
+            resigned=resigned,
         ):
             await self._take_over('resigned' if resigned else 'lapsed')
 
@@ -233,6 +262,7 @@
             fence=previous.fence + 1 if previous else 1,
             renewals=0,
             instances=previous.instances if previous else 0,
+            min_capacity=previous.min_capacity if previous else 0.0,
         )
         sent_at = self._clock()
         try:
@@ -241,6 +271,7 @@
             LOG.info('duty not taken', extra={'reason': str(exc)})
             return
         self._note_renewal(sent_at)
+        self._term_started_at = self._clock()
         self.fence = record.fence
         LOG.info(
             'duty taken',
@@ -291,6 +322,8 @@
             int(value['fence']),
             int(value['renewals']),
             int(value['instances']),
+            # Earlier versions do not write it.
+            float(value.get('min_capacity', 0.0)),
         )
     except (KeyError, TypeError, ValueError) as exc:
         raise stores.StoreUnavailable(
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -89,6 +89,7 @@
         adapters: Adapters that its requests wait for.
         crashes: Requests that were in servers when these crashed.
         unreachable: Ids of servers to which a recent connection failed.
+        capacity: Capacity of the instance to lead, in cores.
         known_residencies: Digest of the residency that the instance has of
             each server; empty if it has a seen_residency_number.
         known_entries: Revision of the entry that the instance has of each
@@ -107,6 +108,7 @@
     adapters: tuple[AdapterRequest, ...]
     crashes: tuple[CrashReport, ...]
     unreachable: tuple[str, ...]
+    capacity: float
     known_residencies: Mapping[str, int]
     known_entries: Mapping[str, int]
 
@@ -180,6 +182,7 @@
             _pack(report.adapters),
             _pack(report.crashes),
             list(report.unreachable),
+            report.capacity,
             dict(report.known_residencies),
             dict(report.known_entries),
         ]
@@ -188,7 +191,7 @@
 
 def decode_report(data):
     """Return the Report in a message; raise BadMessage if it is invalid."""
-    fields = _fields(data, 15)
+    fields = _fields(data, 16)
     try:
         return Report(
             str(fields[1]),
@@ -203,8 +206,9 @@
             tuple(AdapterRequest(*row) for row in fields[10]),
             tuple(CrashReport(*row) for row in fields[11]),
             tuple(str(server) for server in fields[12]),
-            {str(k): int(v) for k, v in fields[13].items()},
+            float(fields[13]),
             {str(k): int(v) for k, v in fields[14].items()},
+            {str(k): int(v) for k, v in fields[15].items()},
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected the fields of a report: {exc}') from exc
--- a/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
@@ -18,6 +18,21 @@
 # while the leader works.
 REFUSED_TAKEOVER_S = 2.0
 
+# Mbit/s of updates that a core of a leader can encode and send.
+LEADER_MBPS_PER_CORE = 100.0
+
+# An instance with less than this share of the largest capacity in the fleet
+# leaves the leadership to larger ones.
+MIN_CAPACITY_SHARE = 0.5
+
+# Seconds by which smaller instances take over later than larger ones. It spans
+# two reads of the lease by a larger one.
+DEFERENCE_S = 1.3
+
+# A leader hands over to larger instances after this many seconds of its term.
+# Meanwhile all instances have reported to it.
+MIN_TERM_S = 4.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DutyRecord:
@@ -30,6 +45,8 @@
         fence: Fencing token, larger for each new leader.
         renewals: Number of renewals by this leader.
         instances: Number of instances that report to the leader.
+        min_capacity: Capacity from which an instance takes over at once;
+            smaller ones wait for DEFERENCE_S.
     """
 
     holder: str
@@ -38,6 +55,22 @@
     fence: int
     renewals: int
     instances: int
+    min_capacity: float = 0.0
+
+
+def leading_capacity(cpu_cores, link_mbps):
+    """Return the capacity of an instance to lead, in cores.
+
+    Args:
+        cpu_cores: Processor time that it may use, in cores.
+        link_mbps: Rate of its network link in Mbit/s.
+    """
+    return min(cpu_cores, link_mbps / LEADER_MBPS_PER_CORE)
+
+
+def min_capacity(capacities):
+    """Return the capacity from which an instance takes over at once."""
+    return MIN_CAPACITY_SHARE * max(capacities)
 
 
 class LeaseObserver:
@@ -68,24 +101,29 @@
             return 0.0
         return max(0.0, self._last_read_at - self._unchanged_since)
 
-    def may_take_over(self, lease_s, connection_refused, own_name):
+    def may_take_over(self, lease_s, own_name, *, capacity, refused, resigned):
         """Return whether this instance may take over the leadership.
 
         Args:
             lease_s: Seconds without a change after which a lease has expired.
-            connection_refused: Whether the leader's address refuses
-                connections.
             own_name: Name of this instance.
+            capacity: Its capacity to lead, in cores.
+            refused: Whether the leader's address refuses connections.
+            resigned: Whether the leader has given the lease up.
         """
         if self._unchanged_since is None:
             return False
         record = self._record
-        if record is None or record.holder in ('', own_name):
-            return True
-        unchanged_s = self._last_read_at - self._unchanged_since
-        if connection_refused and unchanged_s >= REFUSED_TAKEOVER_S:
+        if record is None or record.holder == own_name:
             return True
-        return unchanged_s >= lease_s
+        required_s = lease_s
+        if resigned or not record.holder:
+            required_s = 0.0
+        elif refused:
+            required_s = REFUSED_TAKEOVER_S
+        if capacity < record.min_capacity:
+            required_s += DEFERENCE_S
+        return self.unchanged_s >= required_s
 
 
 def is_lease_valid(now, renewal_sent_at, lease_s):
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -29,6 +29,8 @@
         retry_window_s: Sliding window in seconds in which requests and
             retries are counted.
         load_window_s: Window of the weight store's load rate in seconds.
+        cpu_cores: Processor time that the instance may use, in cores.
+        link_mbps: Rate of its network link in Mbit/s.
     """
 
     instance: str
@@ -46,3 +48,5 @@
     retry_slack: float
     retry_window_s: float
     load_window_s: float
+    cpu_cores: float
+    link_mbps: float
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -71,11 +71,12 @@
         ]
         return len(records)
 
-    def make_report(self, instance, seen, elapsed_s, urgent):
+    def make_report(self, instance, capacity, seen, elapsed_s, urgent):
         """Return the next Report to the leader.
 
         Args:
             instance: Name of this instance.
+            capacity: Its capacity to lead, in cores.
             seen: Numbers of the last residency change and of the last change
                 of a server entry that this instance has.
             elapsed_s: Seconds since the last report.
@@ -106,6 +107,7 @@
             adapters=tuple(adapter_requests),
             crashes=tuple(crash_reports),
             unreachable=tuple(self.servers.health.unreachable_servers(now)),
+            capacity=capacity,
             known_residencies={} if seen[0] else self._known_residencies(),
             known_entries={} if seen[1] else self.servers.known_entries(),
         )
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -151,6 +151,8 @@
         'retry_slack': 100.0,
         'retry_window_s': 10.0,
         'load_window_s': 5.0,
+        'cpu_cores': 0.7,
+        'link_mbps': 350.0,
     }
     return settings.Settings(**fields | changes)
 
@@ -169,6 +171,7 @@
         'adapters': (),
         'crashes': (),
         'unreachable': (),
+        'capacity': 0.7,
         'known_residencies': {},
         'known_entries': {},
     }
--- a/packages/gateway/tests/control/test_leadership.py
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -8,6 +8,9 @@
 # Link of a small instance, 5 Mbit/s.
 SLOW_LINK_BYTES_PER_S = 625_000
 
+SMALL = {'cpu_cores': 0.36, 'link_mbps': 5.0}
+LARGE = {'cpu_cores': 2.1, 'link_mbps': 100.0}
+
 
 def make_members(*names, **changes):
     fake_store = election_fixture.FakeStore()
@@ -148,6 +151,48 @@
         self.assertEqual(len(other.shared_state.servers.states), 3)
 
 
+class CapacityTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_large_instance_takes_over_before_small_ones(self):
+        # Guards against a fleet that is led over the link of its smallest
+        # instance.
+        fake_store, network, small = make_members(
+            'first', *(f'small-{number}' for number in range(30)), **SMALL
+        )
+        large = [
+            election_fixture.Member(name, fake_store, network, **LARGE)
+            for name in ('large-1', 'large-2')
+        ]
+        async with anyio.create_task_group() as tg:
+            for member in (*small, *large):
+                tg.start_soon(member.run)
+            await anyio.sleep(10.0)
+            leader = leaders_of(large)
+            self.assertEqual(len(leader), 1)
+            holder = next(m for m in large if m.name == leader[0])
+            del network.instances[holder.address]
+            fake_store.down.add(holder.name)
+            await anyio.sleep(10.0)
+            tg.cancel_scope.cancel()
+        remaining = {'large-1', 'large-2'} - {holder.name}
+        self.assertEqual(fake_store.holders[-1], *remaining)
+        self.assertEqual(leaders_of(small), [])
+
+    @virtual_time.run_without_io
+    async def test_small_instance_leads_if_all_large_ones_are_lost(self):
+        fake_store, network, small = make_members('small-1', **SMALL)
+        large = election_fixture.Member('large', fake_store, network, **LARGE)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(large.run)
+            await wait_until(lambda: large.leadership.is_leader)
+            tg.start_soon(small[0].run)
+            await anyio.sleep(3.0)
+            del network.instances[large.address]
+            fake_store.down.add('large')
+            await wait_until(lambda: small[0].leadership.is_leader, 6.0)
+            tg.cancel_scope.cancel()
+
+
 class RenewalTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_lost_answer_to_a_renewal_does_not_end_the_leadership(self):
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -19,6 +19,7 @@
     (messages.AdapterRequest('engines', 'm1', 'a1'),),
     (messages.CrashReport('abc', 's1', 17),),
     ('s9',),
+    0.36,
     {'s1': 4_000_000_000},
     {'s1': 12},
 )
--- a/packages/gateway/tests/decisions/test_lease.py
+++ b/packages/gateway/tests/decisions/test_lease.py
@@ -14,40 +14,53 @@
     return observer
 
 
+def may_take_over(observer, own_name='front-2', **changes):
+    options = {'capacity': 1.0, 'refused': False, 'resigned': False}
+    return observer.may_take_over(LEASE_S, own_name, **options | changes)
+
+
 class MayTakeOverTest(unittest.TestCase):
     def test_renewed_lease_is_not_taken_over(self):
         renewed = dataclasses.replace(RECORD, renewals=6)
         observer = make_observer((RECORD, 0.0), (renewed, 2.9), (renewed, 3.5))
-        self.assertFalse(observer.may_take_over(LEASE_S, False, 'front-2'))
+        self.assertFalse(may_take_over(observer))
 
     def test_unchanged_lease_is_taken_over_when_it_expires(self):
         observer = make_observer((RECORD, 0.0), (RECORD, 3.2))
-        self.assertTrue(observer.may_take_over(LEASE_S, False, 'front-2'))
+        self.assertTrue(may_take_over(observer))
 
     def test_refused_connection_shortens_the_takeover(self):
         observer = make_observer((RECORD, 0.0), (RECORD, 2.2))
-        self.assertTrue(observer.may_take_over(LEASE_S, True, 'front-2'))
-        self.assertFalse(observer.may_take_over(LEASE_S, False, 'front-2'))
+        self.assertTrue(may_take_over(observer, refused=True))
+        self.assertFalse(may_take_over(observer))
 
     def test_refused_connection_does_not_end_a_renewed_lease(self):
         # Guards against a takeover when only the connection between two
         # instances fails and connection attempts are reset.
         renewed = dataclasses.replace(RECORD, renewals=6)
         observer = make_observer((RECORD, 0.0), (renewed, 1.0), (renewed, 1.5))
-        self.assertFalse(observer.may_take_over(LEASE_S, True, 'front-2'))
+        self.assertFalse(may_take_over(observer, refused=True))
 
     def test_released_and_own_leases_are_taken_at_once(self):
         released = dataclasses.replace(RECORD, holder='')
-        self.assertTrue(
-            make_observer((released, 0.0)).may_take_over(
-                LEASE_S, False, 'front-2'
-            )
-        )
-        self.assertTrue(
-            make_observer((RECORD, 0.0)).may_take_over(
-                LEASE_S, False, 'front-1'
-            )
-        )
+        observer = make_observer((released, 0.0))
+        self.assertTrue(may_take_over(observer))
+        observer = make_observer((RECORD, 0.0))
+        self.assertTrue(may_take_over(observer, 'front-1'))
+
+    def test_resigned_lease_is_taken_at_once(self):
+        observer = make_observer((RECORD, 0.0))
+        self.assertTrue(may_take_over(observer, resigned=True))
+
+    def test_small_instance_waits_for_larger_ones(self):
+        record = dataclasses.replace(RECORD, min_capacity=2.0)
+        released = dataclasses.replace(record, holder='')
+        for first, wait_s in ((record, LEASE_S), (released, 0.0)):
+            early = make_observer((first, 0.0), (first, wait_s + 0.9))
+            late = make_observer((first, 0.0), (first, wait_s + 1.5))
+            self.assertFalse(may_take_over(early))
+            self.assertTrue(may_take_over(early, capacity=2.0))
+            self.assertTrue(may_take_over(late))
 
 
 class LeaseValidityTest(unittest.TestCase):
