gateway: Pause between exchanges with a leader that is slow or dead

While no leader answered, each instance called the dead one again as soon as a call had failed, up to hundreds of times a second, for as long as one request waited for its rate or its adapter; and instances with waiting requests kept a slow leader busy by themselves. After an exchange there is now a pause as long as the exchange took, at most 0.4 s, and at least 0.1 s after a failure.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -24,6 +24,12 @@
 
 RESPONSE_TIMEOUT_S = 0.8
 
+# Pause after an exchange that failed, at least, and after any at most. Between
+# these the pause is as long as the exchange took, so that the exchanges of all
+# instances together keep a slow leader busy for half of the time at most.
+MIN_FAILURE_PAUSE_S = 0.1
+MAX_PAUSE_S = 0.4
+
 # Seconds without an update after which the loads and other data of the leader
 # are dropped.
 UPDATE_TTL_S = 3.0
@@ -105,7 +111,12 @@
     async def run(self):
         """Exchange reports and updates until cancelled."""
         while True:
-            await self._exchange()
+            started_at = anyio.current_time()
+            succeeded = await self._exchange()
+            pause_s = anyio.current_time() - started_at
+            if not succeeded:
+                pause_s = max(pause_s, MIN_FAILURE_PAUSE_S)
+            await anyio.sleep(min(pause_s, MAX_PAUSE_S))
             wait_s = max(0.0, self._next_full_at - anyio.current_time())
             with anyio.move_on_after(wait_s):
                 await self._requested.wait()
@@ -114,6 +125,7 @@
             self._requested = anyio.Event()
 
     async def _exchange(self):
+        """Exchange once; return whether the leader answered."""
         now = anyio.current_time()
         self._follow_new_term()
         urgent = self._in_step and now < self._next_full_at
@@ -139,6 +151,7 @@
             self._apply_update(update, sent_at, now, urgent)
         completed, self._completed = self._completed, anyio.Event()
         completed.set()
+        return update is not None
 
     def _follow_new_term(self):
         """Drop the numbers of the previous leader once there is another."""
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -1,5 +1,6 @@
 """Instances that elect a leader through a store in memory."""
 
+import collections
 import types
 
 import anyio
@@ -102,16 +103,22 @@
             answers a report, by address.
         link_bytes_per_s: Rate at which an instance sends its answers, by
             address; unlimited by default.
+        sent_bytes: Size of the answers that each instance began to send, by
+            address.
+        attempts: Number of connections that were asked for, by address.
     """
 
     def __init__(self):
         self.instances = {}
+        self.sent_bytes = collections.Counter()
+        self.attempts = collections.Counter()
         self.link_bytes_per_s = {}
         self._link_free_at = {}
         self.before_answer = {}
 
     async def acquire(self, address):
         """Return a connection to an instance."""
+        self.attempts[address] += 1
         if address not in self.instances:
             raise outgoing.ConnectionBroken(
                 'refused', fate.Progress.CONNECTING
@@ -120,6 +127,7 @@
 
     async def transmit(self, address, size):
         """Wait until an instance has sent an answer of a size in bytes."""
+        self.sent_bytes[address] += size
         now = anyio.current_time()
         rate = self.link_bytes_per_s.get(address, float('inf'))
         sent_at = max(now, self._link_free_at.get(address, now)) + size / rate
@@ -140,6 +148,8 @@
         await anyio.sleep(ROUND_TRIP_S)
         if before_answer := self._network.before_answer.get(self._address):
             await before_answer()
+        if self._address not in self._network.instances:
+            raise outgoing.ConnectionBroken('reset', fate.Progress.SENDING)
         status, self._body = self._network.instances[self._address].answer(
             body
         )
--- a/packages/gateway/tests/control/test_leadership.py
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -1,6 +1,8 @@
 import unittest
 
 import anyio
+from wagtailtide_gateway.control import exchange
+from wagtailtide_gateway.control import leadership
 from wagtailtide_testing import virtual_time
 
 from tests.control import election_fixture
@@ -41,27 +43,21 @@
         fake_store, network, members = make_members('old', 'new', 'other')
         old, new, other = members
 
-        async def refuse_after_takeover():
-            # The first report is not answered, so that the lease is read.
-            network.before_answer[old.address] = wait_for_new_leader
-            await anyio.sleep_forever()
-
-        async def wait_for_new_leader():
-            await wait_until(lambda: other.leadership.record.holder == 'new')
-            fake_store.down.add('new')
+        async def elect_new_leader():
+            await old.leadership.release_lease()
+            tg.start_soon(new.leadership.run)
+            await wait_until(lambda: new.leadership.is_leader)
+            await other.leadership._poll()
 
         async with anyio.create_task_group() as tg:
             tg.start_soon(old.leadership.run)
             await wait_until(lambda: old.leadership.is_leader)
-            tg.start_soon(other.run)
-            await anyio.sleep(1.0)
-            network.before_answer[old.address] = refuse_after_takeover
-            await old.leadership.release_lease()
-            tg.start_soon(new.run)
-            await wait_until(lambda: 'new' in fake_store.down)
-            await anyio.sleep(1.0)
-            fake_store.down.clear()
-            await anyio.sleep(3.0)
+            await other.leadership._poll()
+            await anyio.sleep(leadership.LEADER_TIMEOUT_S)
+            network.before_answer[old.address] = elect_new_leader
+            await other.exchange._exchange()
+            self.assertEqual(other.leadership.record.holder, 'new')
+            await other.leadership._poll()
             tg.cancel_scope.cancel()
         self.assertEqual(leaders_of(members), ['new'])
         self.assertNotIn('other', fake_store.holders)
@@ -119,6 +115,9 @@
             del network.instances[first.address]
             fake_store.down.add('first')
             await wait_until(lambda: leaders_of(others))
+            await anyio.sleep(exchange.RESPONSE_TIMEOUT_S)
+            leader = next(m for m in others if m.leadership.is_leader)
+            sent_bytes = network.sent_bytes[leader.address]
             await anyio.sleep(1.5)
             answered = [m for m in others if m.exchange.has_recent_update]
             listed = [len(m.shared_state.servers.states) for m in others]
@@ -127,6 +126,9 @@
         self.assertEqual(len(answered), len(others))
         self.assertEqual(set(listed), {49})
         self.assertEqual(len(set(fake_store.holders)), 2)
+        self.assertLess(
+            sent_bytes, SLOW_LINK_BYTES_PER_S * exchange.RESPONSE_TIMEOUT_S
+        )
 
     @virtual_time.run_without_io
     async def test_leader_without_a_list_leaves_the_servers_of_others(self):
