--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -244,14 +244,15 @@
             self.record is not None
             and self.record.fence <= self._others_resigned_fence
         )
-        if self._observer.may_take_over(
+        reason = self._observer.takeover_reason(
             self._cfg.lease_s,
             self._cfg.instance,
             capacity=self._capacity,
             refused=self._connection_refused,
             resigned=resigned,
-        ):
-            await self._take_over('resigned' if resigned else 'lapsed')
+        )
+        if reason is not None:
+            await self._take_over(reason)
 
     async def _take_over(self, reason):
         previous = self.record
@@ -278,7 +279,7 @@
             extra={
                 'fence': record.fence,
                 'previous': previous.holder if previous else None,
-                'reason': reason,
+                'reason': reason.value,
                 'unchanged_s': round(self._observer.unchanged_s, 2),
                 'revision': self._revision,
             },
--- a/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 
 RENEW_INTERVAL_S = 1.0
 
@@ -34,6 +35,17 @@
 MIN_TERM_S = 4.0
 
 
+class TakeoverReason(enum.Enum):
+    """Why a lease may be taken over, as logged."""
+
+    NO_LEASE = 'no_lease'
+    OWN_LEASE = 'own_lease'
+    RELEASED = 'released'
+    RESIGNED = 'resigned'
+    REFUSED = 'refused'
+    EXPIRED = 'expired'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DutyRecord:
     """Value of the lease object in the store; its repr is in /dump.
@@ -101,8 +113,10 @@
             return 0.0
         return max(0.0, self._last_read_at - self._unchanged_since)
 
-    def may_take_over(self, lease_s, own_name, *, capacity, refused, resigned):
-        """Return whether this instance may take over the leadership.
+    def takeover_reason(
+        self, lease_s, own_name, *, capacity, refused, resigned
+    ):
+        """Return why this instance may take over, or None if it may not.
 
         Args:
             lease_s: Seconds without a change after which a lease has expired.
@@ -110,20 +124,28 @@
             capacity: Its capacity to lead, in cores.
             refused: Whether the leader's address refuses connections.
             resigned: Whether the leader has given the lease up.
+
+        Returns:
+            The TakeoverReason, or None.
         """
         if self._unchanged_since is None:
-            return False
+            return None
         record = self._record
-        if record is None or record.holder == own_name:
-            return True
-        required_s = lease_s
-        if resigned or not record.holder:
-            required_s = 0.0
+        if record is None:
+            return TakeoverReason.NO_LEASE
+        if record.holder == own_name:
+            return TakeoverReason.OWN_LEASE
+        if not record.holder:
+            reason, required_s = TakeoverReason.RELEASED, 0.0
+        elif resigned:
+            reason, required_s = TakeoverReason.RESIGNED, 0.0
         elif refused:
-            required_s = REFUSED_TAKEOVER_S
+            reason, required_s = TakeoverReason.REFUSED, REFUSED_TAKEOVER_S
+        else:
+            reason, required_s = TakeoverReason.EXPIRED, lease_s
         if capacity < record.min_capacity:
             required_s += DEFERENCE_S
-        return self.unchanged_s >= required_s
+        return reason if self.unchanged_s >= required_s else None
 
 
 def is_lease_valid(now, renewal_sent_at, lease_s):
--- a/packages/gateway/tests/decisions/test_lease.py
+++ b/packages/gateway/tests/decisions/test_lease.py
@@ -16,7 +16,8 @@
 
 def may_take_over(observer, own_name='front-2', **changes):
     options = {'capacity': 1.0, 'refused': False, 'resigned': False}
-    return observer.may_take_over(LEASE_S, own_name, **options | changes)
+    reason = observer.takeover_reason(LEASE_S, own_name, **options | changes)
+    return reason is not None
 
 
 class MayTakeOverTest(unittest.TestCase):
@@ -62,6 +63,25 @@
             self.assertTrue(may_take_over(early, capacity=2.0))
             self.assertTrue(may_take_over(late))
 
+    def test_reason_tells_an_expired_lease_from_one_that_was_given_up(self):
+        reasons = lease.TakeoverReason
+        options = {'capacity': 1.0, 'refused': False, 'resigned': False}
+        released = dataclasses.replace(RECORD, holder='')
+        rows = (
+            (None, {}, reasons.NO_LEASE),
+            (released, {}, reasons.RELEASED),
+            (RECORD, {'resigned': True}, reasons.RESIGNED),
+            (RECORD, {'refused': True}, reasons.REFUSED),
+            (RECORD, {}, reasons.EXPIRED),
+        )
+        for record, changes, reason in rows:
+            with self.subTest(reason):
+                observer = make_observer((record, 0.0), (record, 3.5))
+                found = observer.takeover_reason(
+                    LEASE_S, 'front-2', **options | changes
+                )
+                self.assertIs(found, reason)
+
 
 class LeaseValidityTest(unittest.TestCase):
     def test_leader_stops_before_another_may_take_over(self):
