Log why a request was cut, and log those that a stop cuts as cut

Operators could not tell from the id of a cut request why it was cut: the last line of a request that the end of the grace time cut had outcome=gone, as if its caller had left, an aborted stream had only the kind of the error, and the line of an unexpected error had no request id.

The line that ends a request now has outcome=cut when the stop cut it, the reason of an abort, and how the connection of a caller that left ended. It has the request id also if the request was refused before it was routed.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -68,6 +68,8 @@
     Attributes:
         state: Progress of the response.
         keep_alive: Whether the connection serves further requests.
+        disconnect_reason: How the caller's side of the connection ended, for
+            the log, or None.
     """
 
     def __init__(self, conn, stream, keep_alive):
@@ -76,6 +78,7 @@
         self._pending = b''
         self.state = ResponseState.UNSENT
         self.keep_alive = keep_alive
+        self.disconnect_reason = None
 
     def start(self, status, headers):
         """Set the head; it is sent with the first bytes of the body."""
@@ -126,6 +129,7 @@
         try:
             await self._stream.send(out)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+            self.disconnect_reason = _describe_end(exc)
             raise CallerDisconnected(
                 'the caller closed its connection before the response was '
                 'complete'
@@ -183,7 +187,9 @@
         keep_alive = not self._stopping()
         responder = Responder(self._h11, self._stream, keep_alive)
         async with anyio.create_task_group() as tg:
-            tg.start_soon(self._watch_for_disconnect, tg.cancel_scope)
+            tg.start_soon(
+                self._watch_for_disconnect, responder, tg.cancel_scope
+            )
             await self._handle(incoming, responder)
             tg.cancel_scope.cancel()
         return (
@@ -193,7 +199,7 @@
             and self._h11.their_state is h11.DONE
         )
 
-    async def _watch_for_disconnect(self, scope):
+    async def _watch_for_disconnect(self, responder, scope):
         """Cancel the request when its caller disconnects."""
         while len(self._unparsed) < MAX_PIPELINED_BYTES:
             try:
@@ -202,8 +208,9 @@
                 anyio.EndOfStream,
                 anyio.BrokenResourceError,
                 anyio.ClosedResourceError,
-            ):
+            ) as exc:
                 self._caller_disconnected = True
+                responder.disconnect_reason = _describe_end(exc)
                 scope.cancel()
                 return
 
@@ -294,6 +301,20 @@
             await responder.respond(exc.status, headers, body)
 
 
+def _describe_end(exc):
+    """Return how a connection ended, for the log.
+
+    Args:
+        exc: Error of the stream, raised from the error of the socket if that
+            is known.
+    """
+    if isinstance(exc, anyio.EndOfStream):
+        return 'closed by the caller'
+    if isinstance(exc, anyio.ClosedResourceError):
+        return 'closed by this instance'
+    return f'broken: {exc.__cause__!r}'
+
+
 def _default_limits():
     return deployment.CallerLimits()
 
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -210,6 +210,7 @@
                 return
             await anyio.sleep(CLOSE_IDLE_INTERVAL_S)
         LOG.warning('stop cut', extra={'busy': self._callers.busy_count})
+        self.gateway.begin_cut()
 
     async def _handle_readiness(self, request, out):
         known = request.target.split(b'?')[0] == self._ready_path
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -63,12 +63,17 @@
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
         self._stopping_since = None
+        self._is_cutting = False
 
     def begin_stop(self):
         """Begin to reject requests that would not finish before the stop."""
         self._stopping_since = anyio.current_time()
         self._shared_state.wait_queues.wake()
 
+    def begin_cut(self):
+        """Log requests that are cancelled from now on as cut by the stop."""
+        self._is_cutting = True
+
     @property
     def is_stopping(self):
         """Whether the process is stopping."""
@@ -81,7 +86,7 @@
             request: The IncomingRequest.
             out: Its Responder.
         """
-        job = None
+        req = job = reason = None
         outcome = 'gone'
         try:
             req = self._caller_port.decode(request)
@@ -93,17 +98,23 @@
                 raise self._deadline_error(job)
             outcome = 'whole'
         except kinds.ServingError as exc:
-            outcome = exc.kind.value
+            outcome, reason = exc.kind.value, exc.message
             await self._refuse(exc, out)
         except incoming.CallerDisconnected:
             pass  # The caller disconnected; logged with the outcome gone.
         except Exception:
             # A bug must not end the other connections.
-            LOG.exception('unexpected error while handling a request')
+            LOG.exception(
+                'unexpected error while handling a request',
+                extra={'request': req and req.attempt_id},
+            )
+            reason = 'unexpected error'
             outcome = kinds.ErrorKind.INTERNAL.value
             await self._refuse(_internal_error(), out)
         finally:
-            self._log(request, job, out, outcome)
+            if outcome == 'gone' and self._is_cutting:
+                outcome = 'cut'
+            self._log(request, req, job, out, outcome, reason)
 
     def _refuse_if_stopping(self):
         since = self._stopping_since
@@ -353,7 +364,7 @@
             state.note_unavailable(job.req.model, job.req.adapter, now)
             job.tried.remove(state.server.id)
 
-    def _log(self, request, job, out, outcome):
+    def _log(self, request, req, job, out, outcome, reason):
         now = anyio.current_time()
         total_s = now - request.received_at
         self._metrics.observe(job, outcome, total_s)
@@ -362,9 +373,15 @@
             'state': out.state.value,
             'total_ms': round(total_s * 1000),
         }
+        if req is not None:
+            fields['request'] = req.attempt_id
+        if out.state is incoming.ResponseState.ABORTED:
+            # The caller only sees that its connection was closed.
+            fields['reason'] = reason
+        elif outcome == 'gone':
+            fields['reason'] = out.disconnect_reason
         if job is not None:
             fields.update(
-                request=job.req.attempt_id,
                 route=job.route.name,
                 model=job.req.model,
                 adapter=job.req.adapter,
