Report an unknown rate as rate_unconfirmed, at once

Cause: Access.charge knew only "covered" and "not covered". It waited while the last update was up to 3 s old, although the exchanges failed, and each failed exchange was followed by the next one 2 ms later, at a leader that was overloaded or gone.

Ruled out: waiting for the lease to be taken over, since the time held counts against refused requests, and 429, since callers are told that the rate is used up.

A request waits only while the last exchange was answered, so that a slow leader is still waited for up to 0.4 s and a failed exchange ends the wait of all requests. The answer is 503, not run, with a Retry-After at which the next leader is expected, spread over 1.2 s.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -55,6 +55,7 @@
         self._completed = anyio.Event()
         self._last_update_at = float('-inf')
         self._leader_unreachable = False
+        self._hears_leader = False
         self.instances = 0
         self.loading_s = {}
         self.refill_waits_s = {}
@@ -64,6 +65,16 @@
         """Whether the last update of the leader is recent."""
         return anyio.current_time() - self._last_update_at < UPDATE_TTL_S
 
+    @property
+    def hears_leader(self):
+        """Whether the leader answered the last exchange."""
+        return self._hears_leader
+
+    @property
+    def silent_s(self):
+        """Seconds since the last update of a leader."""
+        return anyio.current_time() - self._last_update_at
+
     def start_now(self):
         """Start an exchange now instead of at the next interval."""
         self._requested.set()
@@ -101,6 +112,7 @@
             update = self._cluster.handle_report(report)
         else:
             update = await self._send_report(report)
+        self._hears_leader = update is not None
         if update is None:
             self._shared_state.accrue_even_shares(
                 self.instances or self._recorded_instances()
--- a/packages/gateway/src/wagtailtide_gateway/decisions/quota.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/quota.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import math
+import random
 
 # Target size of the local quota, in seconds of recent usage. It lasts until
 # the next exchange with the leader.
@@ -24,6 +25,29 @@
 # leader does not answer.
 MAX_ACCRUAL_INTERVAL_S = 1.0
 
+# Time in seconds from the expiry of a lease until the next leader has answered
+# the instances.
+TAKEOVER_S = 1.0
+
+# Bounds of the random part of the Retry-After value while the rate is not
+# known.
+MIN_RETRY_SPREAD_S = 0.3
+MAX_RETRY_SPREAD_S = 1.5
+
+
+def unconfirmed_retry_s(silent_s, lease_s):
+    """Return the Retry-After value in seconds while no leader answers.
+
+    Callers return when another instance can lead, spread over a second so
+    that the new leader is not met by all of them at once.
+
+    Args:
+        silent_s: Seconds since the last update of a leader.
+        lease_s: Duration of the leader's lease in seconds.
+    """
+    spread_s = random.uniform(MIN_RETRY_SPREAD_S, MAX_RETRY_SPREAD_S)
+    return max(0.0, lease_s + TAKEOVER_S - silent_s) + spread_s
+
 
 @dataclasses.dataclass
 class _Bucket:
--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -7,6 +7,7 @@
 from wagtailtide_core.errors import kinds
 from wagtailtide_core.quarantine import crashes
 
+from wagtailtide_gateway.decisions import quota
 from wagtailtide_gateway.decisions import trust
 from wagtailtide_gateway.model import deployment as deployments
 from wagtailtide_gateway.serving import job as jobs
@@ -157,7 +158,8 @@
         """Charge the request to its organisation's rate.
 
         Raises:
-            ServingError: The rate is exceeded.
+            ServingError: The rate is exceeded, or the leader does not answer
+                and the local quota does not cover the request.
         """
         org = job.organisation
         if org is None or self._local_quota.charge(org, job.cost):
@@ -168,9 +170,16 @@
                 return
         finally:
             self._local_quota.remove_pending(org, job.cost)
-        wait_s = self._exchange.refill_waits_s.get(
-            org.name, RETRY_ELSEWHERE_AFTER_S
-        )
+        wait_s = self._exchange.refill_waits_s.get(org.name)
+        if wait_s is None or not self._exchange.hears_leader:
+            raise kinds.ServingError(
+                kinds.ErrorKind.RATE_UNCONFIRMED,
+                f'what is left of the rate of organisation {org.name} is not '
+                'known at the moment; retry after the time in Retry-After',
+                retry_after_s=quota.unconfirmed_retry_s(
+                    self._exchange.silent_s, self._cfg.lease_s
+                ),
+            )
         raise kinds.ServingError(
             kinds.ErrorKind.RATE_EXCEEDED,
             f'organisation {org.name} has exceeded its rate; retry after '
@@ -181,7 +190,7 @@
     async def _await_quota(self, org, job):
         """Draw quota; return whether the request could be charged."""
         with anyio.move_on_after(QUOTA_TIMEOUT_S):
-            while self._exchange.has_recent_update:
+            while self._exchange.hears_leader:
                 await self._exchange.wait_for_exchange(QUOTA_TIMEOUT_S)
                 if self._local_quota.charge_counted(org, job.cost):
                     return True
--- a/packages/gateway/tests/decisions/test_quota.py
+++ b/packages/gateway/tests/decisions/test_quota.py
@@ -28,6 +28,17 @@
         self.assertEqual((80.0, 50.0), (drawn, round(again)))
 
 
+class RetryTest(unittest.TestCase):
+    def test_callers_without_a_leader_return_spread_after_the_takeover(self):
+        # Guards against callers that all return at once, before another
+        # instance can lead.
+        waits = [quota.unconfirmed_retry_s(1.0, 3.0) for _ in range(200)]
+        self.assertGreater(min(waits), 3.0)
+        self.assertGreater(max(waits) - min(waits), 0.8)
+        late = [quota.unconfirmed_retry_s(9.0, 3.0) for _ in range(200)]
+        self.assertLess(max(late), 2.0)
+
+
 class SharedRateTest(unittest.TestCase):
     def test_overload_at_all_instances_stays_within_rate_and_burst(self):
         # One organisation sends eight times its rate, spread unevenly over the
--- /dev/null
+++ b/packages/gateway/tests/serving/test_access.py
@@ -0,0 +1,90 @@
+import types
+import unittest
+
+import anyio
+from wagtailtide_core.errors import kinds
+from wagtailtide_gateway.decisions import quota
+from wagtailtide_gateway.serving import access
+from wagtailtide_testing import virtual_time
+
+from tests import builders
+
+
+class FakeExchange:
+    """Exchange with a leader that answers after a given time, or never.
+
+    Attributes:
+        hears_leader: Whether the leader answered the last exchange.
+        started: Number of exchanges that were waited for.
+    """
+
+    has_recent_update = True
+    silent_s = 1.0
+
+    def __init__(self, local_quota, answer_s=None, granted=0.0):
+        self.refill_waits_s = {}
+        self.hears_leader = True
+        self.started = 0
+        self._local_quota = local_quota
+        self._answer_s = answer_s
+        self._granted = granted
+
+    async def wait_for_exchange(self, timeout_s):
+        """Wait for an exchange; without a leader it fails after 2 ms."""
+        self.started += 1
+        await anyio.sleep(self._answer_s or 0.002)
+        self.hears_leader = self._answer_s is not None
+        if self.hears_leader:
+            self._local_quota.add_granted('club', self._granted)
+
+
+def make_access(**exchange_options):
+    local_quota = quota.LocalQuota()
+    shared_state = types.SimpleNamespace(config=None, local_quota=local_quota)
+    exchange = FakeExchange(local_quota, **exchange_options)
+    job = types.SimpleNamespace(
+        organisation=builders.make_organisation(), cost=300.0
+    )
+    charged = access.Access(builders.make_settings(), shared_state, exchange)
+    return charged, exchange, job
+
+
+class ChargeTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_lost_leader_is_not_reported_as_an_exceeded_rate(self):
+        charged, exchange, job = make_access()
+        exchange.hears_leader = False
+        started_at = anyio.current_time()
+        with self.assertRaises(kinds.ServingError) as caught:
+            await charged.charge(job)
+        self.assertIs(caught.exception.kind, kinds.ErrorKind.RATE_UNCONFIRMED)
+        self.assertEqual(caught.exception.fate, kinds.Fate.NOT_RUN)
+        # Refused at once, without a further exchange.
+        self.assertEqual(
+            (anyio.current_time() - started_at, exchange.started), (0.0, 0)
+        )
+
+    @virtual_time.run_without_io
+    async def test_failing_exchanges_are_not_repeated_for_each_request(self):
+        # Guards against requests that start exchange after exchange at a
+        # leader that does not answer.
+        charged, exchange, job = make_access()
+        for _ in range(20):
+            with self.assertRaises(kinds.ServingError):
+                await charged.charge(job)
+        self.assertEqual(exchange.started, 1)
+
+    @virtual_time.run_without_io
+    async def test_request_waits_for_a_slow_leader(self):
+        charged, exchange, job = make_access(answer_s=0.3, granted=300.0)
+        await charged.charge(job)
+        self.assertEqual(exchange.started, 1)
+
+    @virtual_time.run_without_io
+    async def test_rate_refused_by_the_leader_is_reported_as_exceeded(self):
+        charged, exchange, job = make_access(answer_s=0.01)
+        exchange.refill_waits_s = {'club': 0.7}
+        with self.assertRaises(kinds.ServingError) as caught:
+            await charged.charge(job)
+        self.assertIs(caught.exception.kind, kinds.ErrorKind.RATE_EXCEEDED)
+        self.assertEqual(caught.exception.retry_after_s, 0.7)
