Keep the serving copy of a model while another one loads

Callers of a busy model were refused with model_loading for the whole time of a load from the weight store, although an engine had their model when the load began.

Cause: the loss of an evicted copy was divided by all copies, those being loaded included. The serving copy counted as one of two.

The loss now counts the copies that can run requests; the number of copies that are still needed counts those being loaded, as before. A step of the same plan that evicts one of two copies lowers that count at once.

Tests: test_only_serving_copy_stays_while_another_one_loads failed on the code before (a was unloaded for c). In test_placement, the other test asserts both cases.

--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -38,9 +38,14 @@
     @property
     def planned_models(self):
         """Models that the engine holds once its order is done."""
-        held = set(self.residency.models) - self.victims
+        held = self.serving_models
         return held | {self.loading} if self.loading else held
 
+    @property
+    def serving_models(self):
+        """Models that the engine holds now and that stay there."""
+        return set(self.residency.models) - self.victims
+
 
 class Fleet:
     """All engines, by id of their backend server.
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -71,16 +71,18 @@
                 self._start_step(tg, service, step, now)
 
     def _snapshot(self, service, now):
-        copies = collections.Counter()
+        copies, serving = collections.Counter(), collections.Counter()
         views = []
         for server_id, engine in self._fleet.available_engines(service):
             copies.update(engine.planned_models)
+            serving.update(engine.serving_models)
             if not engine.busy and now >= engine.not_before:
                 views.append(self._view(service, server_id, engine))
         return placement.Snapshot(
             engines=tuple(views),
             engine_count=len(self._fleet.available_engines(service)),
             copies=copies,
+            serving_copies=serving,
             utilisation=self._utilisation(service),
             demand=self._demand(service, now),
             slots=service.engine.slots,
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -133,6 +133,7 @@
         engine_count: Number of engines, including those with orders in
             progress.
         copies: Number of copies of each model, including those being loaded.
+        serving_copies: Number of copies of each model that can run requests.
         utilisation: Load of the engines that hold each model, as a share of
             their slots.
         demand: Demand by model name.
@@ -150,6 +151,7 @@
     engines: tuple[EngineView, ...]
     engine_count: int
     copies: Mapping[str, int]
+    serving_copies: Mapping[str, int]
     utilisation: Mapping[str, float]
     demand: Mapping[str, Demand]
     slots: int
@@ -197,7 +199,7 @@
 def copy_loss(snapshot, model):
     """Return the loss, in slots, from evicting one copy of a model."""
     demand = snapshot.demand.get(model)
-    copies = max(snapshot.copies.get(model, 0), 1)
+    copies = max(snapshot.serving_copies.get(model, 0), 1)
     if copies > 1:
         return (
             demand.busy_slots / copies
@@ -238,7 +240,10 @@
     # Each step changes the counts for the next one, so that one plan does not
     # evict all copies of a model.
     copies = collections.Counter(snapshot.copies)
-    snapshot = dataclasses.replace(snapshot, copies=copies)
+    serving = collections.Counter(snapshot.serving_copies)
+    snapshot = dataclasses.replace(
+        snapshot, copies=copies, serving_copies=serving
+    )
     for name in underprovisioned_models(snapshot):
         if name not in models:
             continue
@@ -257,6 +262,7 @@
         deferrable_loads += from_store and snapshot.demand[name].deferrable
         copies[name] += 1
         copies.subtract(victims)
+        serving.subtract(victims)
         steps.append(Step(engine.id, name, tuple(victims), from_store))
     return steps
 
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -47,10 +47,12 @@
     for engine in engines:
         for name in engine.models:
             copies[name] = copies.get(name, 0) + 1
+    copies = changes.get('copies', copies)
     fields = {
         'engines': tuple(engines),
         'engine_count': len(engines),
         'copies': copies,
+        'serving_copies': copies,
         'utilisation': dict.fromkeys(copies, 1.0),
         'demand': {d.model: d for d in demand},
         'slots': 24,
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -33,9 +33,27 @@
     Returns:
         The models published to the instances after the given seconds.
     """
-    demand = (
-        messages.ModelDemand(leader_fixture.SERVICE, model, 40, 0, 40, 0.4),
-        messages.ModelDemand(leader_fixture.SERVICE, 'b', 10, 10, 0, 0.4),
+    await report_demand(fixture, (model, 0, 40, 0.4), ('b', 10, 0, 0.4))
+    async with anyio.create_task_group() as tg:
+        orders.plan(tg, anyio.current_time())
+        await anyio.sleep(seconds)
+        published_models = fixture.published_models('e1')
+        tg.cancel_scope.cancel()
+    return published_models
+
+
+async def report_demand(fixture, *rows):
+    """Report rows of model, running, waiting and latency target."""
+    demand = tuple(
+        messages.ModelDemand(
+            leader_fixture.SERVICE,
+            model,
+            running + waiting,
+            running,
+            waiting,
+            target_s,
+        )
+        for model, running, waiting, target_s in rows
     )
     report = messages.Report(
         'front-1', False, 1, 0.0, 0, 0, {}, {}, demand, (), (), ()
@@ -43,12 +61,6 @@
     fixture.cluster.handle_report(report)
     await anyio.sleep(1.0)
     fixture.cluster.update_rates(1.0)
-    async with anyio.create_task_group() as tg:
-        orders.plan(tg, anyio.current_time())
-        await anyio.sleep(seconds)
-        published_models = fixture.published_models('e1')
-        tg.cancel_scope.cancel()
-    return published_models
 
 
 class ModelOrdersTest(unittest.TestCase):
@@ -91,3 +103,23 @@
         engine = fixture.fleet.engines['e1']
         self.assertFalse(engine.busy)
         self.assertGreater(engine.not_before, anyio.current_time())
+
+    @virtual_time.run_without_io
+    async def test_only_serving_copy_stays_while_another_one_loads(self):
+        fixture, orders = make_fixture('a', 'b')
+        listed = fixture.servers.states['e1'].server
+        fixture.set_listed_servers(listed, builders.make_server('e2'))
+        fixture.add_listed_engines()
+        loading = fixture.fleet.engines['e2']
+        loading.busy, loading.loading = True, 'a'
+        await report_demand(
+            fixture,
+            ('a', 9, 0, 0.4),
+            ('b', 30, 0, 0.4),
+            ('c', 0, 3, 5.0),
+        )
+        async with anyio.create_task_group() as tg:
+            orders.plan(tg, anyio.current_time())
+            await anyio.sleep(1.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual([], fixture.client.sent)
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -40,6 +40,25 @@
         ]
         self.assertEqual(plan(engines, [rare, *idle]), [])
 
+    def test_model_whose_other_copy_still_loads_is_not_evicted(self):
+        # A busy model got a second copy. While that one was loaded from the
+        # weight store, the first copy was evicted as one of two, and all
+        # callers of the model were refused for seven seconds.
+        engines = [builders.make_engine_view('e1', ('a', 'b'))]
+        demand = [
+            builders.make_demand('a', 9.0),
+            builders.make_demand('b', 30.0),
+            builders.make_demand('c', 3.0, waiting=3, deferrable=True),
+        ]
+        both_serve = {'a': 2, 'b': 2}
+        (step,) = plan(engines, demand, copies=both_serve)
+        self.assertEqual(('a',), step.victims)
+        one_loads = {'a': 1, 'b': 2}
+        self.assertEqual(
+            [],
+            plan(engines, demand, copies=both_serve, serving_copies=one_loads),
+        )
+
     def test_idle_deferrable_model_is_evicted(self):
         engines = [
             builders.make_engine_view('e1', ('a', 'b'), on_disk={'a', 'c'})
