Load models by how long and how often their requests went unserved

Causes: - Models with equal demand, which is one waiting request for most of them, were loaded in the order of their names. The loads from the weight store for such requests are limited, so the last names never had their turn. - A model with a copy on some disk waited for that engine, for ever if the engine was busy.

Ruled out: the rate of the weight store (47 loads in 5 s; 49 were made in 22 s), and loads that lasted longer than expected.

A model without a serving copy now gains a slot with each request that arrives, and a quarter of a slot with each second since the first one, up to 6 slots. That is enough to replace an idle only copy, not a busy one. Among equal gains the longest unserved model is first. Once a model is unserved for longer than a load from the weight store takes, it no longer waits for the engine with its disk copy, and deferrable loads may use half of the engines. The minimum residency of 2.5 s and the limit of the weight store hold as before.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -17,6 +17,10 @@
 # Weight of the arrivals of the last second in the request rate of a model.
 RATE_SMOOTHING_PER_S = 0.5
 
+# Requests for a model that no engine has are forgotten when no other one has
+# arrived for this many seconds.
+UNSERVED_TTL_S = 30.0
+
 MAX_CRASHES = 200
 
 
@@ -31,6 +35,8 @@
         last_rate_per_s: Requests a second when the last request arrived.
         idle_s: Seconds since the last request.
         target_s: Shortest latency target of the requests in seconds.
+        unserved: Requests that arrived while no engine had the model.
+        unserved_s: Seconds since the first of them, 0 if there is none.
     """
 
     running: int
@@ -39,6 +45,8 @@
     last_rate_per_s: float
     idle_s: float
     target_s: float
+    unserved: int
+    unserved_s: float
 
 
 @dataclasses.dataclass
@@ -48,6 +56,26 @@
     arrivals: int = 0
     last_at: float = float('-inf')
     target_s: float = float('inf')
+    unserved: int = 0
+    unserved_since: float | None = None
+
+    def note_unserved(self, arrivals, now):
+        """Count requests as unserved until an engine has the model."""
+        if self.unserved_since is None or (
+            now - self.last_at > UNSERVED_TTL_S
+        ):
+            self.unserved, self.unserved_since = 0, now
+        self.unserved += arrivals
+
+    def note_serving(self):
+        """Forget the unserved requests, as an engine has the model."""
+        self.unserved, self.unserved_since = 0, None
+
+    def unserved_s(self, now):
+        """Return the seconds since the first unserved request, 0 if none."""
+        if self.unserved_since is None:
+            return 0.0
+        return now - self.unserved_since
 
 
 @dataclasses.dataclass(frozen=True)
@@ -181,6 +209,8 @@
                 traffic.last_rate_per_s,
                 now - traffic.last_at,
                 traffic.target_s,
+                traffic.unserved,
+                traffic.unserved_s(now),
             )
             for (name, model), traffic in self._traffic.items()
             if name == service
@@ -209,6 +239,13 @@
                 traffic.last_rate_per_s = traffic.rate_per_s
             traffic.arrivals = 0
 
+    def note_serving(self, service, models):
+        """Record that engines have models, so that requests can be served."""
+        for model in models:
+            traffic = self._traffic.get((service, model))
+            if traffic is not None:
+                traffic.note_serving()
+
     def _record_demand(self, report, now):
         for row in report.demand:
             traffic = self._traffic.setdefault(
@@ -218,6 +255,7 @@
             if row.arrivals or row.waiting:
                 self._first_request_at.setdefault(row.service, now)
                 traffic.arrivals += row.arrivals
+                traffic.note_unserved(row.arrivals, now)
                 traffic.last_at = now
 
     def _drop_silent_instances(self, now):
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -78,6 +78,7 @@
             serving.update(engine.serving_models)
             if not engine.busy and now >= engine.not_before:
                 views.append(self._view(service, server_id, engine))
+        self._cluster.note_serving(service.name, serving)
         return placement.Snapshot(
             engines=tuple(views),
             engine_count=len(self._fleet.available_engines(service)),
@@ -161,6 +162,8 @@
                 waiting=row.waiting,
                 idle=placement.is_idle(row.idle_s, row.last_rate_per_s),
                 deferrable=row.target_s >= placement.DEFERRABLE_TARGET_S,
+                unserved=row.unserved,
+                unserved_s=row.unserved_s,
             )
             for model, row in rows.items()
         }
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -39,6 +39,16 @@
 # demand moves between such models within seconds.
 ONLY_COPY_MIN_LOSS_SLOTS = 6.0
 
+# Gain, in slots, from each request that arrived while no engine had the model,
+# and from each second since the first of them. Without it, a model with few
+# requests would never replace another one, however long its callers ask.
+UNSERVED_REQUEST_SLOTS = 1.0
+UNSERVED_SLOTS_PER_S = 0.25
+
+# Limit on that gain, so that such a model replaces an idle only copy but not
+# a busy one.
+MAX_UNSERVED_SLOTS = 6.0
+
 # Loss, in slots, for evicting one of several copies of a model that has had no
 # requests yet.
 UNREQUESTED_COPY_LOSS_SLOTS = 1.0
@@ -61,6 +71,10 @@
 # seconds, longer than urgent requests can wait.
 MAX_DEFERRABLE_LOAD_SHARE = 0.34
 
+# The same share for models that have been unserved for longer than a load from
+# the weight store takes.
+MAX_OVERDUE_LOAD_SHARE = 0.5
+
 # Seconds for which a loaded model is not evicted, so that it serves the
 # requests that waited for it.
 MIN_RESIDENCY_S = 2.5
@@ -105,6 +119,8 @@
         idle: Whether requests for the model seem to have stopped.
         deferrable: Whether the latency targets of the requests leave time to
             load the model from disk.
+        unserved: Requests that arrived while no engine had the model.
+        unserved_s: Seconds since the first of them, 0 if there is none.
     """
 
     model: str
@@ -112,6 +128,8 @@
     waiting: int
     idle: bool
     deferrable: bool
+    unserved: int
+    unserved_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,15 +180,20 @@
     now: float
 
 
+def _is_idle(snapshot, name):
+    demand = snapshot.demand.get(name)
+    return demand is None or (demand.idle and not demand.waiting)
+
+
 def target_copies(snapshot, name):
     """Return how many engines should hold a model.
 
     While the engines with the model have free slots, the number of copies does
     not grow: a load would block an engine for seconds and speed up no request.
     """
-    demand = snapshot.demand.get(name)
-    if demand is None or (demand.idle and not demand.waiting):
+    if _is_idle(snapshot, name):
         return 0
+    demand = snapshot.demand[name]
     copies = math.ceil(
         demand.busy_slots / (snapshot.slots * TARGET_COPY_UTILISATION)
     )
@@ -221,10 +244,23 @@
     demand = snapshot.demand[model]
     copies = snapshot.copies.get(model, 0)
     if copies == 0:
-        return ONLY_COPY_FACTOR * demand.busy_slots + ONLY_COPY_BASE_SLOTS
+        return (
+            ONLY_COPY_FACTOR * demand.busy_slots
+            + ONLY_COPY_BASE_SLOTS
+            + _unserved_gain(demand)
+        )
     return demand.busy_slots / (copies + 1)
 
 
+def _unserved_gain(demand):
+    """Return the gain, in slots, from requests that found no copy so far."""
+    gain = (
+        UNSERVED_REQUEST_SLOTS * demand.unserved
+        + UNSERVED_SLOTS_PER_S * demand.unserved_s
+    )
+    return min(gain, MAX_UNSERVED_SLOTS)
+
+
 def plan(snapshot, models):
     """Return the next load steps, at most one for each engine.
 
@@ -248,7 +284,7 @@
         if name not in models:
             continue
         may_use_weight_store = loads_left > 0 and _may_load_from_store(
-            snapshot, name, available, deferrable_loads
+            snapshot, models[name], available, deferrable_loads
         )
         found = _find_cheapest_engine(
             snapshot, models, models[name], available, may_use_weight_store
@@ -267,18 +303,26 @@
     return steps
 
 
-def _may_load_from_store(snapshot, name, available, deferrable_loads):
+def _may_load_from_store(snapshot, model, available, deferrable_loads):
     """Return whether a model may be loaded from the weight store.
 
     Such a load blocks its engine for seconds. A model with low demand waits
     for the engine that has a copy on disk, which leaves engines free for
-    models whose demand rises quickly.
+    models whose demand rises quickly. It does not wait longer than the load
+    from the weight store takes.
     """
+    name = model.name
     demand = snapshot.demand[name]
+    is_overdue = demand.unserved_s >= model.store_load_s
     if demand.deferrable:
-        max_loads = max(1, snapshot.engine_count * MAX_DEFERRABLE_LOAD_SHARE)
+        share = (
+            MAX_OVERDUE_LOAD_SHARE if is_overdue else MAX_DEFERRABLE_LOAD_SHARE
+        )
+        max_loads = max(1, snapshot.engine_count * share)
         if deferrable_loads + 1 > max_loads:
             return False
+    if is_overdue:
+        return True
     if name in snapshot.cached and not snapshot.copies.get(name):
         return demand.busy_slots >= HIGH_DEMAND_SLOTS
     if demand.busy_slots >= LOW_DEMAND_SLOTS:
@@ -311,10 +355,11 @@
 def underprovisioned_models(snapshot):
     """Return the models with too few copies, the largest gain first."""
     rows = []
-    for name in snapshot.demand:
+    for name, demand in snapshot.demand.items():
         if snapshot.copies.get(name, 0) < target_copies(snapshot, name):
-            rows.append((-copy_gain(snapshot, name), name))
-    return [name for _, name in sorted(rows)]
+            gain = copy_gain(snapshot, name)
+            rows.append((-gain, -demand.unserved_s, name))
+    return [row[-1] for row in sorted(rows)]
 
 
 def is_idle(idle_s, rate_per_s):
@@ -356,7 +401,10 @@
     gain = copy_gain(snapshot, model.name)
     needed_mb = model.weights_mb - engine.free_mb
     victims, loss = [], 0.0
-    ranked = sorted(engine.models, key=lambda n: copy_loss(snapshot, n))
+    ranked = sorted(
+        engine.models,
+        key=lambda n: (copy_loss(snapshot, n), not _is_idle(snapshot, n), n),
+    )
     for name in ranked:
         if needed_mb <= 0:
             break
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -38,6 +38,8 @@
         'waiting': 0,
         'idle': False,
         'deferrable': False,
+        'unserved': 0,
+        'unserved_s': 0.0,
     }
     return placement.Demand(**fields | changes)
 
--- a/packages/gateway/tests/control/leader_fixture.py
+++ b/packages/gateway/tests/control/leader_fixture.py
@@ -67,9 +67,10 @@
         config: Stand-in for the ConfigView, with a deployment.
     """
 
-    def __init__(self, *listed):
-        models = {n: builders.make_model(n) for n in ('a', 'b', 'c')}
-        engine = deployment.Engine(24, 200_000.0, 2, 2.0, models)
+    def __init__(self, *listed, engine=None):
+        if engine is None:
+            models = {n: builders.make_model(n) for n in ('a', 'b', 'c')}
+            engine = deployment.Engine(24, 200_000.0, 2, 2.0, models)
         service = deployment.Service(SERVICE, 400, engine)
         self.config = types.SimpleNamespace(
             deployment=builders.make_deployment(services={SERVICE: service}),
@@ -103,5 +104,7 @@
 
     def published_models(self, server_id):
         """Return the models published to the instances for a server."""
-        _, residency = self.cluster._residencies[server_id]
-        return set(residency.models)
+        published = self.cluster._residencies.get(server_id)
+        if published is None:
+            return set(self.servers.states[server_id].server.residency.models)
+        return set(published[1].models)
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -56,6 +56,12 @@
     )
 
 
+def unserved(cluster):
+    """Return the unserved requests for m1 and the seconds since the first."""
+    use = cluster.usage_by_model('engines', anyio.current_time())['m1']
+    return use.unserved, round(use.unserved_s, 3)
+
+
 class ClusterStateTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_update_contains_the_load_of_other_instances_only(self):
@@ -114,6 +120,29 @@
         usage = cluster.usage_by_model('engines', now)['m1']
         self.assertAlmostEqual(usage.rate_per_s, 24.0, delta=3.0)
 
+    @virtual_time.run_without_io
+    async def test_unserved_requests_are_counted_until_a_model_serves(self):
+        cluster = make_cluster()
+        row = messages.ModelDemand('engines', 'm1', 2, 0, 1, 5.0)
+        for _ in range(3):
+            cluster.handle_report(make_report(demand=(row,)))
+            await anyio.sleep(4.0)
+        self.assertEqual((6, 12.0), unserved(cluster))
+        cluster.note_serving('engines', ['m1', 'm2'])
+        self.assertEqual((0, 0.0), unserved(cluster))
+
+    @virtual_time.run_without_io
+    async def test_unserved_requests_of_long_ago_do_not_count(self):
+        # Guards against a model that is asked for once an hour and then goes
+        # before all others.
+        cluster = make_cluster()
+        row = messages.ModelDemand('engines', 'm1', 2, 0, 0, 5.0)
+        cluster.handle_report(make_report(demand=(row,)))
+        await anyio.sleep(cluster_state.UNSERVED_TTL_S + 0.1)
+        cluster.handle_report(make_report(demand=(row,)))
+        await anyio.sleep(1.0)
+        self.assertEqual((2, 1.0), unserved(cluster))
+
     @virtual_time.run_without_io
     async def test_new_term_starts_without_reports(self):
         cluster = make_cluster()
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -1,3 +1,4 @@
+import dataclasses
 import unittest
 
 from wagtailtide_gateway.decisions import placement
@@ -107,6 +108,46 @@
         urgent = builders.make_demand('e', 5.0, waiting=3)
         self.assertEqual(2, len(plan(engines, [urgent, *rare])))
 
+    def test_unserved_model_replaces_an_idle_only_copy_in_the_end(self):
+        # The only copy of a model that nobody asked for was kept for the whole
+        # day, while another model's callers were refused.
+        engines = [builders.make_engine_view('e1', ('a', 'b'))]
+        busy = builders.make_demand('b', 9.0)
+        idle = builders.make_demand('a', 0.0, idle=True)
+        rare = builders.make_demand(
+            'c', 1.0, waiting=1, deferrable=True, unserved=1, unserved_s=1.0
+        )
+        self.assertEqual([], plan(engines, [rare, idle, busy]))
+        rare = dataclasses.replace(rare, unserved=3, unserved_s=12.0)
+        (step,) = plan(engines, [rare, idle, busy])
+        self.assertEqual(('c', ('a',)), (step.model, step.victims))
+        used = builders.make_demand('a', 3.0)
+        self.assertEqual([], plan(engines, [rare, used, busy]))
+
+    def test_overdue_model_does_not_wait_for_the_engine_with_its_copy(self):
+        # The engine that had the model on its disk was busy with other loads,
+        # and its callers waited until they gave up.
+        engines = [builders.make_engine_view('e1')]
+        for unserved_s, count in ((5.0, 0), (6.5, 1)):
+            demand = [
+                builders.make_demand(
+                    'c', 0.5, waiting=1, unserved=1, unserved_s=unserved_s
+                )
+            ]
+            steps = plan(engines, demand, cached=frozenset({'c'}))
+            self.assertEqual(count, len(steps))
+
+    def test_overdue_deferrable_loads_may_use_half_of_the_engines(self):
+        engines = [builders.make_engine_view(f'e{i}') for i in range(4)]
+        for unserved_s, count in ((5.0, 1), (6.5, 2)):
+            rare = [
+                builders.make_demand(
+                    m, 3.0, waiting=3, deferrable=True, unserved_s=unserved_s
+                )
+                for m in 'abcd'
+            ]
+            self.assertEqual(count, len(plan(engines, rare)))
+
     def test_copies_follow_busy_slots(self):
         engines = [
             builders.make_engine_view('e1', ('a',)),
@@ -172,6 +213,19 @@
 
 
 class OrderTest(unittest.TestCase):
+    def test_longest_unserved_model_is_first_among_equal_ones(self):
+        # Models with equal demand were loaded in the order of their names, so
+        # that the last ones were never served.
+        demand = [
+            builders.make_demand('a', 1.0, waiting=1, unserved_s=2.0),
+            builders.make_demand('b', 1.0, waiting=1, unserved_s=3.0),
+            builders.make_demand('c', 1.0, waiting=1, unserved_s=1.0),
+        ]
+        snapshot = builders.make_snapshot([], demand)
+        self.assertEqual(
+            ['b', 'a', 'c'], placement.underprovisioned_models(snapshot)
+        )
+
     def test_overloaded_model_precedes_a_low_demand_first_copy(self):
         # Guards against an engine that loads a model for one request while
         # dozens of requests a second for an overloaded model are refused.
