Load models on engines that need to load few adapters

Cause: an engine answers 409 to adapter orders while it loads a model, 7 s with a load from the weight store, and gets none meanwhile. The choice of the engine for a load did not consider this, so engines whose models have many adapters were blocked as often as others.

Ruled out: the limit of adapters in an engine and adapters in use (26 unloads were answered at once, 6 later), and the age limit of adapter requests (waiting callers repeat them every 30 ms).

The leader now keeps the rate of requests that lack an adapter, by model, with repeated requests counted once. It adds the rate of the models that stay on an engine, divided by their serving copies, to what a load on that engine delays.

test_engine_that_loads_many_adapters_is_spared fails with the new term taken out (the engine with the adapters is chosen).

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -37,6 +37,7 @@
         target_s: Shortest latency target of the requests in seconds.
         unserved: Requests that arrived while no engine had the model.
         unserved_s: Seconds since the first of them, 0 if there is none.
+        adapter_misses_per_s: Requests a second that lack an adapter.
     """
 
     running: int
@@ -47,6 +48,7 @@
     target_s: float
     unserved: int
     unserved_s: float
+    adapter_misses_per_s: float
 
 
 @dataclasses.dataclass
@@ -58,6 +60,8 @@
     target_s: float = float('inf')
     unserved: int = 0
     unserved_since: float | None = None
+    adapter_misses: int = 0
+    adapter_misses_per_s: float = 0.0
 
     def note_unserved(self, arrivals, now):
         """Count requests as unserved until an engine has the model."""
@@ -134,7 +138,7 @@
         if not report.urgent:
             self._store_report(report, now)
         for request in report.adapters:
-            self.adapter_requests[request] = now
+            self._record_adapter_request(request, now)
         if report.adapters:
             self._adapter_requested.set()
         for crash in report.crashes:
@@ -143,6 +147,13 @@
             del self._crashes[next(iter(self._crashes))]
         return self._make_update(report, now)
 
+    def _record_adapter_request(self, request, now):
+        # Instances repeat a request until the adapter is loaded.
+        traffic = self._traffic.get((request.service, request.model))
+        if traffic is not None and request not in self.adapter_requests:
+            traffic.adapter_misses += 1
+        self.adapter_requests[request] = now
+
     def _store_report(self, report, now):
         previous = self._reports.get(report.instance)
         if previous is not None:
@@ -211,6 +222,7 @@
                 traffic.target_s,
                 traffic.unserved,
                 traffic.unserved_s(now),
+                traffic.adapter_misses_per_s,
             )
             for (name, model), traffic in self._traffic.items()
             if name == service
@@ -238,6 +250,11 @@
             if traffic.arrivals:
                 traffic.last_rate_per_s = traffic.rate_per_s
             traffic.arrivals = 0
+            missed = traffic.adapter_misses / elapsed_s
+            traffic.adapter_misses_per_s += weight * (
+                missed - traffic.adapter_misses_per_s
+            )
+            traffic.adapter_misses = 0
 
     def note_serving(self, service, models):
         """Record that engines have models, so that requests can be served."""
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -164,6 +164,7 @@
                 deferrable=row.target_s >= placement.DEFERRABLE_TARGET_S,
                 unserved=row.unserved,
                 unserved_s=row.unserved_s,
+                adapter_misses_per_s=row.adapter_misses_per_s,
             )
             for model, row in rows.items()
         }
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -121,6 +121,7 @@
             load the model from disk.
         unserved: Requests that arrived while no engine had the model.
         unserved_s: Seconds since the first of them, 0 if there is none.
+        adapter_misses_per_s: Requests a second that lack an adapter.
     """
 
     model: str
@@ -130,6 +131,7 @@
     deferrable: bool
     unserved: int
     unserved_s: float
+    adapter_misses_per_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -387,6 +389,7 @@
             continue
         loss = sum(copy_loss(snapshot, name) for name in victims)
         delayed_slots = max(1.0, snapshot.demand[model.name].busy_slots)
+        delayed_slots += _adapter_misses_per_s(snapshot, engine, victims)
         cost = EVICTION_OUTAGE_S * loss + delayed_slots * load_time_s(
             model, engine
         )
@@ -396,6 +399,20 @@
     return None if best is None else best[1:]
 
 
+def _adapter_misses_per_s(snapshot, engine, victims):
+    """Return the rate of requests that need an adapter from an engine.
+
+    An engine loads no adapters while it loads a model, so these requests are
+    refused unless another engine has their model.
+    """
+    return sum(
+        snapshot.demand[name].adapter_misses_per_s
+        / max(1, snapshot.serving_copies.get(name, 0))
+        for name in engine.models
+        if name in snapshot.demand and name not in victims
+    )
+
+
 def _select_victims(snapshot, models, model, engine):
     """Return the models to evict, or None if the gain is too small."""
     gain = copy_gain(snapshot, model.name)
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -40,6 +40,7 @@
         'deferrable': False,
         'unserved': 0,
         'unserved_s': 0.0,
+        'adapter_misses_per_s': 0.0,
     }
     return placement.Demand(**fields | changes)
 
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -143,6 +143,21 @@
         await anyio.sleep(1.0)
         self.assertEqual((2, 1.0), unserved(cluster))
 
+    @virtual_time.run_without_io
+    async def test_repeated_adapter_request_counts_once(self):
+        cluster = make_cluster()
+        row = messages.ModelDemand('engines', 'm1', 2, 0, 0, 0.4)
+        cluster.handle_report(make_report(demand=(row,)))
+        request = messages.AdapterRequest('engines', 'm1', 'a1')
+        for _ in range(40):
+            for _ in range(3):
+                cluster.handle_report(make_report(adapters=(request,)))
+            await anyio.sleep(0.25)
+            cluster.update_rates(0.25)
+            del cluster.adapter_requests[request]
+        use = cluster.usage_by_model('engines', anyio.current_time())['m1']
+        self.assertAlmostEqual(4.0, use.adapter_misses_per_s, delta=0.1)
+
     @virtual_time.run_without_io
     async def test_new_term_starts_without_reports(self):
         cluster = make_cluster()
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -148,6 +148,23 @@
             ]
             self.assertEqual(count, len(plan(engines, rare)))
 
+    def test_engine_that_loads_many_adapters_is_spared(self):
+        # While an engine loaded a rare model for seven seconds, all requests
+        # with an adapter that it did not have yet were refused.
+        engines = [
+            builders.make_engine_view('e1', ('a', 'b')),
+            builders.make_engine_view('e2', ('d', 'e'), load=12.0),
+        ]
+        demand = [
+            builders.make_demand('a', 9.0, adapter_misses_per_s=0.5),
+            *(builders.make_demand(m, 9.0) for m in 'de'),
+            builders.make_demand('b', 0.0, idle=True, deferrable=True),
+            builders.make_demand('e', 0.0, idle=True, deferrable=True),
+            builders.make_demand('c', 1.0, waiting=1, deferrable=True),
+        ]
+        (step,) = plan(engines, demand)
+        self.assertEqual('e2', step.engine)
+
     def test_copies_follow_busy_slots(self):
         engines = [
             builders.make_engine_view('e1', ('a',)),
