--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -18,6 +18,10 @@
 # Weight of the arrivals of the last second in the request rate of a model.
 RATE_SMOOTHING_PER_S = 0.5
 
+# Requests for a model that no engine has are forgotten when no other one has
+# arrived for this many seconds.
+UNSERVED_TTL_S = 30.0
+
 MAX_CRASHES = 200
 
 
@@ -32,6 +36,9 @@
         last_rate_per_s: Requests a second when the last request arrived.
         idle_s: Seconds since the last request.
         target_s: Shortest latency target of the requests in seconds.
+        unserved: Requests that arrived while no engine had the model.
+        unserved_s: Seconds since the first of them, 0 if there is none.
+        adapter_misses_per_s: Requests a second that lack an adapter.
     """
 
     running: int
@@ -40,6 +47,9 @@
     last_rate_per_s: float
     idle_s: float
     target_s: float
+    unserved: int
+    unserved_s: float
+    adapter_misses_per_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +77,28 @@
     arrivals: int = 0
     last_at: float = float('-inf')
     target_s: float = float('inf')
+    unserved: int = 0
+    unserved_since: float | None = None
+    adapter_misses: int = 0
+    adapter_misses_per_s: float = 0.0
+
+    def note_unserved(self, arrivals, now):
+        """Count requests as unserved until an engine has the model."""
+        if self.unserved_since is None or (
+            now - self.last_at > UNSERVED_TTL_S
+        ):
+            self.unserved, self.unserved_since = 0, now
+        self.unserved += arrivals
+
+    def note_serving(self):
+        """Forget the unserved requests, as an engine has the model."""
+        self.unserved, self.unserved_since = 0, None
+
+    def unserved_s(self, now):
+        """Return the seconds since the first unserved request, 0 if none."""
+        if self.unserved_since is None:
+            return 0.0
+        return now - self.unserved_since
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,7 +182,7 @@
         if not report.urgent:
             self._store_report(report, now)
         for request in report.adapters:
-            self.adapter_requests[request] = now
+            self._record_adapter_request(request, now)
         if report.adapters:
             self._adapter_requested.set()
         for crash in report.crashes:
@@ -164,6 +196,13 @@
         self._response_count += 1
         self._response_bytes += size
 
+    def _record_adapter_request(self, request, now):
+        # Instances repeat a request until the adapter is loaded.
+        traffic = self._traffic.get((request.service, request.model))
+        if traffic is not None and request not in self.adapter_requests:
+            traffic.adapter_misses += 1
+        self.adapter_requests[request] = now
+
     def _store_report(self, report, now):
         previous = self._reports.get(report.instance)
         if previous is not None:
@@ -233,6 +272,9 @@
                 traffic.last_rate_per_s,
                 now - traffic.last_at,
                 traffic.target_s,
+                traffic.unserved,
+                traffic.unserved_s(now),
+                traffic.adapter_misses_per_s,
             )
             for (name, model), traffic in self._traffic.items()
             if name == service
@@ -260,6 +302,18 @@
             if traffic.arrivals:
                 traffic.last_rate_per_s = traffic.rate_per_s
             traffic.arrivals = 0
+            missed = traffic.adapter_misses / elapsed_s
+            traffic.adapter_misses_per_s += weight * (
+                missed - traffic.adapter_misses_per_s
+            )
+            traffic.adapter_misses = 0
+
+    def note_serving(self, service, models):
+        """Record that engines have models, so that requests can be served."""
+        for model in models:
+            traffic = self._traffic.get((service, model))
+            if traffic is not None:
+                traffic.note_serving()
 
     def _record_demand(self, report, now):
         for row in report.demand:
@@ -270,6 +324,7 @@
             if row.arrivals or row.waiting:
                 self._first_request_at.setdefault(row.service, now)
                 traffic.arrivals += row.arrivals
+                traffic.note_unserved(row.arrivals, now)
                 traffic.last_at = now
 
     def _drop_silent_instances(self, now):
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -71,16 +71,19 @@
                 self._start_step(tg, service, step, now)
 
     def _snapshot(self, service, now):
-        copies = collections.Counter()
+        copies, serving = collections.Counter(), collections.Counter()
         views = []
         for server_id, engine in self._fleet.available_engines(service):
             copies.update(engine.planned_models)
+            serving.update(engine.serving_models)
             if not engine.busy and now >= engine.not_before:
                 views.append(self._view(service, server_id, engine))
+        self._cluster.note_serving(service.name, serving)
         return placement.Snapshot(
             engines=tuple(views),
             engine_count=len(self._fleet.available_engines(service)),
             copies=copies,
+            serving_copies=serving,
             utilisation=self._utilisation(service),
             demand=self._demand(service, now),
             slots=service.engine.slots,
@@ -159,6 +162,9 @@
                 waiting=row.waiting,
                 idle=placement.is_idle(row.idle_s, row.last_rate_per_s),
                 deferrable=row.target_s >= placement.DEFERRABLE_TARGET_S,
+                unserved=row.unserved,
+                unserved_s=row.unserved_s,
+                adapter_misses_per_s=row.adapter_misses_per_s,
             )
             for model, row in rows.items()
         }
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -39,6 +39,9 @@
         'waiting': 0,
         'idle': False,
         'deferrable': False,
+        'unserved': 0,
+        'unserved_s': 0.0,
+        'adapter_misses_per_s': 0.0,
     }
     return placement.Demand(**fields | changes)
 
@@ -48,10 +51,12 @@
     for engine in engines:
         for name in engine.models:
             copies[name] = copies.get(name, 0) + 1
+    copies = changes.get('copies', copies)
     fields = {
         'engines': tuple(engines),
         'engine_count': len(engines),
         'copies': copies,
+        'serving_copies': copies,
         'utilisation': dict.fromkeys(copies, 1.0),
         'demand': {d.model: d for d in demand},
         'slots': 24,
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -1,3 +1,4 @@
+import dataclasses
 import unittest
 
 from wagtailtide_gateway.decisions import placement
@@ -40,6 +41,25 @@
         ]
         self.assertEqual(plan(engines, [rare, *idle]), [])
 
+    def test_model_whose_other_copy_still_loads_is_not_evicted(self):
+        # A busy model got a second copy. While that one was loaded from the
+        # weight store, the first copy was evicted as one of two, and all
+        # callers of the model were refused for seven seconds.
+        engines = [builders.make_engine_view('e1', ('a', 'b'))]
+        demand = [
+            builders.make_demand('a', 9.0),
+            builders.make_demand('b', 30.0),
+            builders.make_demand('c', 3.0, waiting=3, deferrable=True),
+        ]
+        both_serve = {'a': 2, 'b': 2}
+        (step,) = plan(engines, demand, copies=both_serve)
+        self.assertEqual(('a',), step.victims)
+        one_loads = {'a': 1, 'b': 2}
+        self.assertEqual(
+            [],
+            plan(engines, demand, copies=both_serve, serving_copies=one_loads),
+        )
+
     def test_idle_deferrable_model_is_evicted(self):
         engines = [
             builders.make_engine_view('e1', ('a', 'b'), on_disk={'a', 'c'})
@@ -88,6 +108,63 @@
         urgent = builders.make_demand('e', 5.0, waiting=3)
         self.assertEqual(2, len(plan(engines, [urgent, *rare])))
 
+    def test_unserved_model_replaces_an_idle_only_copy_in_the_end(self):
+        # The only copy of a model that nobody asked for was kept for the whole
+        # day, while another model's callers were refused.
+        engines = [builders.make_engine_view('e1', ('a', 'b'))]
+        busy = builders.make_demand('b', 9.0)
+        idle = builders.make_demand('a', 0.0, idle=True)
+        rare = builders.make_demand(
+            'c', 1.0, waiting=1, deferrable=True, unserved=1, unserved_s=1.0
+        )
+        self.assertEqual([], plan(engines, [rare, idle, busy]))
+        rare = dataclasses.replace(rare, unserved=3, unserved_s=12.0)
+        (step,) = plan(engines, [rare, idle, busy])
+        self.assertEqual(('c', ('a',)), (step.model, step.victims))
+        used = builders.make_demand('a', 3.0)
+        self.assertEqual([], plan(engines, [rare, used, busy]))
+
+    def test_overdue_model_does_not_wait_for_the_engine_with_its_copy(self):
+        # The engine that had the model on its disk was busy with other loads,
+        # and its callers waited until they gave up.
+        engines = [builders.make_engine_view('e1')]
+        for unserved_s, count in ((5.0, 0), (6.5, 1)):
+            demand = [
+                builders.make_demand(
+                    'c', 0.5, waiting=1, unserved=1, unserved_s=unserved_s
+                )
+            ]
+            steps = plan(engines, demand, cached=frozenset({'c'}))
+            self.assertEqual(count, len(steps))
+
+    def test_overdue_deferrable_loads_may_use_half_of_the_engines(self):
+        engines = [builders.make_engine_view(f'e{i}') for i in range(4)]
+        for unserved_s, count in ((5.0, 1), (6.5, 2)):
+            rare = [
+                builders.make_demand(
+                    m, 3.0, waiting=3, deferrable=True, unserved_s=unserved_s
+                )
+                for m in 'abcd'
+            ]
+            self.assertEqual(count, len(plan(engines, rare)))
+
+    def test_engine_that_loads_many_adapters_is_spared(self):
+        # While an engine loaded a rare model for seven seconds, all requests
+        # with an adapter that it did not have yet were refused.
+        engines = [
+            builders.make_engine_view('e1', ('a', 'b')),
+            builders.make_engine_view('e2', ('d', 'e'), load=12.0),
+        ]
+        demand = [
+            builders.make_demand('a', 9.0, adapter_misses_per_s=0.5),
+            *(builders.make_demand(m, 9.0) for m in 'de'),
+            builders.make_demand('b', 0.0, idle=True, deferrable=True),
+            builders.make_demand('e', 0.0, idle=True, deferrable=True),
+            builders.make_demand('c', 1.0, waiting=1, deferrable=True),
+        ]
+        (step,) = plan(engines, demand)
+        self.assertEqual('e2', step.engine)
+
     def test_copies_follow_busy_slots(self):
         engines = [
             builders.make_engine_view('e1', ('a',)),
@@ -153,6 +230,19 @@
 
 
 class OrderTest(unittest.TestCase):
+    def test_longest_unserved_model_is_first_among_equal_ones(self):
+        # Models with equal demand were loaded in the order of their names, so
+        # that the last ones were never served.
+        demand = [
+            builders.make_demand('a', 1.0, waiting=1, unserved_s=2.0),
+            builders.make_demand('b', 1.0, waiting=1, unserved_s=3.0),
+            builders.make_demand('c', 1.0, waiting=1, unserved_s=1.0),
+        ]
+        snapshot = builders.make_snapshot([], demand)
+        self.assertEqual(
+            ['b', 'a', 'c'], placement.underprovisioned_models(snapshot)
+        )
+
     def test_overloaded_model_precedes_a_low_demand_first_copy(self):
         # Guards against an engine that loads a model for one request while
         # dozens of requests a second for an overloaded model are refused.
