gateway: Compare an instance's own server list with the leader's

Callers of one instance were refused while servers stood idle: an instance that lists the servers itself (because the leader's list was old) drops entries that have lapsed at that moment, and the leader, whose list did not change, never sends them again in its term. After an own list an instance now reports the entries that it has, and the leader sends the difference. Found by reading; test_server_that_an_own_list_lacked_comes_back failed before.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -76,6 +76,7 @@
         self._requested = anyio.Event()
         self._residency_number = 0
         self._entry_number = 0
+        self._own_list_count = 0
         self._next_full_at = 0.0
         self._fence = 0
         # Whether this instance has the data and numbers of the leader.
@@ -138,7 +139,7 @@
     async def _exchange(self):
         """Exchange once; return whether the leader answered."""
         now = anyio.current_time()
-        self._follow_new_term()
+        self._drop_old_numbers()
         urgent = self._in_step and now < self._next_full_at
         if not urgent:
             self._next_full_at = now + self._interval_s()
@@ -165,12 +166,18 @@
         completed.set()
         return update is not None
 
-    def _follow_new_term(self):
-        """Drop the numbers of the previous leader once there is another."""
+    def _drop_old_numbers(self):
+        """Drop numbers that do not tell what this instance has any more."""
         record = self._leadership.record
         fence = self._leadership.fence or (record.fence if record else 0)
         if fence > self._fence:
             self._start_term(fence)
+        own_list_count = self._shared_state.servers.own_list_count
+        if own_list_count != self._own_list_count:
+            # The list may differ from the one that the leader's numbers are
+            # about.
+            self._own_list_count = own_list_count
+            self._entry_number = 0
 
     def _start_term(self, fence):
         """Report next what this instance has, instead of numbers."""
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -98,6 +98,7 @@
         states: ServerState by server id.
         health: Failure rates of the servers.
         has_list: Whether a whole list has been received.
+        own_list_count: Number of whole lists that this instance has read.
         entry_number: Number of the last change of an entry.
     """
 
@@ -112,6 +113,7 @@
         self.states = {}
         self.health = health.Health()
         self.has_list = False
+        self.own_list_count = 0
         self.entry_number = 0
 
     def apply_list(self, objects, now):
@@ -123,6 +125,7 @@
         for server_id in self.states.keys() - listed:
             self._handle_missing(server_id, now)
         self.has_list = True
+        self.own_list_count += 1
         self._on_change()
 
     def apply_changes(self, changes, now):
--- a/packages/gateway/tests/control/test_exchange.py
+++ b/packages/gateway/tests/control/test_exchange.py
@@ -13,6 +13,27 @@
             await member.exchange.wait_for_exchange(1.0)
 
 
+class ServerListTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_server_that_an_own_list_lacked_comes_back(self):
+        # Guards against an instance that does without servers whose entries
+        # had lapsed when it listed them itself.
+        fake_store = election_fixture.FakeStore()
+        network = election_fixture.FakeNetwork()
+        leader = election_fixture.Member('leader', fake_store, network)
+        member = election_fixture.Member('other', fake_store, network)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(leader.run)
+            await anyio.sleep(1.0)
+            leader.list_servers(3)
+            tg.start_soon(member.run)
+            await anyio.sleep(1.0)
+            member.list_servers(1)
+            await anyio.sleep(1.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(len(member.shared_state.servers.states), 3)
+
+
 class PacingTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_dead_leader_is_not_called_without_pause(self):
