gateway: Ignore a server entry that is older than the known one

The answer to a list call may arrive after a newer entry came from the leader, and then took back that a server leaves: its requests went on for up to the next list. The class of fault is the one of the late refusal: an answer that is applied to the state at its arrival. An entry with a smaller revision than the known one is now ignored. Found by reading for that class; the test failed before.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -222,6 +222,9 @@
                 },
             )
             return
+        _, known = self._entries.get(obj.name, (0, None))
+        if known is not None and obj.revision < known.revision:
+            return
         state = self.states.get(server.id)
         if state is not None and state.server.residency.process_start_ms > (
             server.residency.process_start_ms
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -39,6 +39,15 @@
         view.apply_changes([ports.Change(stored(restarted), False)], 1.0)
         self.assertFalse(view.states['s1'].can_serve('m1', None, 1.0))
 
+    def test_late_list_does_not_take_back_that_a_server_leaves(self):
+        # Guards against requests to a leaving server after the answer to an
+        # earlier list call arrived late.
+        view = make_view(builders.make_server('s1'))
+        leaving = stored(builders.make_server('s1', leaving=True), 5)
+        view.apply_entries({'s1': leaving}, 1.0)
+        view.apply_list([stored(builders.make_server('s1'), 4)], 1.1)
+        self.assertFalse(view.states['s1'].accepts_requests)
+
     def test_late_entry_of_the_previous_process_is_ignored(self):
         new = builders.make_server(
             's1', residency=builders.make_residency(['m1'], process_start_ms=2)
