Keep what an own list of servers showed over a leader's older list

Callers' requests could go to a backend server that had left. An instance that lists the servers itself sees that one leaves or is gone; the next update of a leader whose own list is older set the entry back to ready, or added it again, and the age of the list stayed that of the own list, so the instance neither listed again nor noticed. A new leader starts with the list that it had as a follower, up to 55 % of the drain time old or more, and sends all of it.

Entries carry the store's revision. A revision below the one already known, or below that of the own list in which the entry was missing, is now ignored. list_all returns the revision of its first page, because an entry created between two pages would otherwise count as older than the list.

The two first new tests of EntriesTest fail on the code before.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -108,18 +108,30 @@
         self._service_times = {}
         self._numbers = itertools.count(1)
         self._entries = {}
+        self._revisions = {}
+        self._list_revision = 0
         self._confirmed_at = float('-inf')
         self.states = {}
         self.health = health.Health()
         self.has_list = False
         self.entry_number = 0
 
-    def apply_list(self, objects, now):
-        """Apply a whole list of entries and handle the missing ones."""
+    def apply_list(self, objects, revision, now):
+        """Apply a whole list of entries and handle the missing ones.
+
+        Args:
+            objects: StoredObject of each entry.
+            revision: Revision of the store at which they were listed.
+            now: Time in seconds.
+        """
         listed = set()
         for obj in objects:
             listed.add(obj.name)
             self._upsert(obj, now)
+        self._list_revision = max(revision, self._list_revision)
+        for server_id in self._revisions.keys() - listed:
+            # The entry was removed, so its earlier revisions are out of date.
+            del self._revisions[server_id]
         for server_id in self.states.keys() - listed:
             self._handle_missing(server_id, now)
         self.has_list = True
@@ -192,6 +204,11 @@
                 )
 
     def _upsert(self, obj, now):
+        known_revision = self._revisions.get(obj.name, self._list_revision)
+        if obj.revision < known_revision:
+            # The leader's list may be older than the own one, and its entry
+            # would undo a later change, such as that the server leaves.
+            return
         try:
             server = self._decode(obj)
         except (ValueError, KeyError, TypeError) as exc:
@@ -204,6 +221,7 @@
                 },
             )
             return
+        self._revisions[obj.name] = obj.revision
         state = self.states.get(server.id)
         if state is not None and state.server.residency.process_start_ms > (
             server.residency.process_start_ms
--- a/packages/gateway/src/wagtailtide_gateway/control/store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/store.py
@@ -43,14 +43,20 @@
         self._metrics = metrics
 
     async def list_all(self, kind):
-        """Return all objects of a kind and the revision of the list."""
-        objects, after = [], None
+        """Return all objects of a kind and the revision of the list.
+
+        Changes up to this revision are included. If the list has several
+        pages, later ones may be included too.
+        """
+        objects, after, first_revision = [], None, None
         while True:
             body = await self._call(self._port.list_call(kind, after))
             found, more, revision = self._decode(self._port.decode_list, body)
+            if first_revision is None:
+                first_revision = revision
             objects += found
             if not more or not found:
-                return objects, revision
+                return objects, first_revision
             after = found[-1].name
 
     async def watch(self, kind, revision, wait_s):
--- a/packages/gateway/src/wagtailtide_gateway/control/sync.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sync.py
@@ -89,13 +89,13 @@
                 await anyio.sleep(max(wait_s, MIN_SLEEP_S))
                 continue
             try:
-                objects, _ = await self._client.list_all(kind)
+                objects, revision = await self._client.list_all(kind)
             except (stores.StoreUnavailable, stores.Conflict) as exc:
                 self._note_unavailable(kind, exc)
                 await anyio.sleep(RETRY_DELAY_S)
                 continue
             self._note_available()
-            self._servers.apply_list(objects, anyio.current_time())
+            self._servers.apply_list(objects, revision, anyio.current_time())
             self._servers.confirm(sent_at)
 
     def _list_delay_s(self, now):
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -12,9 +12,10 @@
     return obj.value
 
 
-def make_view(*listed, now=0.0):
+def make_view(*listed, revision=1, now=0.0):
     view = servers.ServerView(decode, lambda: None)
-    view.apply_list([stored(server) for server in listed], now)
+    objects = [stored(server, revision) for server in listed]
+    view.apply_list(objects, revision, now)
     return view
 
 
@@ -52,16 +53,16 @@
         server = builders.make_server('s1')
         view = make_view(server)
         view.note_store_recovered(10.0)
-        view.apply_list([], 10.1)
+        view.apply_list([], 2, 10.1)
         self.assertFalse(view.states['s1'].accepts_requests)
-        view.apply_changes([ports.Change(stored(server), False)], 11.0)
+        view.apply_changes([ports.Change(stored(server, 3), False)], 11.0)
         view.drop_missing(12.5)
         self.assertTrue(view.states['s1'].accepts_requests)
 
     def test_entry_that_does_not_return_is_removed(self):
         view = make_view(builders.make_server('s1'))
         view.note_store_recovered(10.0)
-        view.apply_list([], 10.1)
+        view.apply_list([], 2, 10.1)
         view.drop_missing(12.2)
         self.assertEqual(view.states, {})
 
@@ -88,7 +89,7 @@
         follower.apply_entries(leader.changed_entries(0), True, 0.0)
         seen = leader.entry_number
         leaving = builders.make_server('s1', leaving=True)
-        leader.apply_list([stored(leaving)], 1.0)
+        leader.apply_list([stored(leaving, 2)], 2, 1.0)
         follower.apply_entries(leader.changed_entries(seen), False, 1.0)
         self.assertEqual(set(follower.states), {'s1'})
         self.assertFalse(follower.states['s1'].accepts_requests)
@@ -97,7 +98,7 @@
         # Guards against sending each heartbeat of a server to all instances.
         leader = make_view(builders.make_server('s1'))
         seen = leader.entry_number
-        leader.apply_list([stored(builders.make_server('s1'), 9)], 1.0)
+        leader.apply_list([stored(builders.make_server('s1'), 9)], 9, 1.0)
         self.assertEqual(leader.changed_entries(seen), {})
 
     def test_whole_list_of_a_new_leader_removes_other_entries(self):
@@ -105,3 +106,27 @@
         entries = make_view(builders.make_server('s2')).changed_entries(0)
         follower.apply_entries(entries, True, 1.0)
         self.assertEqual(set(follower.states), {'s2'})
+
+    def test_older_list_of_a_new_leader_does_not_undo_a_leaving(self):
+        # Guards against requests to a server that leaves: the instance had
+        # listed the servers itself, after the leader.
+        leader = make_view(builders.make_server('s1'))
+        follower = make_view(
+            builders.make_server('s1', leaving=True), revision=2
+        )
+        follower.apply_entries(leader.changed_entries(0), True, 1.0)
+        self.assertFalse(follower.states['s1'].accepts_requests)
+
+    def test_older_list_of_a_new_leader_does_not_restore_a_server(self):
+        follower = make_view(builders.make_server('s1'))
+        follower.apply_list([], 3, 1.0)
+        entries = make_view(builders.make_server('s1'), revision=2)
+        follower.apply_entries(entries.changed_entries(0), True, 1.0)
+        self.assertEqual(follower.states, {})
+
+    def test_server_listed_by_the_leader_after_its_removal_is_added(self):
+        follower = make_view(builders.make_server('s1'))
+        follower.apply_list([], 3, 1.0)
+        entries = make_view(builders.make_server('s1'), revision=4)
+        follower.apply_entries(entries.changed_entries(0), True, 1.0)
+        self.assertEqual(set(follower.states), {'s1'})
