Pass restarted and returning servers on to the other instances

Callers were refused, or sent to models that a server no longer held, at all instances but the leader: a server that restarted under its id, or whose entry was removed and came back, got no new entry number at the leader, because the comparison was made after the new state had been stored. The others kept the entry of the previous process, or none, until the entry changed in another way or until they listed the servers themselves. An entry that was missing for a moment is numbered again too: another instance may have listed the servers at that moment.

The three new tests fail on the code before.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -227,6 +227,13 @@
             server.residency.process_start_ms
         ):
             return
+        # An entry that went missing is passed on again even if it came back
+        # unchanged, because the other instances may have removed it.
+        is_changed = (
+            state is None
+            or state.server != server
+            or state.missing_since is not None
+        )
         if state is None or state.server.residency.process_start_ms != (
             server.residency.process_start_ms
         ):
@@ -251,7 +258,7 @@
                     'revision': obj.revision,
                 },
             )
-        if state.server != server or obj.name not in self._entries:
+        if is_changed:
             self._number_entry(obj.name, obj)
         state.server = server
         state.missing_since = None
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -130,3 +130,41 @@
         entries = make_view(builders.make_server('s1'), revision=4)
         follower.apply_entries(entries.changed_entries(0), True, 1.0)
         self.assertEqual(set(follower.states), {'s1'})
+
+    def test_restart_with_the_same_id_reaches_the_other_instances(self):
+        # Guards against instances that keep the models of the previous
+        # process until its entry changes again.
+        leader = make_view(builders.make_server('s1'))
+        follower = servers.ServerView(decode, lambda: None)
+        follower.apply_entries(leader.changed_entries(0), True, 0.0)
+        seen = leader.entry_number
+        residency = builders.make_residency(process_start_ms=2)
+        restarted = builders.make_server('s1', residency=residency)
+        leader.apply_list([stored(restarted, 2)], 2, 1.0)
+        follower.apply_entries(leader.changed_entries(seen), False, 1.0)
+        self.assertEqual(follower.states['s1'].server, restarted)
+
+    def test_server_that_is_listed_again_reaches_the_other_instances(self):
+        # Guards against servers that only some instances use after their
+        # entries expired.
+        server = builders.make_server('s1')
+        leader = make_view(server)
+        follower = servers.ServerView(decode, lambda: None)
+        follower.apply_entries(leader.changed_entries(0), True, 0.0)
+        leader.apply_list([], 2, 1.0)
+        seen = leader.entry_number
+        follower.apply_entries(leader.changed_entries(0), True, 1.0)
+        self.assertEqual(follower.states, {})
+        leader.apply_list([stored(server, 3)], 3, 2.0)
+        follower.apply_entries(leader.changed_entries(seen), False, 2.0)
+        self.assertEqual(set(follower.states), {'s1'})
+
+    def test_entry_missing_for_a_moment_reaches_the_other_instances(self):
+        # An instance may have listed the servers while the entry was missing.
+        server = builders.make_server('s1')
+        leader = make_view(server)
+        leader.note_store_recovered(1.0)
+        leader.apply_list([], 2, 1.0)
+        seen = leader.entry_number
+        leader.apply_list([stored(server, 3)], 3, 2.0)
+        self.assertEqual(set(leader.changed_entries(seen)), {'s1'})
