List the servers in time, and send nothing by a list that is too old

Callers' requests reached servers after their drain time. An instance lists the servers itself once the leader's list is older than 55 % of the drain time. Besides, a new leader went on sleeping as a follower and sent its old list to all.

- A list call times out after 18 % of the drain time and is repeated at once, so that a second call ends before the list is too old.
- The loop wakes often enough for a new leader to list within 0.4 s.
- A request waits, and is refused if the list does not come, while the list is older than 90 % of the drain time; except if the store has left a call of this instance unanswered or refused it since then: no leaving is confirmed meanwhile, and an old list is better than an outage.

Ruled out: the urgent exchanges, whose updates carry no `leaving`, are not applied to entries and do not confirm the list; the age in an update is that of the leader's own list, and counts from the sending of the report.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -111,6 +111,7 @@
         self._revisions = {}
         self._list_revision = 0
         self._confirmed_at = float('-inf')
+        self._list_failed_at = float('-inf')
         self.states = {}
         self.health = health.Health()
         self.has_list = False
@@ -159,6 +160,23 @@
         """Return the seconds since the list was last known to be current."""
         return now - self._confirmed_at
 
+    def note_list_failed(self, now):
+        """Record that the store did not answer this instance with a list."""
+        self._list_failed_at = now
+
+    def is_outdated(self, max_age_s, now):
+        """Return whether the list may lack a server's leaving for too long.
+
+        A list is used at any age while the store does not answer: then no
+        leaving can be confirmed, and it is better than none.
+
+        Args:
+            max_age_s: Largest age of the list in seconds.
+            now: Time in seconds.
+        """
+        expired_at = self._confirmed_at + max_age_s
+        return now > expired_at and self._list_failed_at < expired_at
+
     def changed_entries(self, number):
         """Return the entries whose last change has a larger number.
 
--- a/packages/gateway/src/wagtailtide_gateway/control/store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/store.py
@@ -42,15 +42,20 @@
         self._pool = pool
         self._metrics = metrics
 
-    async def list_all(self, kind):
+    async def list_all(self, kind, timeout_s=CALL_TIMEOUT_S):
         """Return all objects of a kind and the revision of the list.
 
         Changes up to this revision are included. If the list has several
         pages, later ones may be included too.
+
+        Args:
+            kind: Kind of the objects.
+            timeout_s: Seconds after which the call for a page has failed.
         """
         objects, after, first_revision = [], None, None
         while True:
-            body = await self._call(self._port.list_call(kind, after))
+            call = self._port.list_call(kind, after)
+            body = await self._call(call, timeout_s)
             found, more, revision = self._decode(self._port.decode_list, body)
             if first_revision is None:
                 first_revision = revision
--- a/packages/gateway/src/wagtailtide_gateway/control/sync.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sync.py
@@ -29,6 +29,10 @@
 # only within the drain time.
 MAX_LIST_AGE_SHARE = 0.55
 
+# Timeout of a call that lists the servers, as a share of the server drain
+# time. It leaves time for a second call before the list is too old to use.
+LIST_TIMEOUT_SHARE = 0.18
+
 # Interval in seconds between checks of the configuration's age, and between
 # checks for servers whose entries are missing.
 CHECK_INTERVAL_S = 0.25
@@ -85,14 +89,21 @@
             wait_s = self._list_delay_s(sent_at)
             if wait_s > 0:
                 # A delay below the clock's resolution would leave the time
-                # unchanged, and this loop would spin.
-                await anyio.sleep(max(wait_s, MIN_SLEEP_S))
+                # unchanged, and this loop would spin. The upper limit lets a
+                # new leader list the servers without delay.
+                wait_s = min(max(wait_s, MIN_SLEEP_S), LEADER_LIST_INTERVAL_S)
+                await anyio.sleep(wait_s)
                 continue
             try:
-                objects, revision = await self._client.list_all(kind)
+                objects, revision = await self._client.list_all(
+                    kind, self._list_timeout_s(sent_at)
+                )
             except (stores.StoreUnavailable, stores.Conflict) as exc:
+                now = anyio.current_time()
                 self._note_unavailable(kind, exc)
-                await anyio.sleep(RETRY_DELAY_S)
+                self._servers.note_list_failed(now)
+                # A call that timed out is repeated at once.
+                await anyio.sleep(max(0.0, sent_at + RETRY_DELAY_S - now))
                 continue
             self._note_available()
             self._servers.apply_list(objects, revision, anyio.current_time())
@@ -104,6 +115,12 @@
             return LEADER_LIST_INTERVAL_S - age_s
         return self._cfg.server_drain_s * MAX_LIST_AGE_SHARE - age_s
 
+    def _list_timeout_s(self, now):
+        drain_s = self._cfg.server_drain_s
+        if self._servers.age_s(now) < drain_s:
+            return drain_s * LIST_TIMEOUT_SHARE
+        return stores.CALL_TIMEOUT_S
+
     def _apply_config(self, objects, sent_at):
         for obj in objects:
             if obj.name == self._port.config_name:
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -24,6 +24,13 @@
 # engine may have to unload another model first.
 LOAD_ORDER_DELAY_S = 1.0
 
+# Share of the server drain time after which the list of servers is too old to
+# send requests by it. The rest is for the request to reach its server.
+MAX_LIST_AGE_SHARE = 0.9
+
+# Time in which a list that is too old is expected to be replaced.
+LIST_REFRESH_S = 0.3
+
 # Waiting requests check for a server at least this often.
 RECHECK_INTERVAL_S = 0.25
 
@@ -135,7 +142,13 @@
             )
         )
 
+    def _is_list_outdated(self, now):
+        max_age_s = self._cfg.server_drain_s * MAX_LIST_AGE_SHARE
+        return self._servers.is_outdated(max_age_s, now)
+
     def _usable_servers(self, job, now):
+        if self._is_list_outdated(now):
+            return []
         health = self._servers.health
         return [
             state
@@ -196,6 +209,8 @@
         Raises:
             ServingError: The service has no such model.
         """
+        if self._is_list_outdated(now):
+            return LIST_REFRESH_S
         usable = self._usable_servers(job, now)
         if job.is_plain:
             return UNREACHABLE_RECOVERY_S
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -66,6 +66,20 @@
         view.drop_missing(12.2)
         self.assertEqual(view.states, {})
 
+    def test_list_without_a_confirmation_is_outdated(self):
+        view = make_view(builders.make_server('s1'))
+        view.confirm(10.0)
+        self.assertFalse(view.is_outdated(2.0, 11.9))
+        self.assertTrue(view.is_outdated(2.0, 12.1))
+
+    def test_list_is_not_outdated_while_the_store_does_not_answer(self):
+        view = make_view(builders.make_server('s1'))
+        view.confirm(10.0)
+        view.note_list_failed(11.5)
+        self.assertTrue(view.is_outdated(2.0, 12.1))
+        view.note_list_failed(12.2)
+        self.assertFalse(view.is_outdated(2.0, 12.3))
+
     def test_leaving_server_accepts_no_requests(self):
         view = make_view(builders.make_server('s1', leaving=True))
         self.assertFalse(view.states['s1'].accepts_requests)
--- /dev/null
+++ b/packages/gateway/tests/control/test_sync.py
@@ -0,0 +1,98 @@
+import math
+import types
+import unittest
+
+import anyio
+from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import store as stores
+from wagtailtide_gateway.control import sync
+from wagtailtide_testing import virtual_time
+
+from tests import builders
+
+
+class FakeStoreClient:
+    """Client of a store that leaves some calls without an answer.
+
+    Attributes:
+        silent_calls: Number of the next calls that time out.
+        listed_at: Times at which the servers were listed.
+    """
+
+    def __init__(self):
+        self.silent_calls = 0
+        self.listed_at = []
+
+    async def list_all(self, kind, timeout_s=stores.CALL_TIMEOUT_S):
+        """Return an empty list, or time out."""
+        if self.silent_calls:
+            self.silent_calls -= 1
+            await anyio.sleep(timeout_s)
+            raise stores.StoreUnavailable('no answer')
+        self.listed_at.append(anyio.current_time())
+        return [], 1
+
+
+class FollowServersTest(unittest.TestCase):
+    def make_sync(self, client, **changes):
+        self.is_leader = False
+        self.servers = servers.ServerView(lambda obj: obj, lambda: None)
+        shared_state = types.SimpleNamespace(
+            servers=self.servers,
+            config=types.SimpleNamespace(age_s=0.0),
+        )
+        return sync.StoreSync(
+            builders.make_settings(**changes),
+            client,
+            types.SimpleNamespace(servers_kind='servers'),
+            shared_state,
+            anyio.current_time,
+            lambda: self.is_leader,
+        )
+
+    @virtual_time.run_without_io
+    async def test_list_is_renewed_in_time_after_a_lost_answer(self):
+        # Guards against requests to a server that has left: the leader did
+        # not answer either, and one lost answer made the list too old.
+        client = FakeStoreClient()
+        store_sync = self.make_sync(client, server_drain_s=3.0)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(store_sync._follow_servers)
+            await anyio.sleep(0.1)
+            client.silent_calls = 1
+            oldest_s = 0.0
+            for _ in range(500):
+                await anyio.sleep(0.01)
+                age_s = self.servers.age_s(anyio.current_time())
+                oldest_s = max(oldest_s, age_s)
+            tg.cancel_scope.cancel()
+        self.assertLess(oldest_s, 2.5)
+
+    @virtual_time.run_without_io
+    async def test_new_leader_lists_the_servers_soon(self):
+        # Guards against instances that take an old list from a new leader.
+        client = FakeStoreClient()
+        store_sync = self.make_sync(client, server_drain_s=3.0)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(store_sync._follow_servers)
+            await anyio.sleep(0.1)
+            self.is_leader = True
+            await anyio.sleep(2 * sync.LEADER_LIST_INTERVAL_S)
+            tg.cancel_scope.cancel()
+        self.assertGreaterEqual(len(client.listed_at), 2)
+
+    @virtual_time.run_without_io
+    async def test_list_stays_in_use_while_the_store_does_not_answer(self):
+        client = FakeStoreClient()
+        store_sync = self.make_sync(client, server_drain_s=3.0)
+        outdated_s = 0.0
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(store_sync._follow_servers)
+            await anyio.sleep(0.1)
+            client.silent_calls = math.inf
+            for _ in range(1_000):
+                await anyio.sleep(0.01)
+                now = anyio.current_time()
+                outdated_s += 0.01 * self.servers.is_outdated(2.7, now)
+            tg.cancel_scope.cancel()
+        self.assertLess(outdated_s, 0.5)
