Send an engine no order while the fate of an earlier one is open

A report with an order in progress advanced the order count without the model of that order; once it was loaded, the next order with this count was accepted as if it were not there. And a step ended while its order was overdue or unanswered, after which the engine was planned for with the models known before.

A busy report now changes nothing, and a step that was not carried out keeps its engine busy until a report shows no order in progress.

Ruled out: a late order by itself. Its precondition only matches in the state for which it was planned. Memory of adapters: all places are counted at the largest size. Two services: engines are kept by server id.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -101,12 +101,9 @@
         ):
             return None
         if report.busy:
-            # The report does not show the result of the order in progress.
-            # Models that are being unloaded were withdrawn from the instances
-            # before, and a report that still lists them must not be published.
-            engine.residency = dataclasses.replace(
-                current, order_count=reported.order_count
-            )
+            # The report does not show the result of the order in progress, so
+            # its order count must not be used with the models known before:
+            # the next order would be accepted without knowledge of the result.
             return report
         if not reported.in_memory and not reported.on_disk:
             reported = dataclasses.replace(
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -53,13 +53,22 @@
 
     async def await_idle(self, server_id):
         """Read a new engine's report until it has no order in progress."""
-        engine = self._fleet.engines[server_id]
+        engine = self._fleet.engines.get(server_id)
+        if engine is not None and await self._is_idle(server_id, engine):
+            engine.busy = False
+
+    async def _is_idle(self, server_id, engine):
+        """Wait for a report without an order in progress.
+
+        Returns:
+            False if the engine was removed or restarted before.
+        """
         while self._fleet.engines.get(server_id) is engine:
             report = await self._client.refresh(server_id, engine)
             if report is not None and not report.busy:
-                engine.busy = False
-                return
+                return True
             await anyio.sleep(REPORT_POLL_INTERVAL_S)
+        return False
 
     def plan(self, tg, now):
         """Plan for all services and start the planned steps."""
@@ -200,24 +209,32 @@
 
     async def _run_step(self, service, step, engine, load_s):
         try:
-            if step.victims:
-                self._withdraw_models(step.engine, engine, step.victims)
-                await anyio.sleep(UPDATE_PROPAGATION_S)
-            for victim in step.victims:
-                if not await self._order_model(
-                    step.engine, engine, False, victim, 0.1
-                ):
-                    return
-            if await self._order_model(
-                step.engine, engine, True, step.model, load_s
-            ):
+            if await self._send_orders(step, engine, load_s):
                 engine.loaded_at[step.model] = anyio.current_time()
+            else:
+                # An order that was not answered or is overdue may be in
+                # progress. A further load might not fit beside its model.
+                await self._is_idle(step.engine, engine)
         finally:
             engine.busy = engine.from_store = False
             engine.loading, engine.victims = None, frozenset()
             self._cluster.publish(step.engine, engine.residency)
             self._cluster.set_loading(service.name, step.model, None)
 
+    async def _send_orders(self, step, engine, load_s):
+        """Send the orders of a step; return whether all were carried out."""
+        if step.victims:
+            self._withdraw_models(step.engine, engine, step.victims)
+            await anyio.sleep(UPDATE_PROPAGATION_S)
+        for victim in step.victims:
+            if not await self._order_model(
+                step.engine, engine, False, victim, 0.1
+            ):
+                return False
+        return await self._order_model(
+            step.engine, engine, True, step.model, load_s
+        )
+
     def _withdraw_models(self, server_id, engine, victims):
         """Tell the instances to stop using models that will be unloaded."""
         models = {
--- a/packages/gateway/tests/control/leader_fixture.py
+++ b/packages/gateway/tests/control/leader_fixture.py
@@ -27,11 +27,13 @@
     Attributes:
         sent: Time, server id, load, model and adapter of each order.
         statuses: HTTP statuses of the next orders; 202 once it is empty.
+        busy: Whether reports state that an order is in progress.
     """
 
     def __init__(self):
         self.sent = []
         self.statuses = []
+        self.busy = False
         self._models = {}
 
     async def send_order(self, server_id, engine, load, model, adapter=None):
@@ -53,7 +55,7 @@
         engine.residency = dataclasses.replace(
             engine.residency, models=dict(models)
         )
-        return types.SimpleNamespace(busy=False)
+        return types.SimpleNamespace(busy=self.busy)
 
 
 class LeaderFixture:
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -91,3 +91,31 @@
         engine = fixture.fleet.engines['e1']
         self.assertFalse(engine.busy)
         self.assertGreater(engine.not_before, anyio.current_time())
+
+    @virtual_time.run_without_io
+    async def test_engine_with_an_overdue_order_gets_no_further_order(self):
+        # Guards against a load beside the model of the overdue order, which
+        # would not fit.
+        fixture, orders = make_fixture('a')
+        fixture.client.busy = True
+        engine = fixture.fleet.engines['e1']
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(plan_for, fixture, orders, 'c', 30.0)
+            await anyio.sleep(25.0)
+            self.assertTrue(engine.busy)
+            fixture.client.busy = False
+            await anyio.sleep(1.0)
+            self.assertFalse(engine.busy)
+
+    @virtual_time.run_without_io
+    async def test_engine_that_may_carry_out_an_order_gets_no_other(self):
+        # Guards against the same after an order without an answer.
+        fixture, orders = make_fixture('a')
+        fixture.client.statuses = [None]
+        fixture.client.busy = True
+        engine = fixture.fleet.engines['e1']
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(plan_for, fixture, orders, 'c', 30.0)
+            await anyio.sleep(25.0)
+            self.assertTrue(engine.busy)
+            tg.cancel_scope.cancel()
