Count adapters on their way toward an engine's limit

An engine could be ordered to hold more adapters than it has places, which crashes it. A report lists adapters on their way apart from the models; they were counted but not used, so a report read at that moment (by a new leader, or after a refused order) dropped an adapter that was about to arrive, also one that this leader had ordered. And an adapter ordered a moment ago could be chosen to make room: the engine drops what it holds, and the one on its way still arrives.

Adapters on their way count as held, and an adapter requested or ordered within the last half second is not unloaded for another; the request that needs the place asks again.

The existing test of the victim's choice now runs at 6 s, so that both adapters may be unloaded.

--- a/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
@@ -9,6 +9,10 @@
 # Seconds from an accepted order until the adapter can serve.
 ADAPTER_LOAD_S = 0.012
 
+# Seconds for which a requested adapter is not unloaded for another. It may be
+# on its way, and an unload would not stop it.
+MIN_ADAPTER_RESIDENCY_S = 0.5
+
 # Older adapter requests are dropped, because the requests that needed the
 # adapter have been answered.
 ADAPTER_REQUEST_TTL_S = 0.5
@@ -68,12 +72,18 @@
             if resident is None or request.adapter in resident.adapters:
                 return
             held = [
-                (engine.adapter_used_at.get((m.name, a), 0.0), m.name, a)
+                (
+                    engine.adapter_used_at.get((m.name, a), float('-inf')),
+                    m.name,
+                    a,
+                )
                 for m in engine.residency.models.values()
                 for a in m.adapters
             ]
             if len(held) >= service.engine.adapter_slots:
-                _, model, adapter = min(held)
+                used_at, model, adapter = min(held)
+                if anyio.current_time() - used_at < MIN_ADAPTER_RESIDENCY_S:
+                    return
                 if not await self._order_adapter(
                     server_id, engine, False, model, adapter
                 ):
@@ -94,6 +104,7 @@
             await self._client.refresh(server_id, engine)
             return False
         if load:
+            engine.adapter_used_at[(model, adapter)] = anyio.current_time()
             await anyio.sleep(ADAPTER_LOAD_S)
         models = dict(engine.residency.models)
         resident = models.get(model)
--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -109,7 +109,11 @@
             reported = dataclasses.replace(
                 reported, in_memory=current.in_memory, on_disk=current.on_disk
             )
-        self._fleet.update_residency(server_id, engine, reported)
+        now = anyio.current_time()
+        for key in report.incoming_adapters:
+            engine.adapter_used_at.setdefault(key, now)
+        residency = _with_incoming(reported, report.incoming_adapters)
+        self._fleet.update_residency(server_id, engine, residency)
         return report
 
     async def _call(self, state, call, timeout_s):
@@ -138,3 +142,18 @@
         finally:
             if conn is not None:
                 await conn.close()
+
+
+def _with_incoming(residency, incoming_adapters):
+    """Return a residency that includes the adapters on their way.
+
+    They count toward the limit on adapters, and arrive in milliseconds.
+    """
+    models = dict(residency.models)
+    for model, adapter in incoming_adapters:
+        resident = models.get(model)
+        if resident is not None:
+            models[model] = dataclasses.replace(
+                resident, adapters=resident.adapters | {adapter}
+            )
+    return dataclasses.replace(residency, models=models)
--- a/packages/gateway/src/wagtailtide_gateway/model/backend.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/backend.py
@@ -81,14 +81,14 @@
         busy: Whether an order is in progress.
         running: Number of running requests.
         queued: Number of requests in the engine's queue.
-        incoming_adapters: Number of adapters being loaded.
+        incoming_adapters: Model and name of each adapter being loaded.
     """
 
     residency: Residency
     busy: bool
     running: int
     queued: int
-    incoming_adapters: int
+    incoming_adapters: tuple[tuple[str, str], ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/tests/control/test_adapter_orders.py
+++ b/packages/gateway/tests/control/test_adapter_orders.py
@@ -55,12 +55,23 @@
         # Guards the limit on adapters in an engine; exceeding it crashes the
         # engine.
         fixture = make_fixture('a1', 'a2')
+        await anyio.sleep(6.0)
         used_at = fixture.fleet.engines['e1'].adapter_used_at
         used_at[('a', 'a1')], used_at[('a', 'a2')] = 5.0, 3.0
         self.assertEqual(
             [(False, 'a2'), (True, 'a9')], await run_orders(fixture)
         )
 
+    @virtual_time.run_without_io
+    async def test_adapter_requested_a_moment_ago_is_not_unloaded(self):
+        # Guards against the unload of an adapter that is on its way: it would
+        # still arrive, in addition to the one loaded in its place.
+        fixture = make_fixture('a1', 'a2')
+        await anyio.sleep(5.0)
+        used_at = fixture.fleet.engines['e1'].adapter_used_at
+        used_at[('a', 'a1')], used_at[('a', 'a2')] = 4.8, 4.9
+        self.assertEqual([], await run_orders(fixture))
+
     @virtual_time.run_without_io
     async def test_nothing_is_loaded_if_the_unload_is_refused(self):
         fixture = make_fixture('a1', 'a2')
--- /dev/null
+++ b/packages/gateway/tests/control/test_engine_client.py
@@ -0,0 +1,75 @@
+import types
+import unittest
+
+from wagtailtide_gateway.control import engine_client
+from wagtailtide_gateway.model import backend
+from wagtailtide_testing import virtual_time
+
+from tests import builders
+from tests.control import leader_fixture
+
+
+class CannedClient(engine_client.EngineClient):
+    """EngineClient whose calls are answered with one report."""
+
+    def __init__(self, fixture, report):
+        port = types.SimpleNamespace(
+            report_call=None, decode_report=lambda body: report
+        )
+        super().__init__(
+            fixture.fleet,
+            fixture.servers,
+            leader_fixture.FakeLeadership(),
+            builders.make_settings(),
+            port,
+            None,
+            types.SimpleNamespace(orders=0),
+        )
+
+    async def _call(self, state, call, timeout_s):
+        return types.SimpleNamespace(status=200), b''
+
+
+async def refresh(models=('a',), busy=False, incoming=(), order_count=4):
+    """Refresh an engine with model 'a' and three orders from a report.
+
+    Returns:
+        The EngineState.
+    """
+    residency = builders.make_residency(['a'], order_count=3)
+    fixture = leader_fixture.LeaderFixture(
+        builders.make_server('e1', residency=residency)
+    )
+    fixture.add_listed_engines()
+    engine = fixture.fleet.engines['e1']
+    reported = builders.make_residency(models, order_count=order_count)
+    report = backend.EngineReport(reported, busy, 0, 0, incoming)
+    await CannedClient(fixture, report).refresh('e1', engine)
+    return engine
+
+
+class RefreshTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_report_replaces_models_and_order_count(self):
+        engine = await refresh(models=('a', 'b'))
+        self.assertEqual({'a', 'b'}, set(engine.residency.models))
+        self.assertEqual(4, engine.residency.order_count)
+
+    @virtual_time.run_without_io
+    async def test_older_report_is_ignored(self):
+        engine = await refresh(models=(), order_count=2)
+        self.assertEqual({'a'}, set(engine.residency.models))
+
+    @virtual_time.run_without_io
+    async def test_busy_report_does_not_change_the_order_count(self):
+        # Guards against a load that does not fit: the engine accepts orders
+        # with this count once the order in progress is done.
+        engine = await refresh(busy=True)
+        self.assertEqual(3, engine.residency.order_count)
+
+    @virtual_time.run_without_io
+    async def test_incoming_adapter_counts_as_held(self):
+        # Guards against exceeding the limit on adapters.
+        engine = await refresh(incoming=(('a', 'a1'), ('b', 'a2')))
+        self.assertEqual({'a1'}, engine.residency.models['a'].adapters)
+        self.assertNotIn('b', engine.residency.models)
--- a/packages/gateway/tests/control/test_order_safety.py
+++ b/packages/gateway/tests/control/test_order_safety.py
@@ -66,20 +66,19 @@
             )
             for server_id in fixture.fleet.sync_with_list():
                 tg.start_soon(models.await_idle, server_id)
-            ends_at = anyio.current_time() + DURATION_S
-            while anyio.current_time() < ends_at:
+            for step in range(round(DURATION_S / STEP_S)):
                 await anyio.sleep(STEP_S)
                 now = anyio.current_time()
-                self._report(now)
+                self._report(step * STEP_S)
                 fixture.cluster.update_rates(STEP_S)
                 models.plan(tg, now)
                 adapters.start(tg, now)
             tg.cancel_scope.cancel()
         return engine.overcommitted
 
-    def _report(self, now):
+    def _report(self, elapsed_s):
         """Report demand for a model that changes every two seconds."""
-        model = MODELS[int(now / 2.0) * 3 % len(MODELS)]
+        model = MODELS[int(elapsed_s / 2.0) * 3 % len(MODELS)]
         row = messages.ModelDemand(
             leader_fixture.SERVICE, model, 20, 0, 20, 4.0
         )
@@ -108,3 +107,14 @@
             with self.subTest(seed=seed):
                 found = await Simulation(seed, late_share=0.5).run()
                 self.assertEqual([], found)
+
+    @virtual_time.run_without_io
+    async def test_adapters_on_their_way_count_toward_the_limit(self):
+        # Guards against a load beside adapters that an engine reports as
+        # incoming or that were ordered a moment ago.
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                found = await Simulation(
+                    seed, late_share=0.3, adapters_per_step=0.5
+                ).run()
+                self.assertEqual([], found)
