Send no orders for an engine that has been replaced

An order that waited for the lock of an engine's state was still sent after the engine had restarted under its id, or after a new term had read its state anew. The order count of the new process starts at 0 and may match by chance; the order was planned for other models.

Found by reading; not seen in a play. The new test fails on the code before: the engine got the order.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -49,6 +49,10 @@
             return None
         if order.fence != self._leadership.fence:
             return None
+        if self._fleet.engines.get(server_id) is not engine:
+            # The engine restarted, or this is an order of an earlier term. The
+            # order count of another process may match by chance.
+            return None
         self._metrics.orders += 1
         call = self._port.encode_order(order, server_id)
         head, _ = await self._call(state, call, ORDER_TIMEOUT_S)
--- a/packages/gateway/tests/control/test_engine_client.py
+++ b/packages/gateway/tests/control/test_engine_client.py
@@ -10,11 +10,13 @@
 
 
 class CannedClient(engine_client.EngineClient):
-    """EngineClient whose calls are answered with one report."""
+    """EngineClient whose orders are accepted, with one report."""
 
     def __init__(self, fixture, report):
         port = types.SimpleNamespace(
-            report_call=None, decode_report=lambda body: report
+            encode_order=lambda order, server_id: order,
+            report_call=None,
+            decode_report=lambda body: report,
         )
         super().__init__(
             fixture.fleet,
@@ -27,7 +29,8 @@
         )
 
     async def _call(self, state, call, timeout_s):
-        return types.SimpleNamespace(status=200), b''
+        status = 200 if call is None else 202
+        return types.SimpleNamespace(status=status), b''
 
 
 async def refresh(models=('a',), busy=False, incoming=(), order_count=4):
@@ -73,3 +76,25 @@
         engine = await refresh(incoming=(('a', 'a1'), ('b', 'a2')))
         self.assertEqual({'a1'}, engine.residency.models['a'].adapters)
         self.assertNotIn('b', engine.residency.models)
+
+
+class SendOrderTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_order_for_the_previous_process_is_not_sent(self):
+        # Guards against a load that was planned for the models of the process
+        # before: the order count of the new one can match.
+        fixture = leader_fixture.LeaderFixture(builders.make_server('e1'))
+        fixture.fleet.start_term(1)
+        fixture.add_listed_engines()
+        previous = fixture.fleet.engines['e1']
+        residency = builders.make_residency(process_start_ms=2)
+        fixture.set_listed_servers(
+            builders.make_server('e1', residency=residency)
+        )
+        fixture.add_listed_engines()
+        client = CannedClient(fixture, None)
+        status = await client.send_order('e1', previous, True, 'a')
+        self.assertIsNone(status)
+        current = fixture.fleet.engines['e1']
+        status = await client.send_order('e1', current, True, 'a')
+        self.assertEqual(202, status)
