Count an accepted order once if a report already includes it

If a report that included an accepted order was read before the order's answer, the order was counted twice. All further reports then counted as out of date and all further orders were refused with 409, for as long as the term lasted; the engine got no model or adapter any more.

The count is now that before the order plus one, unless it is already higher.

The new test of AdapterOrdersTest fails on the code before.

--- a/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
@@ -93,6 +93,7 @@
             )
 
     async def _order_adapter(self, server_id, engine, load, model, adapter):
+        order_count = engine.residency.order_count
         status = await self._client.send_order(
             server_id, engine, load, model, adapter
         )
@@ -103,6 +104,7 @@
             await anyio.sleep(engine_client.REPORT_LAG_S)
             await self._client.refresh(server_id, engine)
             return False
+        engine.count_order(order_count)
         if load:
             engine.adapter_used_at[(model, adapter)] = anyio.current_time()
             await anyio.sleep(ADAPTER_LOAD_S)
@@ -116,10 +118,6 @@
             else resident.adapters - {adapter}
         )
         models[model] = dataclasses.replace(resident, adapters=changed)
-        residency = dataclasses.replace(
-            engine.residency,
-            order_count=engine.residency.order_count + 1,
-            models=models,
-        )
+        residency = dataclasses.replace(engine.residency, models=models)
         self._fleet.update_residency(server_id, engine, residency)
         return True
--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -41,6 +41,18 @@
         held = set(self.residency.models) - self.victims
         return held | {self.loading} if self.loading else held
 
+    def count_order(self, order_count):
+        """Count an accepted order.
+
+        Args:
+            order_count: Order count before the order. A report that was read
+                while the answer was on its way may already include it.
+        """
+        order_count = max(self.residency.order_count, order_count + 1)
+        self.residency = dataclasses.replace(
+            self.residency, order_count=order_count
+        )
+
 
 class Fleet:
     """All engines, by id of their backend server.
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -248,14 +248,12 @@
     async def _order_model(self, server_id, engine, load, name, expected_s):
         """Order a load or unload; return whether it was carried out."""
         async with engine.lock:
+            order_count = engine.residency.order_count
             status = await self._client.send_order(
                 server_id, engine, load, name
             )
             if status == 202:
-                engine.residency = dataclasses.replace(
-                    engine.residency,
-                    order_count=engine.residency.order_count + 1,
-                )
+                engine.count_order(order_count)
         if status == 202:
             return await self._await_completion(
                 server_id, engine, load, name, expected_s
--- a/packages/gateway/tests/control/test_adapter_orders.py
+++ b/packages/gateway/tests/control/test_adapter_orders.py
@@ -93,3 +93,22 @@
         fixture.fleet.engines['e1'].busy = True
         self.assertEqual([], await run_orders(fixture))
         self.assertIn(ADAPTER_REQUEST, fixture.cluster.adapter_requests)
+
+    @virtual_time.run_without_io
+    async def test_order_that_a_report_includes_is_counted_once(self):
+        # Guards against an engine that refuses all further orders: a report
+        # with the accepted order was read before its answer.
+        fixture = make_fixture()
+        engine = fixture.fleet.engines['e1']
+        send_order = fixture.client.send_order
+
+        async def send_order_slowly(*args):
+            status = await send_order(*args)
+            engine.residency = dataclasses.replace(
+                engine.residency, order_count=1
+            )
+            return status
+
+        fixture.client.send_order = send_order_slowly
+        await run_orders(fixture)
+        self.assertEqual(1, engine.residency.order_count)
--- a/packages/gateway/tests/control/test_fleet.py
+++ b/packages/gateway/tests/control/test_fleet.py
@@ -53,6 +53,19 @@
         ]
         self.assertEqual(['e1'], found)
 
+    @virtual_time.run_without_io
+    async def test_order_that_a_report_includes_is_counted_once(self):
+        # Guards against an engine that refuses all further orders: its
+        # reports would count as older than the leader's own count.
+        fixture = leader_fixture.LeaderFixture(make_server('e1'))
+        fixture.add_listed_engines()
+        engine = fixture.fleet.engines['e1']
+        engine.residency = builders.make_residency(order_count=4)
+        engine.count_order(3)
+        self.assertEqual(4, engine.residency.order_count)
+        engine.count_order(4)
+        self.assertEqual(5, engine.residency.order_count)
+
     @virtual_time.run_without_io
     async def test_planned_models_include_loads_and_exclude_victims(self):
         fixture = leader_fixture.LeaderFixture(make_server('e1', ['a', 'b']))
