Repeat refused calls to the store less and less often

An instance whose calls the store refused repeated each of them four times a second. The leader confirms the configuration meanwhile.

The delay now doubles up to 2 s for the watch and up to 0.5 s for what is too old to use, varies between instances, and ends as soon as any call of the instance is answered, so that a withdrawn key is still rejected within seconds of the store's recovery.

--- a/packages/gateway/src/wagtailtide_gateway/control/sync.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sync.py
@@ -1,6 +1,7 @@
 """Synchronisation of configuration and server list with the store."""
 
 import logging
+import random
 
 import anyio
 
@@ -18,6 +19,17 @@
 # withdrawn key must be rejected within seconds of the store's recovery.
 RETRY_DELAY_S = 0.25
 
+# Longest delay before a failed call is repeated. The delay doubles with each
+# failure in a row, because refused calls count and cost like others.
+MAX_RETRY_DELAY_S = 2.0
+
+# Number of failures in a row after which the delay no longer doubles.
+MAX_DOUBLINGS = 5
+
+# Longest delay before a failed list of servers or configuration that is too
+# old to use is repeated. All requests may wait for it.
+MAX_URGENT_RETRY_DELAY_S = 0.5
+
 # Interval at which the leader lists the servers. It lists instead of watching,
 # because a watch does not show that it has stopped reporting changes.
 LEADER_LIST_INTERVAL_S = 0.4
@@ -50,6 +62,7 @@
         self._servers = shared_state.servers
         self._clock = clock
         self._reachable = True
+        self._regained = anyio.Event()
 
     async def run(self):
         """Synchronise with the store until cancelled."""
@@ -61,6 +74,7 @@
 
     async def _follow_config(self):
         kind, revision = self._port.config_kind, None
+        failures = 0
         while True:
             sent_at = self._clock()
             try:
@@ -76,14 +90,17 @@
                 revision = None
             except (stores.StoreUnavailable, stores.Conflict) as exc:
                 self._note_unavailable(kind, exc)
-                await anyio.sleep(RETRY_DELAY_S)
+                await self._pause(retry_delay_s(failures, MAX_RETRY_DELAY_S))
+                failures += 1
             else:
+                failures = 0
                 self._note_available()
                 self._apply_config(objects, sent_at)
 
     async def _follow_servers(self):
         """List the servers whenever the known list has become too old."""
         kind = self._port.servers_kind
+        failures = 0
         while True:
             sent_at = anyio.current_time()
             wait_s = self._list_delay_s(sent_at)
@@ -103,8 +120,11 @@
                 self._note_unavailable(kind, exc)
                 self._servers.note_list_failed(now)
                 # A call that timed out is repeated at once.
-                await anyio.sleep(max(0.0, sent_at + RETRY_DELAY_S - now))
+                delay_s = retry_delay_s(failures, MAX_URGENT_RETRY_DELAY_S)
+                failures += 1
+                await self._pause(max(0.0, sent_at + delay_s - now))
                 continue
+            failures = 0
             self._note_available()
             self._servers.apply_list(objects, revision, anyio.current_time())
             self._servers.confirm(sent_at)
@@ -131,16 +151,24 @@
     async def _refresh_old_config(self):
         """Read the configuration if it has not been confirmed recently."""
         kind, name = self._port.config_kind, self._port.config_name
+        failures = 0
         while True:
-            await anyio.sleep(CHECK_INTERVAL_S)
+            if not failures:
+                await anyio.sleep(CHECK_INTERVAL_S)
             if self._config.age_s < self._refresh_age_s():
+                failures = 0
                 continue
             sent_at = self._clock()
             try:
                 obj = await self._client.get(kind, name)
             except (stores.StoreUnavailable, stores.Conflict) as exc:
                 self._note_unavailable('config', exc)
+                await self._pause(
+                    retry_delay_s(failures, MAX_URGENT_RETRY_DELAY_S)
+                )
+                failures += 1
                 continue
+            failures = 0
             self._note_available()
             if obj is not None:
                 self._config.apply_if_newer(obj.value, 'store', obj.revision)
@@ -173,4 +201,25 @@
         if not self._reachable:
             LOG.info('store regained')
             self._servers.note_store_recovered(anyio.current_time())
+            regained, self._regained = self._regained, anyio.Event()
+            regained.set()
         self._reachable = True
+
+    async def _pause(self, delay_s):
+        """Wait before a call is repeated, at most until the store answers."""
+        with anyio.move_on_after(delay_s):
+            await self._regained.wait()
+
+
+def retry_delay_s(failures, max_delay_s):
+    """Return the seconds until a failed call is repeated.
+
+    A random factor spreads the calls of the instances.
+
+    Args:
+        failures: Number of failures in a row before this one.
+        max_delay_s: Longest delay in seconds.
+    """
+    doublings = min(failures, MAX_DOUBLINGS)
+    delay_s = min(RETRY_DELAY_S * 2**doublings, max_delay_s)
+    return delay_s * (0.7 + 0.6 * random.random())
--- a/packages/gateway/tests/control/test_sync.py
+++ b/packages/gateway/tests/control/test_sync.py
@@ -16,15 +16,22 @@
 
     Attributes:
         silent_calls: Number of the next calls that time out.
+        refuses: Whether calls are refused.
         listed_at: Times at which the servers were listed.
+        watches: Number of calls that list or watch the configuration.
     """
 
     def __init__(self):
         self.silent_calls = 0
+        self.refuses = False
         self.listed_at = []
+        self.watches = 0
 
     async def list_all(self, kind, timeout_s=stores.CALL_TIMEOUT_S):
-        """Return an empty list, or time out."""
+        """Return an empty list, time out or raise NotApplied."""
+        self.watches += kind == 'config'
+        if self.refuses:
+            raise stores.NotApplied('status 429')
         if self.silent_calls:
             self.silent_calls -= 1
             await anyio.sleep(timeout_s)
@@ -32,19 +39,29 @@
         self.listed_at.append(anyio.current_time())
         return [], 1
 
+    async def watch(self, kind, revision, wait_s):
+        """Return no changes after the wait, or raise NotApplied."""
+        self.watches += 1
+        if self.refuses:
+            raise stores.NotApplied('status 429')
+        await anyio.sleep(wait_s)
+        return [], revision
 
-class FollowServersTest(unittest.TestCase):
+
+class SyncTest(unittest.TestCase):
     def make_sync(self, client, **changes):
         self.is_leader = False
         self.servers = servers.ServerView(lambda obj: obj, lambda: None)
         shared_state = types.SimpleNamespace(
             servers=self.servers,
-            config=types.SimpleNamespace(age_s=0.0),
+            config=types.SimpleNamespace(age_s=0.0, deployment=None),
         )
         return sync.StoreSync(
             builders.make_settings(**changes),
             client,
-            types.SimpleNamespace(servers_kind='servers'),
+            types.SimpleNamespace(
+                servers_kind='servers', config_kind='config'
+            ),
             shared_state,
             anyio.current_time,
             lambda: self.is_leader,
@@ -96,3 +113,31 @@
                 outdated_s += 0.01 * self.servers.is_outdated(2.7, now)
             tg.cancel_scope.cancel()
         self.assertLess(outdated_s, 0.5)
+
+    @virtual_time.run_without_io
+    async def test_refused_watch_is_repeated_less_and_less_often(self):
+        # Guards against hundreds of refused calls, which cost like others,
+        # while the leader confirms the configuration.
+        client = FakeStoreClient()
+        client.refuses = True
+        store_sync = self.make_sync(client)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(store_sync._follow_config)
+            await anyio.sleep(10.0)
+            tg.cancel_scope.cancel()
+        self.assertLess(client.watches, 12)
+
+    @virtual_time.run_without_io
+    async def test_refused_watch_is_repeated_once_the_store_answers(self):
+        # Guards against a withdrawn key that stays valid until the delay ends.
+        client = FakeStoreClient()
+        client.refuses = True
+        store_sync = self.make_sync(client)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(store_sync._follow_config)
+            await anyio.sleep(10.0)
+            client.refuses, refused = False, client.watches
+            tg.start_soon(store_sync._follow_servers)
+            await anyio.sleep(0.1)
+            tg.cancel_scope.cancel()
+        self.assertGreater(client.watches, refused)
