Wait until an adapter in use is unloaded before loading another

Requests that needed a new adapter waited longer than necessary and cost orders: an engine answers 202 to the unload of an adapter that requests use, completes these requests first and refuses all orders until then. The load was sent at once, refused, and sent again every 0.4 s.

The leader now waits for a report without an order in progress, and plans nothing else for the engine meanwhile. An adapter order that waited while a model order started is dropped, because the engine would refuse it; the instance asks again.

The new test fails on the code before.

--- a/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
@@ -68,6 +68,8 @@
 
     async def _load_adapter(self, service, server_id, engine, request):
         async with engine.lock:
+            if engine.busy:
+                return
             resident = engine.residency.models.get(request.model)
             if resident is None or request.adapter in resident.adapters:
                 return
@@ -120,4 +122,17 @@
         models[model] = dataclasses.replace(resident, adapters=changed)
         residency = dataclasses.replace(engine.residency, models=models)
         self._fleet.update_residency(server_id, engine, residency)
+        if status == 202 and not load:
+            await self._await_unload(server_id, engine)
         return True
+
+    async def _await_unload(self, server_id, engine):
+        """Wait until an adapter that requests use has been unloaded.
+
+        The engine completes these requests first and refuses other orders.
+        """
+        engine.busy = True
+        try:
+            await self._client.await_idle(server_id, engine)
+        finally:
+            engine.busy = False
--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -13,6 +13,10 @@
 ORDER_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 0.6
 
+# Seconds between reads of an engine's report while an order is in progress or
+# its result is unknown.
+REPORT_POLL_INTERVAL_S = 0.12
+
 # Reports lag by some hundred milliseconds. A report that is read this many
 # seconds after an order shows whether the engine accepted it.
 REPORT_LAG_S = 0.4
@@ -120,6 +124,19 @@
         self._fleet.update_residency(server_id, engine, residency)
         return report
 
+    async def await_idle(self, server_id, engine):
+        """Wait for a report without an order in progress.
+
+        Returns:
+            False if the engine was removed or restarted before.
+        """
+        while self._fleet.engines.get(server_id) is engine:
+            report = await self.refresh(server_id, engine)
+            if report is not None and not report.busy:
+                return True
+            await anyio.sleep(REPORT_POLL_INTERVAL_S)
+        return False
+
     async def _call(self, state, call, timeout_s):
         conn = None
         try:
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -12,10 +12,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Seconds between reads of an engine's report while an order is in progress or
-# its result is unknown.
-REPORT_POLL_INTERVAL_S = 0.12
-
 # Seconds that an unload takes if few requests run on the model.
 UNLOAD_S = 0.8
 
@@ -54,22 +50,11 @@
     async def await_idle(self, server_id):
         """Read a new engine's report until it has no order in progress."""
         engine = self._fleet.engines.get(server_id)
-        if engine is not None and await self._is_idle(server_id, engine):
+        if engine is not None and await self._client.await_idle(
+            server_id, engine
+        ):
             engine.busy = False
 
-    async def _is_idle(self, server_id, engine):
-        """Wait for a report without an order in progress.
-
-        Returns:
-            False if the engine was removed or restarted before.
-        """
-        while self._fleet.engines.get(server_id) is engine:
-            report = await self._client.refresh(server_id, engine)
-            if report is not None and not report.busy:
-                return True
-            await anyio.sleep(REPORT_POLL_INTERVAL_S)
-        return False
-
     def plan(self, tg, now):
         """Plan for all services and start the planned steps."""
         for service in self._config.deployment.services.values():
@@ -214,7 +199,7 @@
             else:
                 # An order that was not answered or is overdue may be in
                 # progress. A further load might not fit beside its model.
-                await self._is_idle(step.engine, engine)
+                await self._client.await_idle(step.engine, engine)
         finally:
             engine.busy = engine.from_store = False
             engine.loading, engine.victims = None, frozenset()
@@ -273,7 +258,7 @@
             report = await self._client.refresh(server_id, engine)
             if report is not None and not report.busy:
                 return (name in engine.residency.models) == load
-            await anyio.sleep(REPORT_POLL_INTERVAL_S)
+            await anyio.sleep(engine_client.REPORT_POLL_INTERVAL_S)
         LOG.warning(
             'model order overdue',
             extra={
--- a/packages/gateway/tests/control/leader_fixture.py
+++ b/packages/gateway/tests/control/leader_fixture.py
@@ -57,6 +57,14 @@
         )
         return types.SimpleNamespace(busy=self.busy)
 
+    async def await_idle(self, server_id, engine):
+        """Wait until reports state that no order is in progress."""
+        while True:
+            report = await self.refresh(server_id, engine)
+            if not report.busy:
+                return True
+            await anyio.sleep(0.1)
+
 
 class LeaderFixture:
     """Objects that the leader's orders need.
--- a/packages/gateway/tests/control/test_adapter_orders.py
+++ b/packages/gateway/tests/control/test_adapter_orders.py
@@ -112,3 +112,20 @@
         fixture.client.send_order = send_order_slowly
         await run_orders(fixture)
         self.assertEqual(1, engine.residency.order_count)
+
+    @virtual_time.run_without_io
+    async def test_nothing_is_loaded_until_an_adapter_in_use_is_unloaded(self):
+        # Guards against orders that the engine refuses while it completes the
+        # requests that use the adapter.
+        fixture = make_fixture('a1', 'a2')
+        fixture.client.busy = True
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(run_orders, fixture)
+            await anyio.sleep(1.0)
+            loads = [load for _, _, load, _, _ in fixture.client.sent]
+            self.assertEqual([False], loads)
+            self.assertTrue(fixture.fleet.engines['e1'].busy)
+            fixture.client.busy = False
+        loads = [load for _, _, load, _, _ in fixture.client.sent]
+        self.assertEqual([False, True], loads)
+        self.assertFalse(fixture.fleet.engines['e1'].busy)
