Read the engines again after an unexpected error of the control loop

After an error the loop starts again, but its steps had ended and marked their engines as idle while the engines still carried out the orders. A load planned from the models known before might not fit and would crash the engine.

The loop now starts the term again, which reads each engine's report and leaves engines with an order in progress alone.

Found by reading; not seen in a play. The new test fails on the code before.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_controller.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_controller.py
@@ -45,6 +45,9 @@
 
     async def run(self):
         """Plan and send orders while this instance leads, until cancelled."""
+        # After an unexpected error the orders in progress are unknown, so the
+        # term starts again with the engines' reports.
+        self._fleet.start_term(None)
         last_plan_at = anyio.current_time()
         async with anyio.create_task_group() as tg:
             while True:
