--- a/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
@@ -9,6 +9,10 @@
 # Seconds from an accepted order until the adapter can serve.
 ADAPTER_LOAD_S = 0.012
 
+# Seconds for which a requested adapter is not unloaded for another. It may be
+# on its way, and an unload would not stop it.
+MIN_ADAPTER_RESIDENCY_S = 0.5
+
 # Older adapter requests are dropped, because the requests that needed the
 # adapter have been answered.
 ADAPTER_REQUEST_TTL_S = 0.5
@@ -64,16 +68,24 @@
 
     async def _load_adapter(self, service, server_id, engine, request):
         async with engine.lock:
+            if engine.busy:
+                return
             resident = engine.residency.models.get(request.model)
             if resident is None or request.adapter in resident.adapters:
                 return
             held = [
-                (engine.adapter_used_at.get((m.name, a), 0.0), m.name, a)
+                (
+                    engine.adapter_used_at.get((m.name, a), float('-inf')),
+                    m.name,
+                    a,
+                )
                 for m in engine.residency.models.values()
                 for a in m.adapters
             ]
             if len(held) >= service.engine.adapter_slots:
-                _, model, adapter = min(held)
+                used_at, model, adapter = min(held)
+                if anyio.current_time() - used_at < MIN_ADAPTER_RESIDENCY_S:
+                    return
                 if not await self._order_adapter(
                     server_id, engine, False, model, adapter
                 ):
@@ -83,6 +95,7 @@
             )
 
     async def _order_adapter(self, server_id, engine, load, model, adapter):
+        order_count = engine.residency.order_count
         status = await self._client.send_order(
             server_id, engine, load, model, adapter
         )
@@ -93,7 +106,9 @@
             await anyio.sleep(engine_client.REPORT_LAG_S)
             await self._client.refresh(server_id, engine)
             return False
+        engine.count_order(order_count)
         if load:
+            engine.adapter_used_at[(model, adapter)] = anyio.current_time()
             await anyio.sleep(ADAPTER_LOAD_S)
         models = dict(engine.residency.models)
         resident = models.get(model)
@@ -105,10 +120,19 @@
             else resident.adapters - {adapter}
         )
         models[model] = dataclasses.replace(resident, adapters=changed)
-        residency = dataclasses.replace(
-            engine.residency,
-            order_count=engine.residency.order_count + 1,
-            models=models,
-        )
+        residency = dataclasses.replace(engine.residency, models=models)
         self._fleet.update_residency(server_id, engine, residency)
+        if status == 202 and not load:
+            await self._await_unload(server_id, engine)
         return True
+
+    async def _await_unload(self, server_id, engine):
+        """Wait until an adapter that requests use has been unloaded.
+
+        The engine completes these requests first and refuses other orders.
+        """
+        engine.busy = True
+        try:
+            await self._client.await_idle(server_id, engine)
+        finally:
+            engine.busy = False
--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.decisions import quota
 from wagtailtide_gateway.model import backend
@@ -224,7 +225,7 @@
 
     def publish(self, server_id, residency):
         """Send a server's residency to all instances in the next update."""
-        digest = messages.residency_digest(residency)
+        digest = digests.residency_digest(residency)
         current = self._residencies.get(server_id)
         if current is not None and current.digest == digest:
             return
--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -13,6 +13,10 @@
 ORDER_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 0.6
 
+# Seconds between reads of an engine's report while an order is in progress or
+# its result is unknown.
+REPORT_POLL_INTERVAL_S = 0.12
+
 # Reports lag by some hundred milliseconds. A report that is read this many
 # seconds after an order shows whether the engine accepted it.
 REPORT_LAG_S = 0.4
@@ -49,6 +53,10 @@
             return None
         if order.fence != self._leadership.fence:
             return None
+        if self._fleet.engines.get(server_id) is not engine:
+            # The engine restarted, or this is an order of an earlier term. The
+            # order count of another process may match by chance.
+            return None
         self._metrics.orders += 1
         call = self._port.encode_order(order, server_id)
         head, _ = await self._call(state, call, ORDER_TIMEOUT_S)
@@ -101,20 +109,34 @@
         ):
             return None
         if report.busy:
-            # The report does not show the result of the order in progress.
-            # Models that are being unloaded were withdrawn from the instances
-            # before, and a report that still lists them must not be published.
-            engine.residency = dataclasses.replace(
-                current, order_count=reported.order_count
-            )
+            # The report does not show the result of the order in progress, so
+            # its order count must not be used with the models known before:
+            # the next order would be accepted without knowledge of the result.
             return report
         if not reported.in_memory and not reported.on_disk:
             reported = dataclasses.replace(
                 reported, in_memory=current.in_memory, on_disk=current.on_disk
             )
-        self._fleet.update_residency(server_id, engine, reported)
+        now = anyio.current_time()
+        for key in report.incoming_adapters:
+            engine.adapter_used_at.setdefault(key, now)
+        residency = _with_incoming(reported, report.incoming_adapters)
+        self._fleet.update_residency(server_id, engine, residency)
         return report
 
+    async def await_idle(self, server_id, engine):
+        """Wait for a report without an order in progress.
+
+        Returns:
+            False if the engine was removed or restarted before.
+        """
+        while self._fleet.engines.get(server_id) is engine:
+            report = await self.refresh(server_id, engine)
+            if report is not None and not report.busy:
+                return True
+            await anyio.sleep(REPORT_POLL_INTERVAL_S)
+        return False
+
     async def _call(self, state, call, timeout_s):
         conn = None
         try:
@@ -141,3 +163,18 @@
         finally:
             if conn is not None:
                 await conn.close()
+
+
+def _with_incoming(residency, incoming_adapters):
+    """Return a residency that includes the adapters on their way.
+
+    They count toward the limit on adapters, and arrive in milliseconds.
+    """
+    models = dict(residency.models)
+    for model, adapter in incoming_adapters:
+        resident = models.get(model)
+        if resident is not None:
+            models[model] = dataclasses.replace(
+                resident, adapters=resident.adapters | {adapter}
+            )
+    return dataclasses.replace(residency, models=models)
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -6,11 +6,11 @@
 
 from collections.abc import Mapping
 import dataclasses
-import zlib
 
 import cbor2
 
 from wagtailtide_gateway import ports
+from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.model import backend
 
 PROTOCOL_VERSION = 2
@@ -92,7 +92,7 @@
         capacity: Capacity of the instance to lead, in cores.
         known_residencies: Digest of the residency that the instance has of
             each server; empty if it has a seen_residency_number.
-        known_entries: Revision of the entry that the instance has of each
+        known_entries: Digest of the entry that the instance has of each
             server; empty if it has a seen_entry_number.
     """
 
@@ -217,7 +217,7 @@
 def encode_update(update):
     """Return a LeaderUpdate as bytes."""
     residencies = {
-        server: [residency.order_count, *_residency_row(residency)]
+        server: [residency.order_count, *digests.residency_fields(residency)]
         for server, residency in update.residencies.items()
     }
     return cbor2.dumps(
@@ -314,25 +314,6 @@
     return fields
 
 
-def _residency_row(residency):
-    return [
-        residency.process_start_ms,
-        {
-            name: [model.version, sorted(model.adapters)]
-            for name, model in sorted(residency.models.items())
-        },
-    ]
-
-
-def residency_digest(residency):
-    """Return a number that changes with the models of a residency.
-
-    Two instances compare their knowledge of a server by it, so it does not
-    cover what only the leader knows of the server.
-    """
-    return zlib.crc32(cbor2.dumps(_residency_row(residency)))
-
-
 def _residency(row):
     order_count, process_start_ms, models = row
     return backend.Residency(
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -12,10 +12,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Seconds between reads of an engine's report while an order is in progress or
-# its result is unknown.
-REPORT_POLL_INTERVAL_S = 0.12
-
 # Seconds that an unload takes if few requests run on the model.
 UNLOAD_S = 0.8
 
@@ -53,13 +49,11 @@
 
     async def await_idle(self, server_id):
         """Read a new engine's report until it has no order in progress."""
-        engine = self._fleet.engines[server_id]
-        while self._fleet.engines.get(server_id) is engine:
-            report = await self._client.refresh(server_id, engine)
-            if report is not None and not report.busy:
-                engine.busy = False
-                return
-            await anyio.sleep(REPORT_POLL_INTERVAL_S)
+        engine = self._fleet.engines.get(server_id)
+        if engine is not None and await self._client.await_idle(
+            server_id, engine
+        ):
+            engine.busy = False
 
     def plan(self, tg, now):
         """Plan for all services and start the planned steps."""
@@ -206,24 +200,32 @@
 
     async def _run_step(self, service, step, engine, load_s):
         try:
-            if step.victims:
-                self._withdraw_models(step.engine, engine, step.victims)
-                await anyio.sleep(UPDATE_PROPAGATION_S)
-            for victim in step.victims:
-                if not await self._order_model(
-                    step.engine, engine, False, victim, 0.1
-                ):
-                    return
-            if await self._order_model(
-                step.engine, engine, True, step.model, load_s
-            ):
+            if await self._send_orders(step, engine, load_s):
                 engine.loaded_at[step.model] = anyio.current_time()
+            else:
+                # An order that was not answered or is overdue may be in
+                # progress. A further load might not fit beside its model.
+                await self._client.await_idle(step.engine, engine)
         finally:
             engine.busy = engine.from_store = False
             engine.loading, engine.victims = None, frozenset()
             self._cluster.publish(step.engine, engine.residency)
             self._cluster.set_loading(service.name, step.model, None)
 
+    async def _send_orders(self, step, engine, load_s):
+        """Send the orders of a step; return whether all were carried out."""
+        if step.victims:
+            self._withdraw_models(step.engine, engine, step.victims)
+            await anyio.sleep(UPDATE_PROPAGATION_S)
+        for victim in step.victims:
+            if not await self._order_model(
+                step.engine, engine, False, victim, 0.1
+            ):
+                return False
+        return await self._order_model(
+            step.engine, engine, True, step.model, load_s
+        )
+
     def _withdraw_models(self, server_id, engine, victims):
         """Tell the instances to stop using models that will be unloaded."""
         models = {
@@ -237,14 +239,12 @@
     async def _order_model(self, server_id, engine, load, name, expected_s):
         """Order a load or unload; return whether it was carried out."""
         async with engine.lock:
+            order_count = engine.residency.order_count
             status = await self._client.send_order(
                 server_id, engine, load, name
             )
             if status == 202:
-                engine.residency = dataclasses.replace(
-                    engine.residency,
-                    order_count=engine.residency.order_count + 1,
-                )
+                engine.count_order(order_count)
         if status == 202:
             return await self._await_completion(
                 server_id, engine, load, name, expected_s
@@ -264,7 +264,7 @@
             report = await self._client.refresh(server_id, engine)
             if report is not None and not report.busy:
                 return (name in engine.residency.models) == load
-            await anyio.sleep(REPORT_POLL_INTERVAL_S)
+            await anyio.sleep(engine_client.REPORT_POLL_INTERVAL_S)
         LOG.warning(
             'model order overdue',
             extra={
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 
+from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.decisions import health
 from wagtailtide_gateway.model import backend
 
@@ -109,19 +110,32 @@
         self._service_times = {}
         self._numbers = itertools.count(1)
         self._entries = {}
+        self._revisions = {}
+        self._list_revision = 0
         self._confirmed_at = float('-inf')
+        self._list_failed_at = float('-inf')
         self.states = {}
         self.health = health.Health()
         self.has_list = False
         self.own_list_count = 0
         self.entry_number = 0
 
-    def apply_list(self, objects, now):
-        """Apply a whole list of entries and handle the missing ones."""
+    def apply_list(self, objects, revision, now):
+        """Apply a whole list of entries and handle the missing ones.
+
+        Args:
+            objects: StoredObject of each entry.
+            revision: Revision of the store at which they were listed.
+            now: Time in seconds.
+        """
         listed = set()
         for obj in objects:
             listed.add(obj.name)
             self._upsert(obj, now)
+        self._list_revision = max(revision, self._list_revision)
+        for server_id in self._revisions.keys() - listed:
+            # The entry was removed, so its earlier revisions are out of date.
+            del self._revisions[server_id]
         for server_id in self.states.keys() - listed:
             self._handle_missing(server_id, now)
         self.has_list = True
@@ -150,12 +164,28 @@
         """Return the seconds since the list was last known to be current."""
         return now - self._confirmed_at
 
-    def known_entries(self):
-        """Return the revision of each listed entry by server id."""
+    def note_list_failed(self, now):
+        """Record that the store did not answer this instance with a list."""
+        self._list_failed_at = now
+
+    def is_outdated(self, max_age_s, now):
+        """Return whether the list may lack a server's leaving for too long.
+
+        A list is used at any age while the store does not answer: then no
+        leaving can be confirmed, and it is better than none.
+
+        Args:
+            max_age_s: Largest age of the list in seconds.
+            now: Time in seconds.
+        """
+        expired_at = self._confirmed_at + max_age_s
+        return now > expired_at and self._list_failed_at < expired_at
+
+    def entry_digests(self):
+        """Return the digest of each listed server by server id."""
         return {
-            server_id: obj.revision
-            for server_id, (_, obj) in self._entries.items()
-            if obj is not None
+            server_id: digests.server_digest(state.server)
+            for server_id, state in self.states.items()
         }
 
     def changed_entries(self, number, known):
@@ -164,7 +194,7 @@
         Args:
             number: Number of the last change that it has, 0 if it has none of
                 this instance's changes.
-            known: Revision by server id of the entries that it has, used
+            known: Digest by server id of the servers that it has, used
                 without a number.
         """
         if number:
@@ -173,10 +203,10 @@
                 for server_id, (change_number, obj) in self._entries.items()
                 if change_number > number
             }
-        current = self.known_entries()
+        current = self.entry_digests()
         entries = dict.fromkeys(known.keys() - current.keys())
-        for server_id, revision in current.items():
-            if known.get(server_id) != revision:
+        for server_id, digest in current.items():
+            if known.get(server_id) != digest:
                 entries[server_id] = self._entries[server_id][1]
         return entries
 
@@ -210,6 +240,11 @@
                 )
 
     def _upsert(self, obj, now):
+        known_revision = self._revisions.get(obj.name, self._list_revision)
+        if obj.revision < known_revision:
+            # The leader's list may be older than the own one, and its entry
+            # would undo a later change, such as that the server leaves.
+            return
         try:
             server = self._decode(obj)
         except (ValueError, KeyError, TypeError) as exc:
@@ -222,16 +257,19 @@
                 },
             )
             return
-        _, known = self._entries.get(obj.name, (0, None))
-        if known is not None and obj.revision < known.revision:
-            return
+        self._revisions[obj.name] = obj.revision
         state = self.states.get(server.id)
         if state is not None and state.server.residency.process_start_ms > (
             server.residency.process_start_ms
         ):
             return
-        if state is None or state.server != server:
-            self._number_entry(obj.name, obj)
+        # An entry that went missing is passed on again even if it came back
+        # unchanged, because the other instances may have removed it.
+        is_changed = (
+            state is None
+            or state.server != server
+            or state.missing_since is not None
+        )
         if state is None or state.server.residency.process_start_ms != (
             server.residency.process_start_ms
         ):
@@ -256,6 +294,11 @@
                     'revision': obj.revision,
                 },
             )
+        if is_changed:
+            self._number_entry(obj.name, obj)
+        else:
+            number, _ = self._entries[obj.name]
+            self._entries[obj.name] = (number, obj)
         state.server = server
         state.missing_since = None
 
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -7,6 +7,7 @@
 
 from wagtailtide_gateway.control import config
 from wagtailtide_gateway.control import demand
+from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.decisions import quota
@@ -109,12 +110,12 @@
             unreachable=tuple(self.servers.health.unreachable_servers(now)),
             capacity=capacity,
             known_residencies={} if seen[0] else self._known_residencies(),
-            known_entries={} if seen[1] else self.servers.known_entries(),
+            known_entries={} if seen[1] else self.servers.entry_digests(),
         )
 
     def _known_residencies(self):
         return {
-            server_id: messages.residency_digest(state.leader_residency)
+            server_id: digests.residency_digest(state.leader_residency)
             for server_id, state in self.servers.states.items()
             if state.leader_residency is not None
         }
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -225,7 +225,9 @@
                 'description': 'x' * 200,
             }
             objects.append(ports.StoredObject(f's{number}', number, value))
-        self.shared_state.servers.apply_list(objects, anyio.current_time())
+        self.shared_state.servers.apply_list(
+            objects, count, anyio.current_time()
+        )
         self.shared_state.servers.confirm(anyio.current_time())
 
     async def run(self):
--- a/packages/gateway/tests/control/leader_fixture.py
+++ b/packages/gateway/tests/control/leader_fixture.py
@@ -4,6 +4,7 @@
 import types
 
 import anyio
+from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import cluster_state
 from wagtailtide_gateway.control import fleet
 from wagtailtide_gateway.control import servers
@@ -27,11 +28,13 @@
     Attributes:
         sent: Time, server id, load, model and adapter of each order.
         statuses: HTTP statuses of the next orders; 202 once it is empty.
+        busy: Whether reports state that an order is in progress.
     """
 
     def __init__(self):
         self.sent = []
         self.statuses = []
+        self.busy = False
         self._models = {}
 
     async def send_order(self, server_id, engine, load, model, adapter=None):
@@ -53,7 +56,15 @@
         engine.residency = dataclasses.replace(
             engine.residency, models=dict(models)
         )
-        return types.SimpleNamespace(busy=False)
+        return types.SimpleNamespace(busy=self.busy)
+
+    async def await_idle(self, server_id, engine):
+        """Wait until reports state that no order is in progress."""
+        while True:
+            report = await self.refresh(server_id, engine)
+            if not report.busy:
+                return True
+            await anyio.sleep(0.1)
 
 
 class LeaderFixture:
@@ -78,7 +89,8 @@
             value=None,
             age_s=0.0,
         )
-        self.servers = servers.ServerView(lambda obj: obj, lambda: None)
+        self.servers = servers.ServerView(lambda obj: obj.value, lambda: None)
+        self._revision = 0
         self.set_listed_servers(*listed)
         self.cluster = cluster_state.ClusterState(
             self.config, self.servers, FakeLeadership()
@@ -93,9 +105,12 @@
 
     def set_listed_servers(self, *listed):
         """Replace the list of servers."""
-        self.servers.states.clear()
-        for server in listed:
-            self.servers.states[server.id] = servers.ServerState(server)
+        self._revision += 1
+        objects = [
+            ports.StoredObject(server.id, self._revision, server)
+            for server in listed
+        ]
+        self.servers.apply_list(objects, self._revision, anyio.current_time())
 
     def add_listed_engines(self):
         """Add the listed engines to the fleet and mark them as idle."""
--- a/packages/gateway/tests/control/test_adapter_orders.py
+++ b/packages/gateway/tests/control/test_adapter_orders.py
@@ -55,12 +55,23 @@
         # Guards the limit on adapters in an engine; exceeding it crashes the
         # engine.
         fixture = make_fixture('a1', 'a2')
+        await anyio.sleep(6.0)
         used_at = fixture.fleet.engines['e1'].adapter_used_at
         used_at[('a', 'a1')], used_at[('a', 'a2')] = 5.0, 3.0
         self.assertEqual(
             [(False, 'a2'), (True, 'a9')], await run_orders(fixture)
         )
 
+    @virtual_time.run_without_io
+    async def test_adapter_requested_a_moment_ago_is_not_unloaded(self):
+        # Guards against the unload of an adapter that is on its way: it would
+        # still arrive, in addition to the one loaded in its place.
+        fixture = make_fixture('a1', 'a2')
+        await anyio.sleep(5.0)
+        used_at = fixture.fleet.engines['e1'].adapter_used_at
+        used_at[('a', 'a1')], used_at[('a', 'a2')] = 4.8, 4.9
+        self.assertEqual([], await run_orders(fixture))
+
     @virtual_time.run_without_io
     async def test_nothing_is_loaded_if_the_unload_is_refused(self):
         fixture = make_fixture('a1', 'a2')
@@ -82,3 +93,39 @@
         fixture.fleet.engines['e1'].busy = True
         self.assertEqual([], await run_orders(fixture))
         self.assertIn(ADAPTER_REQUEST, fixture.cluster.adapter_requests)
+
+    @virtual_time.run_without_io
+    async def test_order_that_a_report_includes_is_counted_once(self):
+        # Guards against an engine that refuses all further orders: a report
+        # with the accepted order was read before its answer.
+        fixture = make_fixture()
+        engine = fixture.fleet.engines['e1']
+        send_order = fixture.client.send_order
+
+        async def send_order_slowly(*args):
+            status = await send_order(*args)
+            engine.residency = dataclasses.replace(
+                engine.residency, order_count=1
+            )
+            return status
+
+        fixture.client.send_order = send_order_slowly
+        await run_orders(fixture)
+        self.assertEqual(1, engine.residency.order_count)
+
+    @virtual_time.run_without_io
+    async def test_nothing_is_loaded_until_an_adapter_in_use_is_unloaded(self):
+        # Guards against orders that the engine refuses while it completes the
+        # requests that use the adapter.
+        fixture = make_fixture('a1', 'a2')
+        fixture.client.busy = True
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(run_orders, fixture)
+            await anyio.sleep(1.0)
+            loads = [load for _, _, load, _, _ in fixture.client.sent]
+            self.assertEqual([False], loads)
+            self.assertTrue(fixture.fleet.engines['e1'].busy)
+            fixture.client.busy = False
+        loads = [load for _, _, load, _, _ in fixture.client.sent]
+        self.assertEqual([False, True], loads)
+        self.assertFalse(fixture.fleet.engines['e1'].busy)
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -12,9 +12,10 @@
     return obj.value
 
 
-def make_view(*listed, now=0.0):
+def make_view(*listed, revision=1, now=0.0):
     view = servers.ServerView(decode, lambda: None)
-    view.apply_list([stored(server) for server in listed], now)
+    objects = [stored(server, revision) for server in listed]
+    view.apply_list(objects, revision, now)
     return view
 
 
@@ -22,6 +23,12 @@
     return ports.StoredObject(server.id, revision, server)
 
 
+def sync_entries(leader, follower, now):
+    """Apply what a follower lacks of the leader's list."""
+    entries = leader.changed_entries(0, follower.entry_digests())
+    follower.apply_entries(entries, now)
+
+
 class ServerViewTest(unittest.TestCase):
     def test_invalid_entry_keeps_the_others(self):
         view = make_view(builders.make_server('s1'))
@@ -45,7 +52,7 @@
         view = make_view(builders.make_server('s1'))
         leaving = stored(builders.make_server('s1', leaving=True), 5)
         view.apply_entries({'s1': leaving}, 1.0)
-        view.apply_list([stored(builders.make_server('s1'), 4)], 1.1)
+        view.apply_list([stored(builders.make_server('s1'), 4)], 4, 1.1)
         self.assertFalse(view.states['s1'].accepts_requests)
 
     def test_late_entry_of_the_previous_process_is_ignored(self):
@@ -61,19 +68,33 @@
         server = builders.make_server('s1')
         view = make_view(server)
         view.note_store_recovered(10.0)
-        view.apply_list([], 10.1)
+        view.apply_list([], 2, 10.1)
         self.assertFalse(view.states['s1'].accepts_requests)
-        view.apply_changes([ports.Change(stored(server), False)], 11.0)
+        view.apply_changes([ports.Change(stored(server, 3), False)], 11.0)
         view.drop_missing(12.5)
         self.assertTrue(view.states['s1'].accepts_requests)
 
     def test_entry_that_does_not_return_is_removed(self):
         view = make_view(builders.make_server('s1'))
         view.note_store_recovered(10.0)
-        view.apply_list([], 10.1)
+        view.apply_list([], 2, 10.1)
         view.drop_missing(12.2)
         self.assertEqual(view.states, {})
 
+    def test_list_without_a_confirmation_is_outdated(self):
+        view = make_view(builders.make_server('s1'))
+        view.confirm(10.0)
+        self.assertFalse(view.is_outdated(2.0, 11.9))
+        self.assertTrue(view.is_outdated(2.0, 12.1))
+
+    def test_list_is_not_outdated_while_the_store_does_not_answer(self):
+        view = make_view(builders.make_server('s1'))
+        view.confirm(10.0)
+        view.note_list_failed(11.5)
+        self.assertTrue(view.is_outdated(2.0, 12.1))
+        view.note_list_failed(12.2)
+        self.assertFalse(view.is_outdated(2.0, 12.3))
+
     def test_leaving_server_accepts_no_requests(self):
         view = make_view(builders.make_server('s1', leaving=True))
         self.assertFalse(view.states['s1'].accepts_requests)
@@ -97,7 +118,7 @@
         follower.apply_entries(leader.changed_entries(0, {}), 0.0)
         seen = leader.entry_number
         leaving = builders.make_server('s1', leaving=True)
-        leader.apply_list([stored(leaving)], 1.0)
+        leader.apply_list([stored(leaving, 2)], 2, 1.0)
         follower.apply_entries(leader.changed_entries(seen, {}), 1.0)
         self.assertEqual(set(follower.states), {'s1'})
         self.assertFalse(follower.states['s1'].accepts_requests)
@@ -106,34 +127,9 @@
         # Guards against sending each heartbeat of a server to all instances.
         leader = make_view(builders.make_server('s1'))
         seen = leader.entry_number
-        leader.apply_list([stored(builders.make_server('s1'), 9)], 1.0)
+        leader.apply_list([stored(builders.make_server('s1'), 9)], 9, 1.0)
         self.assertEqual(leader.changed_entries(seen, {}), {})
 
-    def test_server_that_is_listed_again_is_passed_on(self):
-        # Guards against servers that only the leader uses after their entries
-        # lapsed during a store outage.
-        server = builders.make_server('s1')
-        leader = make_view(server)
-        follower = servers.ServerView(decode, lambda: None)
-        follower.apply_entries(leader.changed_entries(0, {}), 0.0)
-        leader.apply_list([], 1.0)
-        seen = leader.entry_number
-        follower.apply_entries(leader.changed_entries(1, {}), 1.0)
-        leader.apply_list([stored(server)], 2.0)
-        follower.apply_entries(leader.changed_entries(seen, {}), 2.0)
-        self.assertEqual(set(follower.states), {'s1'})
-
-    def test_restart_with_the_same_id_is_passed_on(self):
-        # Guards against instances that ignore the residencies of a restarted
-        # server, because they know the start of its previous process.
-        leader = make_view(builders.make_server('s1'))
-        seen = leader.entry_number
-        restarted = builders.make_server(
-            's1', residency=builders.make_residency(process_start_ms=2)
-        )
-        leader.apply_list([stored(restarted)], 1.0)
-        self.assertEqual(set(leader.changed_entries(seen, {})), {'s1'})
-
     def test_new_leader_sends_only_what_an_instance_lacks(self):
         # Guards against sending the whole list to each instance at a takeover.
         follower = make_view(
@@ -142,7 +138,69 @@
         leader = make_view(
             builders.make_server('s1'), builders.make_server('s3')
         )
-        entries = leader.changed_entries(0, follower.known_entries())
+        entries = leader.changed_entries(0, follower.entry_digests())
         self.assertEqual(set(entries), {'s2', 's3'})
         follower.apply_entries(entries, 1.0)
         self.assertEqual(set(follower.states), {'s1', 's3'})
+
+    def test_older_list_of_a_new_leader_does_not_undo_a_leaving(self):
+        # Guards against requests to a server that leaves: the instance had
+        # listed the servers itself, after the leader.
+        leader = make_view(builders.make_server('s1'))
+        follower = make_view(
+            builders.make_server('s1', leaving=True), revision=2
+        )
+        sync_entries(leader, follower, 1.0)
+        self.assertFalse(follower.states['s1'].accepts_requests)
+
+    def test_older_list_of_a_new_leader_does_not_restore_a_server(self):
+        follower = make_view(builders.make_server('s1'))
+        follower.apply_list([], 3, 1.0)
+        entries = make_view(builders.make_server('s1'), revision=2)
+        follower.apply_entries(entries.changed_entries(0, {}), 1.0)
+        self.assertEqual(follower.states, {})
+
+    def test_server_listed_by_the_leader_after_its_removal_is_added(self):
+        follower = make_view(builders.make_server('s1'))
+        follower.apply_list([], 3, 1.0)
+        entries = make_view(builders.make_server('s1'), revision=4)
+        follower.apply_entries(entries.changed_entries(0, {}), 1.0)
+        self.assertEqual(set(follower.states), {'s1'})
+
+    def test_restart_with_the_same_id_reaches_the_other_instances(self):
+        # Guards against instances that keep the models of the previous
+        # process until its entry changes again.
+        leader = make_view(builders.make_server('s1'))
+        follower = servers.ServerView(decode, lambda: None)
+        sync_entries(leader, follower, 0.0)
+        seen = leader.entry_number
+        residency = builders.make_residency(process_start_ms=2)
+        restarted = builders.make_server('s1', residency=residency)
+        leader.apply_list([stored(restarted, 2)], 2, 1.0)
+        follower.apply_entries(leader.changed_entries(seen, {}), 1.0)
+        self.assertEqual(follower.states['s1'].server, restarted)
+
+    def test_server_that_is_listed_again_reaches_the_other_instances(self):
+        # Guards against servers that only some instances use after their
+        # entries expired.
+        server = builders.make_server('s1')
+        leader = make_view(server)
+        follower = servers.ServerView(decode, lambda: None)
+        sync_entries(leader, follower, 0.0)
+        leader.apply_list([], 2, 1.0)
+        seen = leader.entry_number
+        sync_entries(leader, follower, 1.0)
+        self.assertEqual(follower.states, {})
+        leader.apply_list([stored(server, 3)], 3, 2.0)
+        follower.apply_entries(leader.changed_entries(seen, {}), 2.0)
+        self.assertEqual(set(follower.states), {'s1'})
+
+    def test_entry_missing_for_a_moment_reaches_the_other_instances(self):
+        # An instance may have listed the servers while the entry was missing.
+        server = builders.make_server('s1')
+        leader = make_view(server)
+        leader.note_store_recovered(1.0)
+        leader.apply_list([], 2, 1.0)
+        seen = leader.entry_number
+        leader.apply_list([stored(server, 3)], 3, 2.0)
+        self.assertEqual(set(leader.changed_entries(seen, {})), {'s1'})
