Do not run a request that arrives as its connection is closed

During a planned stop, callers on kept connections saw some requests run by a server and their connection closed without any response.

Close_idle closes the connections that are not busy. On asyncio, which the instances run on, bytes that the event loop has received but not yet handed to the connection's task are returned even after the close. The request was then read, sent to a server and cancelled. The tests of the platform run on trio, where this cannot happen.

A connection now drops input that it gets after it was closed. Its caller sees a connection that was closed without its request having been read, which it may send again elsewhere.

test_request_that_arrives_as_its_connection_closes_is_not_run failed before.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -159,6 +159,7 @@
         )
         self._unparsed = bytearray()
         self._caller_disconnected = False
+        self._closed = False
         self.busy = False
 
     async def serve(self):
@@ -177,6 +178,7 @@
     async def close_if_idle(self):
         """Close the connection unless it has a request in progress."""
         if not self.busy:
+            self._closed = True
             await self._stream.aclose()
 
     async def _serve_one(self):
@@ -218,7 +220,9 @@
         if not self._h11.trailing_data[0]:
             with anyio.move_on_after(self._limits.idle_timeout_s):
                 await self._receive_input()
-            if not self._unparsed:
+            # A stream may return input that it received before it was closed.
+            # The caller can get no response to that request any more.
+            if self._closed or not self._unparsed:
                 return None
         self.busy = True
         with anyio.move_on_after(self._limits.header_timeout_s) as scope:
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -38,6 +38,31 @@
         tg.cancel_scope.cancel()
 
 
+class StreamClosedAsInputArrives:
+    """A stream that returns input although it was closed, as asyncio's do.
+
+    Attributes:
+        conn: The CallerConnection, which is closed when input has arrived.
+    """
+
+    def __init__(self, data):
+        self._data = data
+        self._is_closed = False
+        self.conn = None
+
+    async def receive(self):
+        if self._is_closed:
+            raise anyio.ClosedResourceError
+        await self.conn.close_if_idle()
+        return self._data
+
+    async def send(self, data):
+        raise anyio.ClosedResourceError
+
+    async def aclose(self):
+        self._is_closed = True
+
+
 async def read_all(stream):
     parts = []
     with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
@@ -161,6 +186,26 @@
             with anyio.fail_after(0.5):
                 await ended.wait()
 
+    @virtual_time.run_without_io
+    async def test_request_that_arrives_as_its_connection_closes_is_not_run(
+        self,
+    ):
+        # Guards against a request that a server runs although its caller can
+        # get no response.
+        handled = []
+
+        async def record(request, out):
+            handled.append(request.target)
+
+        stream = StreamClosedAsInputArrives(
+            b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+        )
+        stream.conn = incoming.CallerConnection(
+            stream, record, LIMITS, lambda: True
+        )
+        await stream.conn.serve()
+        self.assertEqual(handled, [])
+
     @virtual_time.run_in_virtual_time
     async def test_idle_connection_is_closed_after_the_idle_timeout(self):
         async with listening() as connect:
