Answer a request whose server sent only the head of a stream

Callers on kept connections saw their connection closed without any response when a server had sent the head of its stream, but no event, by the deadline, or when it broke off then and no other server could be found.

The head was kept back until the first event, but the response counted as started from then on, so that an error closed the connection.

The response now counts as started with the first bytes that are written. Until then an error is answered with its status, and the head of a later server replaces the first one's, whose events the caller never got.

test_stream_without_any_event_gets_an_error_response failed before: it read no status.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -75,37 +75,32 @@
     def __init__(self, conn, stream, keep_alive):
         self._h11 = conn
         self._stream = stream
-        self._pending = b''
+        self._head = None
         self.state = ResponseState.UNSENT
         self.keep_alive = keep_alive
         self.disconnect_reason = None
 
     def start(self, status, headers):
-        """Set the head; it is sent with the first bytes of the body."""
-        headers = list(headers)
-        if not self.keep_alive:
-            headers.append((b'Connection', b'close'))
-        self._pending = self._h11.send(
-            h11.Response(status_code=status, headers=headers)
-        )
-        self.state = ResponseState.STARTED
+        """Set the head; it is sent with the first bytes of the body.
+
+        Until then another head may be set, or `respond` called.
+        """
+        self._head = status, headers
 
     async def send(self, data):
         """Send a part of the body; raises CallerDisconnected."""
-        out = self._pending + self._h11.send(h11.Data(data=data))
-        self._pending = b''
+        out = self._take_head() + self._h11.send(h11.Data(data=data))
         await self._write(out)
 
     async def flush(self):
         """Send the head if it has not been sent yet."""
-        out, self._pending = self._pending, b''
+        out = self._take_head()
         if out:
             await self._write(out)
 
     async def finish(self):
         """Complete the response."""
-        out = self._pending + self._h11.send(h11.EndOfMessage())
-        self._pending = b''
+        out = self._take_head() + self._h11.send(h11.EndOfMessage())
         await self._write(out)
         self.state = ResponseState.FINISHED
 
@@ -113,14 +108,27 @@
         """Send a complete response at once."""
         length = (b'Content-Length', b'%d' % len(body))
         self.start(status, [*headers, length])
-        out = self._pending
+        out = self._take_head()
         if body:
             out += self._h11.send(h11.Data(data=body))
         out += self._h11.send(h11.EndOfMessage())
-        self._pending = b''
         await self._write(out)
         self.state = ResponseState.FINISHED
 
+    def _take_head(self):
+        """Return the bytes of the head if it has not been sent yet."""
+        if self._head is None:
+            return b''
+        status, headers = self._head
+        self._head = None
+        headers = list(headers)
+        if not self.keep_alive:
+            headers.append((b'Connection', b'close'))
+        self.state = ResponseState.STARTED
+        return self._h11.send(
+            h11.Response(status_code=status, headers=headers)
+        )
+
     def abort(self):
         """Mark the response as incomplete, so that the connection closes."""
         self.state = ResponseState.ABORTED
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -2,26 +2,33 @@
 
 import anyio
 
+from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.serving import attempt as attempts
 from wagtailtide_gateway.serving import events
 
 
 class Relay:
-    """The response to one stream request, over one or more servers.
-
-    Attributes:
-        started: Whether the response head was forwarded.
-        weights_version: Weights version that the first server stated, or
-            None. A server that resumes the stream has to use the same one.
-    """
+    """The response to one stream request, over one or more servers."""
 
     def __init__(self, job, out):
         self._job = job
         self._out = out
         self._splitter = events.EventSplitter(job.req.resume_after)
-        self.started = False
-        self.weights_version = None
+        self._weights_version = None
+
+    @property
+    def started(self):
+        """Whether a part of the response was sent to the caller."""
+        return self._out.state is not incoming.ResponseState.UNSENT
+
+    @property
+    def weights_version(self):
+        """Weights version of the started response, or None.
+
+        A server that resumes the stream has to use the same version.
+        """
+        return self._weights_version if self.started else None
 
     @property
     def resume_after(self):
@@ -42,8 +49,7 @@
             CallerDisconnected: The caller closed its connection.
         """
         if not self.started:
-            self.started = True
-            self.weights_version = head.weights_version
+            self._weights_version = head.weights_version
             self._out.start(head.status, head.headers)
         may_resume = self._job.route.may_resume
         timeout_s = None
