Answer requests that have no response yet when a stop ends

Callers whose request a server had, but had not begun to answer, saw their connection closed at the end of the grace time of a planned stop. A request in a server's queue is accepted and lost in that way.

The stop cancelled all requests, whatever their state, and closed their connections.

Requests without a response now get an error response 0.4 s before the kill: 504 if a server may have run them, else 503. Only started streams are cut.

--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -35,6 +35,9 @@
 # Time reserved between the end of the graceful stop and the kill.
 STOP_MARGIN_S = 0.4
 
+# Time for the error responses of requests that the stop cuts.
+CUT_RESPONSES_S = 0.1
+
 
 def boottime_clock():
     """Return the seconds since boot, time in suspend included."""
@@ -211,6 +214,7 @@
             await anyio.sleep(CLOSE_IDLE_INTERVAL_S)
         LOG.warning('stop cut', extra={'busy': self._callers.busy_count})
         self.gateway.begin_cut()
+        await anyio.sleep(CUT_RESPONSES_S)
 
     async def _handle_readiness(self, request, out):
         known = request.target.split(b'?')[0] == self._ready_path
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -64,6 +64,7 @@
         )
         self._stopping_since = None
         self._is_cutting = False
+        self._scopes = set()
 
     def begin_stop(self):
         """Begin to reject requests that would not finish before the stop."""
@@ -71,8 +72,13 @@
         self._shared_state.wait_queues.wake()
 
     def begin_cut(self):
-        """Log requests that are cancelled from now on as cut by the stop."""
+        """End all requests, because the process is about to end.
+
+        Those whose response has not started get an error response.
+        """
         self._is_cutting = True
+        for scope in self._scopes:
+            scope.cancel()
 
     @property
     def is_stopping(self):
@@ -92,10 +98,10 @@
             req = self._caller_port.decode(request)
             self._refuse_if_stopping()
             job = self._access.make_job(req, request.received_at)
-            with anyio.move_on_after(job.time_left_s) as scope:
+            with self._limit_time(job) as scope:
                 await self._serve(job, out)
             if scope.cancelled_caught:
-                raise self._deadline_error(job)
+                raise self._cut_error(job)
             outcome = 'whole'
         except kinds.ServingError as exc:
             outcome, reason = exc.kind.value, exc.message
@@ -112,7 +118,7 @@
             outcome = kinds.ErrorKind.INTERNAL.value
             await self._refuse(_internal_error(), out)
         finally:
-            if outcome == 'gone' and self._is_cutting:
+            if outcome != 'whole' and self._is_cutting:
                 outcome = 'cut'
             self._log(request, req, job, out, outcome, reason)
 
@@ -121,11 +127,29 @@
         if since is None:
             return
         if anyio.current_time() - since > ACCEPT_AFTER_STOP_S:
-            raise kinds.ServingError(
-                kinds.ErrorKind.SHUTTING_DOWN,
-                'this instance is stopping; retry at another instance',
-                retry_after_s=finder.STOPPING_RETRY_AFTER_S,
+            raise _shutting_down_error()
+
+    @contextlib.contextmanager
+    def _limit_time(self, job):
+        """Cancel the block at the deadline, or when the stop cuts it."""
+        with anyio.move_on_after(job.time_left_s) as scope:
+            self._scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
+
+    def _cut_error(self, job):
+        """Return the ServingError of a request that was cancelled."""
+        if not self._is_cutting:
+            return self._deadline_error(job)
+        if job.possible_runs:
+            return kinds.ServingError(
+                kinds.ErrorKind.BACKEND_SERVER_SILENT,
+                'this instance stopped before the response was complete; the '
+                'request may have run',
             )
+        return _shutting_down_error()
 
     def _deadline_error(self, job):
         if job.possible_runs:
@@ -399,6 +423,14 @@
         LOG.info('request', extra=fields)
 
 
+def _shutting_down_error():
+    return kinds.ServingError(
+        kinds.ErrorKind.SHUTTING_DOWN,
+        'this instance is stopping; retry at another instance',
+        retry_after_s=finder.STOPPING_RETRY_AFTER_S,
+    )
+
+
 def _internal_error():
     return kinds.ServingError(
         kinds.ErrorKind.INTERNAL,
