Give up a silent stream only when another server can resume it

Callers saw streams cut whose server had been silent for 1.5 s: because the retry budget was empty, at the end of a planned stop, or at their deadline.

A stalled stream left its server first and looked for another one then.

A stalled stream now leaves its server only if a server that was not tried is free and the retry can be charged at that moment; until then it reads on.

--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -19,10 +19,13 @@
 RESPONSE_TIMEOUT_TARGET_FACTOR = 3.0
 MIN_RESPONSE_TIMEOUT_S = 1.0
 
-# Longest pause in a resumable stream before the server is considered stuck.
-# Callers disconnect after two seconds.
+# Pause after which a resumable stream is moved to another server if one is
+# free. Callers disconnect after two seconds.
 STREAM_STALL_TIMEOUT_S = 1.5
 
+# A stalled stream that could not be moved checks this often for a server.
+STALL_RECHECK_INTERVAL_S = 0.25
+
 # Timeout for the first event of a resumable stream. It is longer than the
 # stall timeout because a fully loaded engine queues requests. Callers have
 # their own limit, Route.first_event_timeout_s.
@@ -191,17 +194,11 @@
             timeout_s: Longest pause in seconds, None for no limit.
 
         Raises:
-            ConnectionBroken: The stream ended early or paused too long.
+            ConnectionBroken: The stream ended early.
+            TimeoutError: It paused too long. It may be read on.
         """
-        if timeout_s is None:
+        with anyio.fail_after(timeout_s):
             return await self._conn.read_data()
-        try:
-            with anyio.fail_after(timeout_s):
-                return await self._conn.read_data()
-        except TimeoutError as exc:
-            raise outgoing.ConnectionBroken(
-                f'stream stalled for {timeout_s} s', fate.Progress.RESPONDING
-            ) from exc
 
     async def keep_connection(self):
         """Return the connection to the pool after a complete response."""
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -100,6 +100,11 @@
                 if job.req.model is not None:
                     self._demand.record_wait_end(*job.demand_key)
 
+    def has_free_server(self, job):
+        """Return whether a server that was not tried could run a request."""
+        capable = self._capable_servers(job, anyio.current_time())
+        return self._best_free(job, capable)[1] is not None
+
     def _join_queue(self, job):
         if job.req.model is not None:
             self._demand.record_wait(*job.demand_key)
@@ -155,30 +160,44 @@
     def _decide(self, job, waiter):
         now = anyio.current_time()
         capable = self._capable_servers(job, now)
-        candidates = [self._candidate(state, now) for state in capable]
-        best = server_choice.choose_server(
-            candidates, self._cfg.zone, job.prefix_hash, random.random
-        )
+        candidates, best = self._best_free(job, capable)
         ahead = self._wait_queues.ahead(
             job.service.name, job.req.model, job.priority, waiter
         )
-        service_s = self._service_time_s(job)
-        has_capacity = best is not None and best.load < admission.load_limit(
-            job.priority, best.slots, job.route.latency_target_s, service_s
-        )
         pool = admission.ServerPool(
             slots=sum(c.slots for c in candidates),
             load=sum(c.load for c in candidates),
             waiting_ahead=ahead,
             instances=max(1, self._exchange.instances),
-            service_s=service_s,
+            service_s=self._service_time_s(job),
             ready_in_s=0.0 if capable else self._ready_in_s(job, now),
         )
-        decision = admission.decide(pool, has_capacity, job.wait_left_s)
-        state = next(
-            (s for s in capable if best and s.server.id == best.id), None
+        decision = admission.decide(pool, best is not None, job.wait_left_s)
+        return best, decision
+
+    def _best_free(self, job, capable):
+        """Return the candidates and the one to use, None if it is full.
+
+        Args:
+            job: The Job.
+            capable: ServerState objects of the servers that can run it.
+
+        Returns:
+            The Candidate objects and a ServerState or None.
+        """
+        now = anyio.current_time()
+        candidates = [self._candidate(state, now) for state in capable]
+        best = server_choice.choose_server(
+            candidates, self._cfg.zone, job.prefix_hash, random.random
         )
-        return state, decision
+        if best is None or best.load >= admission.load_limit(
+            job.priority,
+            best.slots,
+            job.route.latency_target_s,
+            self._service_time_s(job),
+        ):
+            return candidates, None
+        return candidates, next(s for s in capable if s.server.id == best.id)
 
     def _candidate(self, state, now):
         server = state.server
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -185,7 +185,8 @@
                 *job.demand_key, job.route.latency_target_s
             )
         try:
-            await self._run_with_retries(job, relays.Relay(job, out), out)
+            relay = relays.Relay(job, out, lambda: self._reserve_retry(job))
+            await self._run_with_retries(job, relay, out)
         finally:
             if not job.possible_runs:
                 self._access.refund(job)
@@ -230,14 +231,26 @@
             return job.send_count < MAX_SENDS
         return job.may_retry()
 
-    def _require_retry(self, job, failure, relay):
-        """Raise ServingError unless the request may be retried."""
-        if self._may_retry(job, failure) and self._budget.try_spend(
+    def _reserve_retry(self, job):
+        """Charge a retry if a server is free for it; return whether it is."""
+        return self._finder.has_free_server(job) and self._charge_retry(job)
+
+    def _charge_retry(self, job):
+        """Charge a retry; return whether the budget allows it."""
+        allowed = self._budget.try_spend(
             job.service.name,
             self._exchange.instances,
             anyio.current_time(),
+        )
+        self._metrics.repeats += allowed
+        return allowed
+
+    def _require_retry(self, job, failure, relay):
+        """Raise ServingError unless the request may be retried."""
+        is_charged, relay.has_reserved_retry = relay.has_reserved_retry, False
+        if is_charged or (
+            self._may_retry(job, failure) and self._charge_retry(job)
         ):
-            self._metrics.repeats += 1
             return
         if job.possible_runs:
             kind = kinds.ErrorKind.BACKEND_SERVER_ERROR
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -1,6 +1,7 @@
 """Forwards event streams and resumes them at other servers."""
 
 import anyio
+from wagtailtide_core.retries import fate
 
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
@@ -9,11 +10,24 @@
 
 
 class Relay:
-    """The response to one stream request, over one or more servers."""
+    """The response to one stream request, over one or more servers.
 
-    def __init__(self, job, out):
+    Args:
+        job: The Job of the request.
+        out: Its Responder.
+        reserve_retry: Function that returns whether another server is free
+            to resume the stream and the retry budget allows it. If so, the
+            retry has been charged.
+
+    Attributes:
+        has_reserved_retry: Whether the next retry has been charged already.
+    """
+
+    def __init__(self, job, out, reserve_retry):
         self._job = job
         self._out = out
+        self._reserve_retry = reserve_retry
+        self.has_reserved_retry = False
         self._splitter = events.EventSplitter(job.req.resume_after)
         self._weights_version = None
 
@@ -52,12 +66,9 @@
             self._weights_version = head.weights_version
             self._out.start(head.status, head.headers)
         may_resume = self._job.route.may_resume
-        timeout_s = None
-        if self._job.may_retry():
-            timeout_s = attempts.STREAM_STALL_TIMEOUT_S
         while True:
             try:
-                data = await attempt.read_chunk(timeout_s)
+                data = await self._read_chunk(attempt)
             except outgoing.ConnectionBroken as exc:
                 # Discard the event that the server did not complete.
                 self._splitter.take_partial()
@@ -76,3 +87,29 @@
         await attempt.keep_connection()
         await self._out.finish()
         return None
+
+    async def _read_chunk(self, attempt):
+        """Return the next bytes of a stream, None at its end.
+
+        A silent server is given up only for another one, because it may go
+        on and the response would end with it.
+
+        Raises:
+            ConnectionBroken: The stream ended early, or it stalled and is to
+                be resumed at another server.
+        """
+        if not self._job.may_retry():
+            return await attempt.read_chunk(None)
+        timeout_s = attempts.STREAM_STALL_TIMEOUT_S
+        while True:
+            try:
+                return await attempt.read_chunk(timeout_s)
+            except TimeoutError:
+                timeout_s = attempts.STALL_RECHECK_INTERVAL_S
+            if self._reserve_retry():
+                self.has_reserved_retry = True
+                raise outgoing.ConnectionBroken(
+                    f'stream stalled for {attempts.STREAM_STALL_TIMEOUT_S} s '
+                    'or longer',
+                    fate.Progress.RESPONDING,
+                )
