Let a started stream wait for the retry budget and for full servers

Callers saw resumable streams cut long before their deadline after their server had broken off: the servers that should have resumed them were full three times, or the instance's retry budget was empty at that moment.

The limit of four sends and the single check of the budget are meant for requests that can still be refused. A started stream has no response but its rest, and its loss costs more than a request that was refused.

A started stream now waits for the budget, and may be sent again to a server that rejected it, every 0.25 s until its deadline. Each send is charged to the budget as before, and a server that may have run it is not tried again.

test_broken_stream_resumes_although_servers_reject_it and test_broken_stream_waits_for_the_retry_budget failed before.

--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -21,6 +21,9 @@
 # Largest number of attempts of a request while no server has run it.
 MAX_SENDS = 4
 
+# A started stream that no server takes over asks again after this time.
+RESUME_RETRY_INTERVAL_S = 0.25
+
 # New requests are accepted for this long after the stop signal. Later ones
 # might not finish before the process is killed.
 ACCEPT_AFTER_STOP_S = 2.8
@@ -201,10 +204,10 @@
             )
 
     async def _run_with_retries(self, job, relay, out):
-        failure = None
+        state = failure = None
         while True:
             if failure is not None:
-                self._require_retry(job, failure, relay)
+                await self._require_retry(job, state, failure, relay)
             state = await self._finder.find(job)
             self._access.require_current_key(job)
             failure = await self._attempt(job, state, relay, out)
@@ -212,7 +215,9 @@
                 return
             if failure.broken:
                 await self._probe_server(state)
-            if failure.head is not None and not self._may_retry(job, failure):
+            if failure.head is not None and not self._may_retry(
+                job, failure, relay
+            ):
                 await self._forward_failure(job, failure, relay, out)
                 return
 
@@ -226,9 +231,9 @@
         if await self._pool.is_refused(state.server.address):
             self._record_unreachable(state, anyio.current_time())
 
-    def _may_retry(self, job, failure):
+    def _may_retry(self, job, failure, relay):
         if failure.not_run:
-            return job.send_count < MAX_SENDS
+            return relay.started or job.send_count < MAX_SENDS
         return job.may_retry()
 
     def _reserve_retry(self, job):
@@ -245,13 +250,28 @@
         self._metrics.repeats += allowed
         return allowed
 
-    def _require_retry(self, job, failure, relay):
-        """Raise ServingError unless the request may be retried."""
+    async def _require_retry(self, job, state, failure, relay):
+        """Return when the request may be sent again.
+
+        A started stream waits until the retry budget allows it. It may be
+        sent again to a server that rejected it.
+
+        Raises:
+            ServingError: The request may not be retried.
+        """
         is_charged, relay.has_reserved_retry = relay.has_reserved_retry, False
-        if is_charged or (
-            self._may_retry(job, failure) and self._charge_retry(job)
-        ):
+        if is_charged:
             return
+        if relay.started and failure.not_run:
+            await anyio.sleep(RESUME_RETRY_INTERVAL_S)
+            if state.server.id in job.tried:
+                job.tried.remove(state.server.id)
+        while self._may_retry(job, failure, relay):
+            if self._charge_retry(job):
+                return
+            if not relay.started:
+                break
+            await anyio.sleep(RESUME_RETRY_INTERVAL_S)
         if job.possible_runs:
             kind = kinds.ErrorKind.BACKEND_SERVER_ERROR
             if relay.started:
