Keep serving when a connection cannot be accepted

When an instance ran out of file descriptors, accept failed, the error ended the listener and with it the whole process: every caller of the instance had its connection closed without a response.

The listener now logs the error and accepts again after 0.1 s; the open connections are not touched.

test_failed_accept_does_not_end_the_other_connections failed before.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -17,6 +17,9 @@
 # bytes are buffered; a disconnect is then not noticed.
 MAX_PIPELINED_BYTES = 65_536
 
+# Delay before connections are accepted again after an error.
+ACCEPT_RETRY_DELAY_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IncomingRequest:
@@ -359,8 +362,18 @@
 
     async def serve(self):
         """Serve connections until cancelled."""
-        async with self._listener:
-            await self._listener.serve(self._serve_connection)
+        async with self._listener, anyio.create_task_group() as tg:
+            while True:
+                try:
+                    await self._listener.serve(self._serve_connection, tg)
+                except* (OSError, anyio.BrokenResourceError) as exc:
+                    # For example, no file descriptor is left. The open
+                    # connections are served on.
+                    LOG.error(
+                        'cannot accept a connection',
+                        extra={'reason': repr(exc.exceptions)},
+                    )
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
     async def _serve_connection(self, stream):
         sockets.enable_keepalive(stream)
