Write a complete response although its deadline passes meanwhile

Callers saw their connection closed without any answer at the moment of their deadline, also on kept connections to servers that were in order.

A server answers 504 itself at the deadline that it was given, which is the gateway's own deadline but for a millisecond. If that response was complete as the gateway's deadline passed, its write was cancelled before the first byte; it counted as started all the same, so that no error could be sent either, and the connection was closed.

The end of a response is now written without regard to cancellation. A caller that does not read is disconnected by the kernel after 2.5 s as before.

test_response_at_the_moment_of_the_deadline_is_written failed before.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -104,8 +104,7 @@
     async def finish(self):
         """Complete the response."""
         out = self._take_head() + self._h11.send(h11.EndOfMessage())
-        await self._write(out)
-        self.state = ResponseState.FINISHED
+        await self._write_end(out)
 
     async def respond(self, status, headers, body):
         """Send a complete response at once."""
@@ -115,8 +114,7 @@
         if body:
             out += self._h11.send(h11.Data(data=body))
         out += self._h11.send(h11.EndOfMessage())
-        await self._write(out)
-        self.state = ResponseState.FINISHED
+        await self._write_end(out)
 
     def _take_head(self):
         """Return the bytes of the head if it has not been sent yet."""
@@ -136,6 +134,13 @@
         """Mark the response as incomplete, so that the connection closes."""
         self.state = ResponseState.ABORTED
 
+    async def _write_end(self, out):
+        # A request that is cancelled now has its response; only writing it
+        # is left. A caller that does not read is disconnected by the kernel.
+        with anyio.CancelScope(shield=True):
+            await self._write(out)
+        self.state = ResponseState.FINISHED
+
     async def _write(self, out):
         try:
             await self._stream.send(out)
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -188,6 +188,22 @@
                 await stream.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
                 self.assertEqual(await read_all(stream), b'')
 
+    @virtual_time.run_in_virtual_time
+    async def test_response_at_the_moment_of_the_deadline_is_written(self):
+        # Guards against a connection that is closed without any response
+        # although the response was complete.
+        async def respond_when_cancelled(request, out):
+            with anyio.CancelScope() as scope:
+                scope.cancel()
+                await out.respond(200, [], b'x')
+
+        async with listening(respond_when_cancelled) as connect:
+            stream = await connect()
+            await stream.send(
+                b'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+            )
+            self.assertIn(b' 200 ', await read_all(stream))
+
     @virtual_time.run_in_virtual_time
     async def test_handler_is_cancelled_when_its_caller_disconnects(self):
         ended = anyio.Event()
