--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -17,6 +17,9 @@
 # bytes are buffered; a disconnect is then not noticed.
 MAX_PIPELINED_BYTES = 65_536
 
+# Delay before connections are accepted again after an error.
+ACCEPT_RETRY_DELAY_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IncomingRequest:
@@ -75,56 +78,69 @@
     def __init__(self, conn, stream, keep_alive):
         self._h11 = conn
         self._stream = stream
-        self._pending = b''
+        self._head = None
         self.state = ResponseState.UNSENT
         self.keep_alive = keep_alive
         self.disconnect_reason = None
 
     def start(self, status, headers):
-        """Set the head; it is sent with the first bytes of the body."""
-        headers = list(headers)
-        if not self.keep_alive:
-            headers.append((b'Connection', b'close'))
-        self._pending = self._h11.send(
-            h11.Response(status_code=status, headers=headers)
-        )
-        self.state = ResponseState.STARTED
+        """Set the head; it is sent with the first bytes of the body.
+
+        Until then another head may be set, or `respond` called.
+        """
+        self._head = status, headers
 
     async def send(self, data):
         """Send a part of the body; raises CallerDisconnected."""
-        out = self._pending + self._h11.send(h11.Data(data=data))
-        self._pending = b''
+        out = self._take_head() + self._h11.send(h11.Data(data=data))
         await self._write(out)
 
     async def flush(self):
         """Send the head if it has not been sent yet."""
-        out, self._pending = self._pending, b''
+        out = self._take_head()
         if out:
             await self._write(out)
 
     async def finish(self):
         """Complete the response."""
-        out = self._pending + self._h11.send(h11.EndOfMessage())
-        self._pending = b''
-        await self._write(out)
-        self.state = ResponseState.FINISHED
+        out = self._take_head() + self._h11.send(h11.EndOfMessage())
+        await self._write_end(out)
 
     async def respond(self, status, headers, body):
         """Send a complete response at once."""
         length = (b'Content-Length', b'%d' % len(body))
         self.start(status, [*headers, length])
-        out = self._pending
+        out = self._take_head()
         if body:
             out += self._h11.send(h11.Data(data=body))
         out += self._h11.send(h11.EndOfMessage())
-        self._pending = b''
-        await self._write(out)
-        self.state = ResponseState.FINISHED
+        await self._write_end(out)
+
+    def _take_head(self):
+        """Return the bytes of the head if it has not been sent yet."""
+        if self._head is None:
+            return b''
+        status, headers = self._head
+        self._head = None
+        headers = list(headers)
+        if not self.keep_alive:
+            headers.append((b'Connection', b'close'))
+        self.state = ResponseState.STARTED
+        return self._h11.send(
+            h11.Response(status_code=status, headers=headers)
+        )
 
     def abort(self):
         """Mark the response as incomplete, so that the connection closes."""
         self.state = ResponseState.ABORTED
 
+    async def _write_end(self, out):
+        # A request that is cancelled now has its response; only writing it
+        # is left. A caller that does not read is disconnected by the kernel.
+        with anyio.CancelScope(shield=True):
+            await self._write(out)
+        self.state = ResponseState.FINISHED
+
     async def _write(self, out):
         try:
             await self._stream.send(out)
@@ -159,6 +175,7 @@
         )
         self._unparsed = bytearray()
         self._caller_disconnected = False
+        self._closed = False
         self.busy = False
 
     async def serve(self):
@@ -177,6 +194,7 @@
     async def close_if_idle(self):
         """Close the connection unless it has a request in progress."""
         if not self.busy:
+            self._closed = True
             await self._stream.aclose()
 
     async def _serve_one(self):
@@ -218,7 +236,9 @@
         if not self._h11.trailing_data[0]:
             with anyio.move_on_after(self._limits.idle_timeout_s):
                 await self._receive_input()
-            if not self._unparsed:
+            # A stream may return input that it received before it was closed.
+            # The caller can get no response to that request any more.
+            if self._closed or not self._unparsed:
                 return None
         self.busy = True
         with anyio.move_on_after(self._limits.header_timeout_s) as scope:
@@ -347,8 +367,18 @@
 
     async def serve(self):
         """Serve connections until cancelled."""
-        async with self._listener:
-            await self._listener.serve(self._serve_connection)
+        async with self._listener, anyio.create_task_group() as tg:
+            while True:
+                try:
+                    await self._listener.serve(self._serve_connection, tg)
+                except* (OSError, anyio.BrokenResourceError) as exc:
+                    # For example, no file descriptor is left. The open
+                    # connections are served on.
+                    LOG.error(
+                        'cannot accept a connection',
+                        extra={'reason': repr(exc.exceptions)},
+                    )
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
     async def _serve_connection(self, stream):
         sockets.enable_keepalive(stream)
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -21,6 +21,9 @@
 # Largest number of attempts of a request while no server has run it.
 MAX_SENDS = 4
 
+# A started stream that no server takes over asks again after this time.
+RESUME_RETRY_INTERVAL_S = 0.25
+
 # New requests are accepted for this long after the stop signal. Later ones
 # might not finish before the process is killed.
 ACCEPT_AFTER_STOP_S = 2.8
@@ -64,6 +67,7 @@
         )
         self._stopping_since = None
         self._is_cutting = False
+        self._scopes = set()
 
     def begin_stop(self):
         """Begin to reject requests that would not finish before the stop."""
@@ -71,8 +75,13 @@
         self._shared_state.wait_queues.wake()
 
     def begin_cut(self):
-        """Log requests that are cancelled from now on as cut by the stop."""
+        """End all requests, because the process is about to end.
+
+        Those whose response has not started get an error response.
+        """
         self._is_cutting = True
+        for scope in self._scopes:
+            scope.cancel()
 
     @property
     def is_stopping(self):
@@ -92,10 +101,10 @@
             req = self._caller_port.decode(request)
             self._refuse_if_stopping()
             job = self._access.make_job(req, request.received_at)
-            with anyio.move_on_after(job.time_left_s) as scope:
+            with self._limit_time(job) as scope:
                 await self._serve(job, out)
             if scope.cancelled_caught:
-                raise self._deadline_error(job)
+                raise self._cut_error(job)
             outcome = 'whole'
         except kinds.ServingError as exc:
             outcome, reason = exc.kind.value, exc.message
@@ -112,7 +121,7 @@
             outcome = kinds.ErrorKind.INTERNAL.value
             await self._refuse(_internal_error(), out)
         finally:
-            if outcome == 'gone' and self._is_cutting:
+            if outcome != 'whole' and self._is_cutting:
                 outcome = 'cut'
             self._log(request, req, job, out, outcome, reason)
 
@@ -121,11 +130,29 @@
         if since is None:
             return
         if anyio.current_time() - since > ACCEPT_AFTER_STOP_S:
-            raise kinds.ServingError(
-                kinds.ErrorKind.SHUTTING_DOWN,
-                'this instance is stopping; retry at another instance',
-                retry_after_s=finder.STOPPING_RETRY_AFTER_S,
+            raise _shutting_down_error()
+
+    @contextlib.contextmanager
+    def _limit_time(self, job):
+        """Cancel the block at the deadline, or when the stop cuts it."""
+        with anyio.move_on_after(job.time_left_s) as scope:
+            self._scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
+
+    def _cut_error(self, job):
+        """Return the ServingError of a request that was cancelled."""
+        if not self._is_cutting:
+            return self._deadline_error(job)
+        if job.possible_runs:
+            return kinds.ServingError(
+                kinds.ErrorKind.BACKEND_SERVER_SILENT,
+                'this instance stopped before the response was complete; the '
+                'request may have run',
             )
+        return _shutting_down_error()
 
     def _deadline_error(self, job):
         if job.possible_runs:
@@ -161,7 +188,8 @@
                 *job.demand_key, job.route.latency_target_s
             )
         try:
-            await self._run_with_retries(job, relays.Relay(job, out), out)
+            relay = relays.Relay(job, out, lambda: self._reserve_retry(job))
+            await self._run_with_retries(job, relay, out)
         finally:
             if not job.possible_runs:
                 self._access.refund(job)
@@ -176,10 +204,10 @@
             )
 
     async def _run_with_retries(self, job, relay, out):
-        failure = None
+        state = failure = None
         while True:
             if failure is not None:
-                self._require_retry(job, failure, relay)
+                await self._require_retry(job, state, failure, relay)
             state = await self._finder.find(job)
             self._access.require_current_key(job)
             failure = await self._attempt(job, state, relay, out)
@@ -187,7 +215,9 @@
                 return
             if failure.broken:
                 await self._probe_server(state)
-            if failure.head is not None and not self._may_retry(job, failure):
+            if failure.head is not None and not self._may_retry(
+                job, failure, relay
+            ):
                 await self._forward_failure(job, failure, relay, out)
                 return
 
@@ -201,20 +231,47 @@
         if await self._pool.is_refused(state.server.address):
             self._record_unreachable(state, anyio.current_time())
 
-    def _may_retry(self, job, failure):
+    def _may_retry(self, job, failure, relay):
         if failure.not_run:
-            return job.send_count < MAX_SENDS
+            return relay.started or job.send_count < MAX_SENDS
         return job.may_retry()
 
-    def _require_retry(self, job, failure, relay):
-        """Raise ServingError unless the request may be retried."""
-        if self._may_retry(job, failure) and self._budget.try_spend(
+    def _reserve_retry(self, job):
+        """Charge a retry if a server is free for it; return whether it is."""
+        return self._finder.has_free_server(job) and self._charge_retry(job)
+
+    def _charge_retry(self, job):
+        """Charge a retry; return whether the budget allows it."""
+        allowed = self._budget.try_spend(
             job.service.name,
             self._exchange.instances,
             anyio.current_time(),
-        ):
-            self._metrics.repeats += 1
+        )
+        self._metrics.repeats += allowed
+        return allowed
+
+    async def _require_retry(self, job, state, failure, relay):
+        """Return when the request may be sent again.
+
+        A started stream waits until the retry budget allows it. It may be
+        sent again to a server that rejected it.
+
+        Raises:
+            ServingError: The request may not be retried.
+        """
+        is_charged, relay.has_reserved_retry = relay.has_reserved_retry, False
+        if is_charged:
             return
+        if relay.started and failure.not_run:
+            await anyio.sleep(RESUME_RETRY_INTERVAL_S)
+            if state.server.id in job.tried:
+                job.tried.remove(state.server.id)
+        while self._may_retry(job, failure, relay):
+            if self._charge_retry(job):
+                return
+            if not relay.started:
+                break
+            await anyio.sleep(RESUME_RETRY_INTERVAL_S)
         if job.possible_runs:
             kind = kinds.ErrorKind.BACKEND_SERVER_ERROR
             if relay.started:
@@ -399,6 +456,14 @@
         LOG.info('request', extra=fields)
 
 
+def _shutting_down_error():
+    return kinds.ServingError(
+        kinds.ErrorKind.SHUTTING_DOWN,
+        'this instance is stopping; retry at another instance',
+        retry_after_s=finder.STOPPING_RETRY_AFTER_S,
+    )
+
+
 def _internal_error():
     return kinds.ServingError(
         kinds.ErrorKind.INTERNAL,
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -1,7 +1,9 @@
 """Forwards event streams and resumes them at other servers."""
 
 import anyio
+from wagtailtide_core.retries import fate
 
+from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.serving import attempt as attempts
 from wagtailtide_gateway.serving import events
@@ -10,18 +12,37 @@
 class Relay:
     """The response to one stream request, over one or more servers.
 
+    Args:
+        job: The Job of the request.
+        out: Its Responder.
+        reserve_retry: Function that returns whether another server is free
+            to resume the stream and the retry budget allows it. If so, the
+            retry has been charged.
+
     Attributes:
-        started: Whether the response head was forwarded.
-        weights_version: Weights version that the first server stated, or
-            None. A server that resumes the stream has to use the same one.
+        has_reserved_retry: Whether the next retry has been charged already.
     """
 
-    def __init__(self, job, out):
+    def __init__(self, job, out, reserve_retry):
         self._job = job
         self._out = out
+        self._reserve_retry = reserve_retry
+        self.has_reserved_retry = False
         self._splitter = events.EventSplitter(job.req.resume_after)
-        self.started = False
-        self.weights_version = None
+        self._weights_version = None
+
+    @property
+    def started(self):
+        """Whether a part of the response was sent to the caller."""
+        return self._out.state is not incoming.ResponseState.UNSENT
+
+    @property
+    def weights_version(self):
+        """Weights version of the started response, or None.
+
+        A server that resumes the stream has to use the same version.
+        """
+        return self._weights_version if self.started else None
 
     @property
     def resume_after(self):
@@ -42,16 +63,12 @@
             CallerDisconnected: The caller closed its connection.
         """
         if not self.started:
-            self.started = True
-            self.weights_version = head.weights_version
+            self._weights_version = head.weights_version
             self._out.start(head.status, head.headers)
         may_resume = self._job.route.may_resume
-        timeout_s = None
-        if self._job.may_retry():
-            timeout_s = attempts.STREAM_STALL_TIMEOUT_S
         while True:
             try:
-                data = await attempt.read_chunk(timeout_s)
+                data = await self._read_chunk(attempt)
             except outgoing.ConnectionBroken as exc:
                 # Discard the event that the server did not complete.
                 self._splitter.take_partial()
@@ -70,3 +87,29 @@
         await attempt.keep_connection()
         await self._out.finish()
         return None
+
+    async def _read_chunk(self, attempt):
+        """Return the next bytes of a stream, None at its end.
+
+        A silent server is given up only for another one, because it may go
+        on and the response would end with it.
+
+        Raises:
+            ConnectionBroken: The stream ended early, or it stalled and is to
+                be resumed at another server.
+        """
+        if not self._job.may_retry():
+            return await attempt.read_chunk(None)
+        timeout_s = attempts.STREAM_STALL_TIMEOUT_S
+        while True:
+            try:
+                return await attempt.read_chunk(timeout_s)
+            except TimeoutError:
+                timeout_s = attempts.STALL_RECHECK_INTERVAL_S
+            if self._reserve_retry():
+                self.has_reserved_retry = True
+                raise outgoing.ConnectionBroken(
+                    f'stream stalled for {attempts.STREAM_STALL_TIMEOUT_S} s '
+                    'or longer',
+                    fate.Progress.RESPONDING,
+                )
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -1,5 +1,7 @@
 import contextlib
+import errno
 import unittest
+from unittest import mock
 
 import anyio
 from wagtailtide_gateway.http import incoming
@@ -38,6 +40,31 @@
         tg.cancel_scope.cancel()
 
 
+class StreamClosedAsInputArrives:
+    """A stream that returns input although it was closed, as asyncio's do.
+
+    Attributes:
+        conn: The CallerConnection, which is closed when input has arrived.
+    """
+
+    def __init__(self, data):
+        self._data = data
+        self._is_closed = False
+        self.conn = None
+
+    async def receive(self):
+        if self._is_closed:
+            raise anyio.ClosedResourceError
+        await self.conn.close_if_idle()
+        return self._data
+
+    async def send(self, data):
+        raise anyio.ClosedResourceError
+
+    async def aclose(self):
+        self._is_closed = True
+
+
 async def read_all(stream):
     parts = []
     with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
@@ -46,6 +73,24 @@
     return b''.join(parts)
 
 
+class AcceptTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_failed_accept_does_not_end_the_other_connections(self):
+        # Guards against an instance that ends, with all its requests, when it
+        # runs out of file descriptors.
+        async with listening() as connect:
+            first = await connect()
+            error = OSError(errno.EMFILE, 'too many open files')
+            with mock.patch('socket.socket._accept', side_effect=error):
+                second = await connect()
+                await anyio.sleep(0.2)
+            for stream in (first, second):
+                await stream.send(
+                    b'GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+                )
+                self.assertIn(b' 200 ', await read_all(stream))
+
+
 class MalformedRequestTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_malformed_request_is_rejected_and_the_connection_closed(
@@ -143,6 +188,22 @@
                 await stream.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
                 self.assertEqual(await read_all(stream), b'')
 
+    @virtual_time.run_in_virtual_time
+    async def test_response_at_the_moment_of_the_deadline_is_written(self):
+        # Guards against a connection that is closed without any response
+        # although the response was complete.
+        async def respond_when_cancelled(request, out):
+            with anyio.CancelScope() as scope:
+                scope.cancel()
+                await out.respond(200, [], b'x')
+
+        async with listening(respond_when_cancelled) as connect:
+            stream = await connect()
+            await stream.send(
+                b'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+            )
+            self.assertIn(b' 200 ', await read_all(stream))
+
     @virtual_time.run_in_virtual_time
     async def test_handler_is_cancelled_when_its_caller_disconnects(self):
         ended = anyio.Event()
@@ -161,6 +222,26 @@
             with anyio.fail_after(0.5):
                 await ended.wait()
 
+    @virtual_time.run_without_io
+    async def test_request_that_arrives_as_its_connection_closes_is_not_run(
+        self,
+    ):
+        # Guards against a request that a server runs although its caller can
+        # get no response.
+        handled = []
+
+        async def record(request, out):
+            handled.append(request.target)
+
+        stream = StreamClosedAsInputArrives(
+            b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+        )
+        stream.conn = incoming.CallerConnection(
+            stream, record, LIMITS, lambda: True
+        )
+        await stream.conn.serve()
+        self.assertEqual(handled, [])
+
     @virtual_time.run_in_virtual_time
     async def test_idle_connection_is_closed_after_the_idle_timeout(self):
         async with listening() as connect:
