Bound what instances admit while they hear no leader

Callers within their rate were refused while no leader answered, and an organisation above its rate could exceed its limit.

Cause: an even share of one of 133 instances is less than a request for most organisations, and a share only counted once it covered a whole request. Shares were saved up without limit, a leader that came back had refilled its buckets for the time in which shares were used, and a leader did not know that instances cut off from it used theirs.

Ruled out: shares in proportion to what each instance drew.

A leader hands out shares that add up to one at most. What it accrued is drawn from the buckets of a leader that comes back.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -19,6 +19,10 @@
 
 MAX_CRASHES = 200
 
+# Interval in seconds at which silent instances are looked for, to withhold
+# their shares of the rates.
+SHARE_CHECK_INTERVAL_S = 0.25
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelUse:
@@ -73,7 +77,9 @@
         self._fence = None
         self._reports = {}
         self._loads = collections.Counter()
-        self._buckets = quota.TokenBuckets(anyio.current_time())
+        self._buckets = quota.TokenBuckets(anyio.current_time(), 0.0)
+        self._rate_shares = quota.RateShares(anyio.current_time())
+        self._shares_checked_at = float('-inf')
         self._traffic = {}
         self._residencies = {}
         self._residency_number = 0
@@ -93,6 +99,7 @@
             # There was no leader before, so nothing was drawn and the buckets
             # are full.
             self._buckets = quota.TokenBuckets(float('-inf'))
+            self._rate_shares = quota.RateShares(float('-inf'))
 
     @property
     def instance_count(self):
@@ -103,6 +110,7 @@
         """Apply a report and return the LeaderUpdate for its sender."""
         now = anyio.current_time()
         self.reset_on_new_term()
+        self._receive_share(report, now)
         if not report.urgent:
             self._store_report(report, now)
         for request in report.adapters:
@@ -115,6 +123,31 @@
             del self._crashes[next(iter(self._crashes))]
         return self._make_update(report, now)
 
+    def _receive_share(self, report, now):
+        in_this_term = report.quota_fence == self._leadership.fence
+        withheld_s = self._rate_shares.receive(
+            report.instance, in_this_term, report.share, now
+        )
+        if withheld_s:
+            for org in self._organisations().values():
+                amount = withheld_s * org.rate_per_s
+                self._buckets.draw(org, -amount, now)
+        if now - self._shares_checked_at < SHARE_CHECK_INTERVAL_S:
+            return
+        self._shares_checked_at = now
+        self._rate_shares.expire(now)
+        share = self._rate_shares.present_share(now)
+        for org in self._organisations().values():
+            self._buckets.set_present_share(org, share, now)
+
+    def _organisations(self):
+        """Return the organisations that have a rate, by name."""
+        deployment = self._config.deployment
+        if deployment is None:
+            return {}
+        orgs = deployment.organisations_by_name
+        return {name: org for name, org in orgs.items() if org.rate_per_s}
+
     def _store_report(self, report, now):
         previous = self._reports.get(report.instance)
         if previous is not None:
@@ -251,6 +284,8 @@
             entries_age_s=self._servers.age_s(now),
             entry_number=self._servers.entry_number,
             entries=self._servers.changed_entries(report.seen_entry_number),
+            share=self._rate_shares.issue(report.instance, now),
+            fills=None,
         )
         if report.urgent:
             return update
@@ -263,15 +298,22 @@
             },
             crashes=tuple(self._crashes),
             leaving=self._leaving(),
+            fills=self._fills(now),
         )
 
+    def _fills(self, now):
+        fills = {
+            name: self._buckets.fill(org, now)
+            for name, org in self._organisations().items()
+        }
+        return {name: fill for name, fill in fills.items() if fill < 1.0}
+
     def _grant(self, report, now):
-        deployment = self._config.deployment
-        organisations = deployment.organisations_by_name if deployment else {}
+        organisations = self._organisations()
         grants, refill_waits_s = {}, {}
         for name, amount in report.draws.items():
             org = organisations.get(name)
-            if org is None or not org.rate_per_s:
+            if org is None:
                 continue
             grants[name] = self._buckets.draw(org, amount, now)
             if grants[name] < amount:
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -114,9 +114,7 @@
             update = await self._send_report(report)
         self._hears_leader = update is not None
         if update is None:
-            self._shared_state.accrue_even_shares(
-                self.instances or self._recorded_instances()
-            )
+            self._shared_state.accrue_shares(self._leadership.record)
             self._shared_state.restore_report(report)
             if not self.has_recent_update:
                 self._shared_state.servers.discard_leader_residencies()
@@ -145,6 +143,7 @@
             (self._residency_number, self._entry_number),
             elapsed_s,
             urgent,
+            self.instances or self._recorded_instances(),
         )
 
     async def _send_report(self, report):
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -88,6 +88,9 @@
         adapters: Adapters that its requests wait for.
         crashes: Requests that were in servers when these crashed.
         unreachable: Ids of servers to which a recent connection failed.
+        quota_fence: Fencing token of the last leader heard, 0 if there was
+            none.
+        share: Share of each rate that it uses while no leader answers.
     """
 
     instance: str
@@ -102,6 +105,8 @@
     adapters: tuple[AdapterRequest, ...]
     crashes: tuple[CrashReport, ...]
     unreachable: tuple[str, ...]
+    quota_fence: int
+    share: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +134,10 @@
         entries_age_s: Age of the leader's list of servers in seconds.
         entry_number: Number of the last server entry change included.
         entries: Server entries that changed, None for a removed one.
+        share: Share of each rate for the time without a leader, None to keep
+            the present one.
+        fills: Part of each burst that is left, for the organisations that
+            have used some of it; None in the reply to an urgent report.
     """
 
     fence: int
@@ -147,6 +156,8 @@
     entries_age_s: float
     entry_number: int
     entries: Mapping[str, ports.StoredObject | None]
+    share: float | None
+    fills: Mapping[str, float] | None
 
 
 def _pack(values):
@@ -173,13 +184,15 @@
             _pack(report.adapters),
             _pack(report.crashes),
             list(report.unreachable),
+            report.quota_fence,
+            report.share,
         ]
     )
 
 
 def decode_report(data):
     """Return the Report in a message; raise BadMessage if it is invalid."""
-    fields = _fields(data, 13)
+    fields = _fields(data, 15)
     try:
         return Report(
             str(fields[1]),
@@ -194,6 +207,8 @@
             tuple(AdapterRequest(*row) for row in fields[10]),
             tuple(CrashReport(*row) for row in fields[11]),
             tuple(str(server) for server in fields[12]),
+            int(fields[13]),
+            float(fields[14]),
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected the fields of a report: {exc}') from exc
@@ -234,13 +249,15 @@
                 server: obj and [obj.name, obj.revision, obj.value]
                 for server, obj in update.entries.items()
             },
+            update.share,
+            None if update.fills is None else dict(update.fills),
         ]
     )
 
 
 def decode_update(data):
     """Return the LeaderUpdate in a message; raise BadMessage if invalid."""
-    fields = _fields(data, 17)
+    fields = _fields(data, 19)
     try:
         return LeaderUpdate(
             int(fields[1]),
@@ -262,6 +279,8 @@
                 str(server): row and ports.StoredObject(*row)
                 for server, row in fields[16].items()
             },
+            None if fields[17] is None else float(fields[17]),
+            fields[18] and {str(k): float(v) for k, v in fields[18].items()},
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(
--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -162,7 +162,7 @@
                 and the local quota does not cover the request.
         """
         org = job.organisation
-        if org is None or self._local_quota.charge(org, job.cost):
+        if org is None or self._charge(org, job.cost):
             return
         self._local_quota.add_pending(org, job.cost)
         try:
@@ -187,6 +187,12 @@
             retry_after_s=max(wait_s, RETRY_ELSEWHERE_AFTER_S),
         )
 
+    def _charge(self, org, cost):
+        if self._exchange.hears_leader:
+            return self._local_quota.charge(org, cost)
+        now = anyio.current_time()
+        return self._local_quota.charge_without_leader(org, cost, now)
+
     async def _await_quota(self, org, job):
         """Draw quota; return whether the request could be charged."""
         with anyio.move_on_after(QUOTA_TIMEOUT_S):
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -69,7 +69,7 @@
         ]
         return len(records)
 
-    def make_report(self, instance, seen, elapsed_s, urgent):
+    def make_report(self, instance, seen, elapsed_s, urgent, instances):
         """Return the next Report to the leader.
 
         Args:
@@ -79,6 +79,7 @@
             elapsed_s: Seconds since the last report.
             urgent: Whether the report contains only draws on rates and
                 requests for adapters, and no loads or demand.
+            instances: Number of instances that share the rates.
         """
         now = anyio.current_time()
         crash_reports, self._crash_reports = (
@@ -91,6 +92,7 @@
             loads, rows = {}, ()
         else:
             loads, rows = self._loads(), self.demand.take_demand()
+        self.local_quota.set_first_share(instances)
         return messages.Report(
             instance=instance,
             urgent=urgent,
@@ -104,6 +106,8 @@
             adapters=tuple(adapter_requests),
             crashes=tuple(crash_reports),
             unreachable=tuple(self.servers.health.unreachable_servers(now)),
+            quota_fence=self.local_quota.fence,
+            share=self.local_quota.share,
         )
 
     def _loads(self):
@@ -119,18 +123,25 @@
         for name, amount in report.draws.items():
             self.local_quota.add_granted(name, -amount)
 
-    def accrue_even_shares(self, instances):
-        """Accrue an even share of each rate while the leader does not answer.
+    def accrue_shares(self, record):
+        """Accrue the shares of all rates while the leader does not answer.
 
         Args:
-            instances: Number of instances that share the rates.
+            record: The DutyRecord as last read, or None.
         """
-        if self.config.deployment is None:
-            return
+        if record is not None:
+            self.local_quota.record_lease(record.fence, record.renewals)
         now = anyio.current_time()
-        for org in self.config.deployment.organisations_by_name.values():
-            if org.rate_per_s:
-                self.local_quota.accrue_even_share(org, instances, now)
+        for org in self._orgs():
+            self.local_quota.accrue(org, now)
+
+    def _orgs(self):
+        """Return the organisations that have a rate."""
+        deployment = self.config.deployment
+        if deployment is None:
+            return []
+        orgs = deployment.organisations_by_name.values()
+        return [org for org in orgs if org.rate_per_s]
 
     def apply_update(self, update, sent_at):
         """Apply the leader's update, its reply to a report.
@@ -140,8 +151,7 @@
             sent_at: Time in seconds at which the report was sent, time in
                 suspend included.
         """
-        anyio.current_time()
-        self.local_quota.reset_accrual()
+        self.local_quota.apply_share(update.fence, update.share, update.fills)
         for name, amount in update.grants.items():
             self.local_quota.add_granted(name, amount)
         if update.config_value is not None:
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -46,6 +46,8 @@
         'adapters': (),
         'crashes': (),
         'unreachable': (),
+        'quota_fence': 1,
+        'share': 0.1,
     }
     return messages.Report(**fields | changes)
 
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -19,6 +19,8 @@
     (messages.AdapterRequest('engines', 'm1', 'a1'),),
     (messages.CrashReport('abc', 's1', 17),),
     ('s9',),
+    2,
+    0.25,
 )
 UPDATE = messages.LeaderUpdate(
     3,
@@ -37,6 +39,8 @@
     0.2,
     5,
     {'s1': ports.StoredObject('s1', 3, {'state': 'ready'}), 's3': None},
+    0.25,
+    {'desk': 0.9},
 )
 
 
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -38,7 +38,7 @@
         messages.ModelDemand(leader_fixture.SERVICE, 'b', 10, 10, 0, 0.4),
     )
     report = messages.Report(
-        'front-1', False, 1, 0.0, 0, 0, {}, {}, demand, (), (), ()
+        'front-1', False, 1, 0.0, 0, 0, {}, {}, demand, (), (), (), 1, 0.0
     )
     fixture.cluster.handle_report(report)
     await anyio.sleep(1.0)
--- a/packages/gateway/tests/serving/test_access.py
+++ b/packages/gateway/tests/serving/test_access.py
@@ -18,7 +18,6 @@
         started: Number of exchanges that were waited for.
     """
 
-    has_recent_update = True
     silent_s = 1.0
 
     def __init__(self, local_quota, answer_s=None, granted=0.0):
