--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -94,6 +94,9 @@
             each server; empty if it has a seen_residency_number.
         known_entries: Digest of the entry that the instance has of each
             server; empty if it has a seen_entry_number.
+        quota_fence: Fencing token of the last leader heard, 0 if there was
+            none.
+        share: Share of each rate that it uses while no leader answers.
     """
 
     instance: str
@@ -111,6 +114,8 @@
     capacity: float
     known_residencies: Mapping[str, int]
     known_entries: Mapping[str, int]
+    quota_fence: int
+    share: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,6 +143,10 @@
         entries_age_s: Age of the leader's list of servers in seconds.
         entry_number: Number of the last server entry change included.
         entries: Server entries that changed, None for a removed one.
+        share: Share of each rate for the time without a leader, None to keep
+            the present one.
+        fills: Part of each burst that is left, for the organisations that
+            have used some of it; None in the reply to an urgent report.
     """
 
     fence: int
@@ -156,6 +165,8 @@
     entries_age_s: float
     entry_number: int
     entries: Mapping[str, ports.StoredObject | None]
+    share: float | None
+    fills: Mapping[str, float] | None
 
 
 def _pack(values):
@@ -185,13 +196,15 @@
             report.capacity,
             dict(report.known_residencies),
             dict(report.known_entries),
+            report.quota_fence,
+            report.share,
         ]
     )
 
 
 def decode_report(data):
     """Return the Report in a message; raise BadMessage if it is invalid."""
-    fields = _fields(data, 16)
+    fields = _fields(data, 18)
     try:
         return Report(
             str(fields[1]),
@@ -209,6 +222,8 @@
             float(fields[13]),
             {str(k): int(v) for k, v in fields[14].items()},
             {str(k): int(v) for k, v in fields[15].items()},
+            int(fields[16]),
+            float(fields[17]),
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected the fields of a report: {exc}') from exc
@@ -242,13 +257,15 @@
                 server: obj and [obj.name, obj.revision, obj.value]
                 for server, obj in update.entries.items()
             },
+            update.share,
+            None if update.fills is None else dict(update.fills),
         ]
     )
 
 
 def decode_update(data):
     """Return the LeaderUpdate in a message; raise BadMessage if invalid."""
-    fields = _fields(data, 17)
+    fields = _fields(data, 19)
     try:
         return LeaderUpdate(
             int(fields[1]),
@@ -270,6 +287,8 @@
                 str(server): row and ports.StoredObject(*row)
                 for server, row in fields[16].items()
             },
+            None if fields[17] is None else float(fields[17]),
+            fields[18] and {str(k): float(v) for k, v in fields[18].items()},
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -179,5 +179,7 @@
         'capacity': 0.7,
         'known_residencies': {},
         'known_entries': {},
+        'quota_fence': 1,
+        'share': 0.1,
     }
     return messages.Report(**fields | changes)
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -22,6 +22,8 @@
     0.36,
     {'s1': 4_000_000_000},
     {'s1': 12},
+    2,
+    0.25,
 )
 UPDATE = messages.LeaderUpdate(
     3,
@@ -40,6 +42,8 @@
     0.2,
     5,
     {'s1': ports.StoredObject('s1', 3, {'state': 'ready'}), 's3': None},
+    0.25,
+    {'desk': 0.9},
 )
 
 
