gateway: Let small instances wait from the moment a lease is free

The small leader lost the lease after 3.5 s and once more after 2.5 s ('no answer in 0.6 s'); until 27 s about half of the requests were refused. The wait now counts from the first read at which the lease was free, and a small leader hands over after 2.5 s of its term, within which all instances have reported.

test_small_instance_waits_from_the_resignation failed before.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
@@ -32,7 +32,7 @@
 
 # A leader hands over to larger instances after this many seconds of its term.
 # Meanwhile all instances have reported to it.
-MIN_TERM_S = 4.0
+MIN_TERM_S = 2.5
 
 
 class TakeoverReason(enum.Enum):
@@ -91,6 +91,7 @@
     def __init__(self):
         self._record = None
         self._unchanged_since = None
+        self._free_since = None
         self._last_read_at = None
 
     def observe(self, record, sent_at, received_at):
@@ -104,6 +105,7 @@
         if record != self._record or self._unchanged_since is None:
             self._record = record
             self._unchanged_since = received_at
+            self._free_since = None
         self._last_read_at = sent_at
 
     @property
@@ -118,6 +120,8 @@
     ):
         """Return why this instance may take over, or None if it may not.
 
+        Called after each read of the lease.
+
         Args:
             lease_s: Seconds without a change after which a lease has expired.
             own_name: Name of this instance.
@@ -143,9 +147,14 @@
             reason, required_s = TakeoverReason.REFUSED, REFUSED_TAKEOVER_S
         else:
             reason, required_s = TakeoverReason.EXPIRED, lease_s
-        if capacity < record.min_capacity:
-            required_s += DEFERENCE_S
-        return reason if self.unchanged_s >= required_s else None
+        if self.unchanged_s < required_s:
+            return None
+        if self._free_since is None:
+            self._free_since = self._last_read_at
+        is_small = capacity < record.min_capacity
+        if is_small and self._last_read_at - self._free_since < DEFERENCE_S:
+            return None
+        return reason
 
 
 def is_lease_valid(now, renewal_sent_at, lease_s):
--- a/packages/gateway/tests/decisions/test_lease.py
+++ b/packages/gateway/tests/decisions/test_lease.py
@@ -57,11 +57,25 @@
         record = dataclasses.replace(RECORD, min_capacity=2.0)
         released = dataclasses.replace(record, holder='')
         for first, wait_s in ((record, LEASE_S), (released, 0.0)):
-            early = make_observer((first, 0.0), (first, wait_s + 0.9))
-            late = make_observer((first, 0.0), (first, wait_s + 1.5))
-            self.assertFalse(may_take_over(early))
-            self.assertTrue(may_take_over(early, capacity=2.0))
-            self.assertTrue(may_take_over(late))
+            observer = make_observer((first, 0.0))
+            reads = []
+            for step in range(20):
+                at = wait_s + 0.1 + 0.1 * step
+                observer.observe(first, at, at)
+                reads.append(may_take_over(observer))
+            self.assertTrue(may_take_over(observer, capacity=2.0))
+            self.assertEqual(reads, [False] * 13 + [True] * 7)
+
+    def test_small_instance_waits_from_the_resignation(self):
+        # Guards against a small instance that takes over at once from a
+        # leader whose renewals had failed for a time before it resigned.
+        record = dataclasses.replace(RECORD, min_capacity=2.0)
+        observer = make_observer((record, 0.0), (record, 2.4))
+        self.assertFalse(may_take_over(observer, resigned=True))
+        observer.observe(record, 3.0, 3.0)
+        self.assertFalse(may_take_over(observer, resigned=True))
+        observer.observe(record, 3.8, 3.8)
+        self.assertTrue(may_take_over(observer, resigned=True))
 
     def test_reason_tells_an_expired_lease_from_one_that_was_given_up(self):
         reasons = lease.TakeoverReason
