gateway: Bound what the leader repeats to all instances

A small instance's link carries 0.6 MB/s: a small leader fails by itself, however it came to lead.

Entries now count as changed without their models, urgent updates have none, and a crash is repeated for 5 s, except to instances that follow a leader for the first time.

test_changes_of_models_are_not_passed_on, test_urgent_update_contains_no_entries and test_crash_is_not_repeated_in_all_updates failed before.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -25,6 +25,10 @@
 
 MAX_CRASHES = 200
 
+# Seconds for which a crash is repeated in the updates. In a large cluster an
+# instance exchanges about once a second, and an exchange may fail.
+CRASH_REPEAT_S = 5.0
+
 # Interval in seconds at which silent instances are looked for, to withhold
 # their shares of the rates.
 SHARE_CHECK_INTERVAL_S = 0.25
@@ -387,9 +391,7 @@
             leaving=(),
             entries_age_s=self._servers.age_s(now),
             entry_number=self._servers.entry_number,
-            entries=self._servers.changed_entries(
-                report.seen_entry_number, report.known_entries
-            ),
+            entries={},
             share=self._rate_shares.issue(report.instance, now),
             fills=None,
         )
@@ -402,11 +404,24 @@
                 key: max(0.0, ready_at - now)
                 for key, ready_at in self._loading.items()
             },
-            crashes=tuple(self._crashes),
+            crashes=self._crashes_for(report, now),
             leaving=self._leaving(),
+            entries=self._servers.changed_entries(
+                report.seen_entry_number, report.known_entries
+            ),
             fills=self._fills(now),
         )
 
+    def _crashes_for(self, report, now):
+        """Return the crashes that an instance may not have heard of."""
+        if not report.seen_residency_number:
+            return tuple(self._crashes)
+        return tuple(
+            crash
+            for crash, reported_at in self._crashes.items()
+            if now - reported_at < CRASH_REPEAT_S
+        )
+
     def _changed_residencies(self, report):
         return {
             server: published.residency
--- a/packages/gateway/src/wagtailtide_gateway/control/digests.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/digests.py
@@ -25,8 +25,10 @@
 
 
 def server_digest(server):
-    """Return the digest of a listed BackendServer."""
-    residency = server.residency
+    """Return the digest of a listed BackendServer without its models.
+
+    The models change with each order and reach the instances as residencies.
+    """
     return zlib.crc32(
         cbor2.dumps(
             [
@@ -36,9 +38,7 @@
                 server.slots,
                 server.leaving,
                 server.time_left_s,
-                residency_fields(residency),
-                sorted(residency.in_memory),
-                sorted(residency.on_disk),
+                server.residency.process_start_ms,
             ]
         )
     )
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -76,7 +76,7 @@
         instance: Name of the instance.
         urgent: Whether the report only draws from rates and requests adapters.
             Its loads and demand are empty, and the update has no loads,
-            loading_s, crashes or leaving.
+            loading_s, crashes, leaving or entries.
         config_version: Configuration version in force.
         config_age_s: Seconds since the configuration was confirmed.
         seen_residency_number: Number of the last residency change of this
@@ -138,7 +138,8 @@
         loading_s: Seconds until each loading model is ready, by service and
             model.
         crashes: Requests that were in servers when these crashed, as reported
-            by all instances.
+            by all instances in the last seconds; all of them for an instance
+            without a seen_residency_number.
         leaving: Ids of servers that accept no new requests.
         entries_age_s: Age of the leader's list of servers in seconds.
         entry_number: Number of the last server entry change included.
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -100,7 +100,8 @@
         health: Failure rates of the servers.
         has_list: Whether a whole list has been received.
         own_list_count: Number of whole lists that this instance has read.
-        entry_number: Number of the last change of an entry.
+        entry_number: Number of the last change of an entry, other than of its
+            models.
     """
 
     def __init__(self, decode, on_change):
@@ -267,7 +268,8 @@
         # unchanged, because the other instances may have removed it.
         is_changed = (
             state is None
-            or state.server != server
+            or digests.server_digest(state.server)
+            != digests.server_digest(server)
             or state.missing_since is not None
         )
         if state is None or state.server.residency.process_start_ms != (
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -22,7 +22,7 @@
         return 0.0
 
     def changed_entries(self, number, known):
-        return {}
+        return {'s1': None}
 
 
 class FakeConfig:
@@ -148,6 +148,33 @@
         use = cluster.usage_by_model('engines', anyio.current_time())['m1']
         self.assertAlmostEqual(4.0, use.adapter_misses_per_s, delta=0.1)
 
+    @virtual_time.run_without_io
+    async def test_urgent_update_contains_no_entries(self):
+        # Guards against sending changed entries, which are applied with the
+        # next full update, again with each draw on a rate.
+        cluster = make_cluster()
+        urgent = cluster.handle_report(builders.make_report(urgent=True))
+        full = cluster.handle_report(builders.make_report())
+        self.assertEqual((urgent.entries, full.entries), ({}, {'s1': None}))
+
+    @virtual_time.run_without_io
+    async def test_crash_is_not_repeated_in_all_updates(self):
+        # Guards against updates that grow with each crash of the day until
+        # they fill the leader's link.
+        cluster = make_cluster()
+        cluster.publish('s1', builders.make_residency(['m1']))
+        crash = messages.CrashReport('abc', 's1', 17)
+        cluster.handle_report(builders.make_report(crashes=(crash,)))
+        seen = {'seen_residency_number': 1}
+        first = cluster.handle_report(builders.make_report('front-2', **seen))
+        await anyio.sleep(cluster_state.CRASH_REPEAT_S)
+        later = cluster.handle_report(builders.make_report('front-2', **seen))
+        new = cluster.handle_report(builders.make_report('front-3'))
+        self.assertEqual(
+            (first.crashes, later.crashes, new.crashes),
+            ((crash,), (), (crash,)),
+        )
+
     @virtual_time.run_without_io
     async def test_new_term_starts_without_reports(self):
         cluster = make_cluster()
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -130,6 +130,18 @@
         leader.apply_list([stored(builders.make_server('s1'), 9)], 9, 1.0)
         self.assertEqual(leader.changed_entries(seen, {}), {})
 
+    def test_changes_of_models_are_not_passed_on(self):
+        # Guards against sending each entry again with each adapter order; the
+        # models reach the instances as residencies.
+        leader = make_view(builders.make_server('s1'))
+        seen = leader.entry_number
+        loaded = builders.make_server(
+            's1', residency=builders.make_residency(['m1'])
+        )
+        leader.apply_list([stored(loaded, 9)], 9, 1.0)
+        self.assertEqual(leader.changed_entries(seen, {}), {})
+        self.assertIn('m1', leader.states['s1'].residency.models)
+
     def test_new_leader_sends_only_what_an_instance_lacks(self):
         # Guards against sending the whole list to each instance at a takeover.
         follower = make_view(
