Answer with an error if the deadline passes as the first event arrives

If the deadline of a stream passed as its first event arrived, the caller saw its connection closed without any response: the event was not written, but the response counted as started. It is the same moment as that of a response that is complete at the deadline, for streams.

The response now stays unsent if the request was cancelled before the write, so that the caller gets 504.

test_deadline_before_the_first_event_leaves_the_response_unsent failed before.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -6,6 +6,7 @@
 import logging
 
 import anyio
+from anyio import lowlevel
 import h11
 
 from wagtailtide_gateway.http import sockets
@@ -92,6 +93,9 @@
 
     async def send(self, data):
         """Send a part of the body; raises CallerDisconnected."""
+        if self._head is not None:
+            # If the request was cancelled, it can still get an error response.
+            await lowlevel.checkpoint_if_cancelled()
         out = self._take_head() + self._h11.send(h11.Data(data=data))
         await self._write(out)
 
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -204,6 +204,26 @@
             )
             self.assertIn(b' 200 ', await read_all(stream))
 
+    @virtual_time.run_in_virtual_time
+    async def test_deadline_before_the_first_event_leaves_the_response_unsent(
+        self,
+    ):
+        # Guards against a connection that is closed without any response,
+        # because the response counts as started and nothing was written.
+        async def stream_when_cancelled(request, out):
+            with anyio.CancelScope() as scope:
+                scope.cancel()
+                out.start(200, [])
+                await out.send(b'x')
+            await out.respond(504, [], b'')
+
+        async with listening(stream_when_cancelled) as connect:
+            stream = await connect()
+            await stream.send(
+                b'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+            )
+            self.assertIn(b' 504 ', await read_all(stream))
+
     @virtual_time.run_in_virtual_time
     async def test_handler_is_cancelled_when_its_caller_disconnects(self):
         ended = anyio.Event()
