Stop waiting for the orders of an engine that has restarted

Requests waited for models that no engine was loading: after a crash, the leader went on waiting for the order of the previous process until it was overdue, and reported the model as loading meanwhile.

The wait now ends once the engine is known to have restarted or gone. It still goes on from the crash to the removal of the entry, about 3 s. The new test fails on the code before.

--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -255,6 +255,8 @@
         await anyio.sleep(expected_s)
         limit_s = expected_s * OVERDUE_FACTOR + OVERDUE_MARGIN_S
         while anyio.current_time() - started_at < limit_s:
+            if self._fleet.engines.get(server_id) is not engine:
+                return False
             report = await self._client.refresh(server_id, engine)
             if report is not None and not report.busy:
                 return (name in engine.residency.models) == load
--- a/packages/gateway/tests/control/leader_fixture.py
+++ b/packages/gateway/tests/control/leader_fixture.py
@@ -24,13 +24,17 @@
 class FakeEngineClient:
     """Client of engines that carry out each order at once.
 
+    Args:
+        fleet: The Fleet.
+
     Attributes:
         sent: Time, server id, load, model and adapter of each order.
         statuses: HTTP statuses of the next orders; 202 once it is empty.
         busy: Whether reports state that an order is in progress.
     """
 
-    def __init__(self):
+    def __init__(self, fleet):
+        self._fleet = fleet
         self.sent = []
         self.statuses = []
         self.busy = False
@@ -59,11 +63,12 @@
 
     async def await_idle(self, server_id, engine):
         """Wait until reports state that no order is in progress."""
-        while True:
+        while self._fleet.engines.get(server_id) is engine:
             report = await self.refresh(server_id, engine)
             if not report.busy:
                 return True
             await anyio.sleep(0.1)
+        return False
 
 
 class LeaderFixture:
@@ -93,7 +98,7 @@
             self.config, self.servers, FakeLeadership()
         )
         self.fleet = fleet.Fleet(self.config, self.servers, self.cluster)
-        self.client = FakeEngineClient()
+        self.client = FakeEngineClient(self.fleet)
 
     @property
     def service(self):
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -119,3 +119,21 @@
             await anyio.sleep(25.0)
             self.assertTrue(engine.busy)
             tg.cancel_scope.cancel()
+
+    @virtual_time.run_without_io
+    async def test_model_does_not_count_as_loading_on_a_crashed_engine(self):
+        # Guards against requests that wait for a load that has ended.
+        fixture, orders = make_fixture('a')
+        fixture.client.busy = True
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(plan_for, fixture, orders, 'c', 30.0)
+            await anyio.sleep(2.5)
+            self.assertTrue(fixture.cluster._loading)
+            residency = builders.make_residency(process_start_ms=2)
+            fixture.set_listed_servers(
+                builders.make_server('e1', residency=residency)
+            )
+            fixture.fleet.sync_with_list()
+            await anyio.sleep(0.5)
+            self.assertEqual({}, fixture.cluster._loading)
+            tg.cancel_scope.cancel()
