Test the hand-over of shares to a new leader at the cluster state

A new leader grants only for the shares handed over to it, and a fleet that restarts together has its rates back after two exchanges. Both pass on.

--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -1,3 +1,4 @@
+import types
 import unittest
 
 import anyio
@@ -132,3 +133,50 @@
         cluster.handle_report(make_report('front-1', loads={'s1': 3}))
         cluster.handle_report(make_report('front-1', urgent=True))
         self.assertEqual(cluster.load_of('s1'), 3)
+
+    @virtual_time.run_without_io
+    async def test_new_leader_grants_rates_only_for_shares_handed_over(self):
+        # Guards against a new leader that shares out the whole rate while
+        # other instances, which do not reach it, use their shares.
+        org = builders.make_organisation(rate_per_s=1_000.0, burst=1_000.0)
+        config = FakeConfig()
+        config.deployment = types.SimpleNamespace(
+            organisations_by_name={'club': org}
+        )
+        cluster = make_cluster(config)
+        cluster._leadership.fence = 2
+        update = cluster.handle_report(make_report(share=0.25))
+        self.assertEqual((update.fence, update.share), (2, None))
+        draws = {'club': 5_000.0}
+        granted = 0.0
+        for _ in range(8):
+            await anyio.sleep(0.25)
+            update = cluster.handle_report(
+                make_report(quota_fence=2, share=0.25, draws=draws)
+            )
+            granted += update.grants['club']
+        self.assertEqual(update.share, 0.25)
+        self.assertAlmostEqual(granted, 0.25 * 1_000 * 1.75, delta=1.0)
+
+    @virtual_time.run_without_io
+    async def test_restarted_instances_get_their_rate_back_at_once(self):
+        # Guards against a fleet that restarts together and is refused its
+        # rates until the shares of its old processes have expired.
+        org = builders.make_organisation(rate_per_s=1_000.0, burst=1_000.0)
+        config = FakeConfig()
+        config.deployment = types.SimpleNamespace(
+            organisations_by_name={'club': org}
+        )
+        cluster = make_cluster(config)
+        cluster._leadership.fence = 7
+        for fence in (0, 7):
+            for name in ('front-1', 'front-2'):
+                cluster.handle_report(
+                    make_report(name, quota_fence=fence, share=0.5)
+                )
+            await anyio.sleep(0.3)
+        draws = {'club': 5_000.0}
+        cluster.handle_report(make_report(quota_fence=7, draws=draws))
+        await anyio.sleep(1.0)
+        update = cluster.handle_report(make_report(quota_fence=7, draws=draws))
+        self.assertAlmostEqual(update.grants['club'], 1_000.0, delta=1.0)
