Charge the own share when the leader is too slow to answer

Ruled out: a shorter wait, since a slow leader that does answer serves more than the share does.

When the wait ends without an answer, the request is charged to the share, as while no leader answers. The bound holds as before: what is charged to the share is drawn from the buckets of the same leader once it answers.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/quota.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/quota.py
@@ -356,7 +356,18 @@
         self._accrued[org.name] = self._accrued.get(org.name, 0.0) + added
 
     def charge_without_leader(self, org, cost, now):
-        """Accrue a share and charge a request to it.
+        """Charge a request while no leader answers.
+
+        Returns:
+            Whether the local quota covers the request.
+        """
+        if not org.rate_per_s:
+            return True
+        self._charged[org.name] = self._charged.get(org.name, 0.0) + cost
+        return self.charge_share_counted(org, cost, now)
+
+    def charge_share_counted(self, org, cost, now):
+        """Charge a request to a share; its usage was counted before.
 
         With many instances, a share may be less than one request. Each
         instance therefore admits its first request at a random part of the
@@ -366,10 +377,7 @@
         Returns:
             Whether the local quota covers the request.
         """
-        if not org.rate_per_s:
-            return True
         self.accrue(org, now)
-        self._charged[org.name] = self._charged.get(org.name, 0.0) + cost
         threshold = self._thresholds.setdefault(org.name, random.random())
         balance = self._balance.get(org.name, 0.0)
         if balance <= 0.0 or balance < cost * threshold:
--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -202,7 +202,10 @@
                     return True
                 if org.name in self._exchange.refill_waits_s:
                     return False
-        return self._local_quota.charge_counted(org, job.cost)
+        # The leader is too slow or has stopped answering.
+        return self._local_quota.charge_share_counted(
+            org, job.cost, anyio.current_time()
+        )
 
     def refund(self, job):
         """Refund the charge of a request that did not run."""
--- a/packages/gateway/tests/serving/test_access.py
+++ b/packages/gateway/tests/serving/test_access.py
@@ -1,5 +1,6 @@
 import types
 import unittest
+from unittest import mock
 
 import anyio
 from wagtailtide_core.errors import kinds
@@ -16,6 +17,7 @@
     Attributes:
         hears_leader: Whether the leader answered the last exchange.
         started: Number of exchanges that were waited for.
+        local_quota: The LocalQuota of the instance.
     """
 
     silent_s = 1.0
@@ -24,7 +26,7 @@
         self.refill_waits_s = {}
         self.hears_leader = True
         self.started = 0
-        self._local_quota = local_quota
+        self.local_quota = local_quota
         self._answer_s = answer_s
         self._granted = granted
 
@@ -34,7 +36,7 @@
         await anyio.sleep(self._answer_s or 0.002)
         self.hears_leader = self._answer_s is not None
         if self.hears_leader:
-            self._local_quota.add_granted('club', self._granted)
+            self.local_quota.add_granted('club', self._granted)
 
 
 def make_access(**exchange_options):
@@ -79,6 +81,16 @@
         await charged.charge(job)
         self.assertEqual(exchange.started, 1)
 
+    @virtual_time.run_without_io
+    async def test_share_covers_a_request_that_a_slow_leader_did_not(self):
+        # Guards against refusing what the instance could serve by itself.
+        charged, exchange, job = make_access(answer_s=5.0)
+        exchange.local_quota.apply_share(1, 1.0, {})
+        job.cost = 0.25 * job.organisation.burst
+        with mock.patch('random.random', return_value=0.9):
+            await charged.charge(job)
+        self.assertEqual(anyio.current_time(), access.QUOTA_TIMEOUT_S)
+
     @virtual_time.run_without_io
     async def test_rate_refused_by_the_leader_is_reported_as_exceeded(self):
         charged, exchange, job = make_access(answer_s=0.01)
