Evict models without running requests first

A load began up to 5.3 s after its order, because the engine first unloaded a model with running requests, and an unload waits for these. Meanwhile the engine takes no order, also none for an adapter.

Cause: the costs of the engines did not include the wait for an unload, so that an engine with an idle model was no better than one whose model had just begun to serve the request that it was loaded for.

Ruled out: late answers of the engines to the unload orders (all were answered at once with 202).

Demand now has the running requests of a model. An engine whose victims have some counts as 2 s slower.

test_model_without_running_requests_is_evicted_first failed with the new term set to 0.

--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -159,6 +159,7 @@
                 busy_slots=max(
                     row.running + row.waiting, row.rate_per_s * service_s
                 ),
+                running=row.running,
                 waiting=row.waiting,
                 idle=placement.is_idle(row.idle_s, row.last_rate_per_s),
                 deferrable=row.target_s >= placement.DEFERRABLE_TARGET_S,
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -23,6 +23,10 @@
 # Seconds for which an evicted model cannot serve, until it is loaded again.
 EVICTION_OUTAGE_S = 2.5
 
+# Seconds that an unload waits for the model's running requests. The engine
+# takes no other order meanwhile.
+UNLOAD_WAIT_S = 2.0
+
 # The gain of a new copy must exceed the loss of the evicted copies by this
 # factor. Otherwise two models with similar demand would evict each other in
 # turn.
@@ -115,6 +119,7 @@
     Attributes:
         model: Name of the model.
         busy_slots: Slots that requests for the model use or wait for.
+        running: Requests that run on engines.
         waiting: Requests that wait because no copy can run them.
         idle: Whether requests for the model seem to have stopped.
         deferrable: Whether the latency targets of the requests leave time to
@@ -126,6 +131,7 @@
 
     model: str
     busy_slots: float
+    running: int
     waiting: int
     idle: bool
     deferrable: bool
@@ -187,6 +193,11 @@
     return demand is None or (demand.idle and not demand.waiting)
 
 
+def _is_running(snapshot, name):
+    demand = snapshot.demand.get(name)
+    return demand is not None and demand.running > 0
+
+
 def target_copies(snapshot, name):
     """Return how many engines should hold a model.
 
@@ -390,9 +401,10 @@
         loss = sum(copy_loss(snapshot, name) for name in victims)
         delayed_slots = max(1.0, snapshot.demand[model.name].busy_slots)
         delayed_slots += _adapter_misses_per_s(snapshot, engine, victims)
-        cost = EVICTION_OUTAGE_S * loss + delayed_slots * load_time_s(
-            model, engine
-        )
+        delay_s = load_time_s(model, engine)
+        if any(_is_running(snapshot, name) for name in victims):
+            delay_s += UNLOAD_WAIT_S
+        cost = EVICTION_OUTAGE_S * loss + delayed_slots * delay_s
         cost += engine.load / snapshot.slots
         if best is None or cost < best[0]:
             best = (cost, engine, victims)
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -35,6 +35,7 @@
     fields = {
         'model': model,
         'busy_slots': busy_slots,
+        'running': 0,
         'waiting': 0,
         'idle': False,
         'deferrable': False,
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -165,6 +165,22 @@
         (step,) = plan(engines, demand)
         self.assertEqual('e2', step.engine)
 
+    def test_model_without_running_requests_is_evicted_first(self):
+        # An unload waits for the running requests of its model. Engines were
+        # blocked for up to five seconds before the load began.
+        engines = [
+            builders.make_engine_view('e1', ('a', 'b')),
+            builders.make_engine_view('e2', ('d', 'e'), load=12.0),
+        ]
+        demand = [
+            *(builders.make_demand(m, 9.0, running=9) for m in 'ad'),
+            builders.make_demand('b', 1.0, running=1, deferrable=True),
+            builders.make_demand('e', 1.0, deferrable=True),
+            builders.make_demand('c', 2.0, waiting=2, deferrable=True),
+        ]
+        (step,) = plan(engines, demand)
+        self.assertEqual(('e2', ('e',)), (step.engine, step.victims))
+
     def test_copies_follow_busy_slots(self):
         engines = [
             builders.make_engine_view('e1', ('a',)),
