Preload no models after a change of the leader

After a change of the leader no model that callers waited for was loaded from the weight store for five seconds. A new leader takes all loads that the rate allows as started by the previous one, except three.

Cause: models are preloaded before the first request of a service. A new leader has no reports yet and took this for a start without requests.

Ruled out: models asked for through reports that came later in the same second; these steps have a demand in their log line.

In a term other than the first of all, the leader takes the first request as long past.

test_later_leader_preloads_nothing failed on the code before (b was loaded although nobody asked for it).

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -112,6 +112,7 @@
         self._crashes = {}
         self._loading = {}
         self._first_request_at = {}
+        self._requested_before = False
         self._adapter_requested = anyio.Event()
         self.adapter_requests = {}
 
@@ -125,6 +126,8 @@
             # There was no leader before, so nothing was drawn and the buckets
             # are full.
             self._buckets = quota.TokenBuckets(float('-inf'))
+        else:
+            self._requested_before = True
 
     @property
     def instance_count(self):
@@ -237,7 +240,12 @@
         return traffic.target_s if traffic else None
 
     def since_first_request_s(self, service, now):
-        """Return the seconds since a service's first request, 0 if none."""
+        """Return the seconds since a service's first request, 0 if none.
+
+        A previous leader is taken to have seen requests long ago.
+        """
+        if self._requested_before:
+            return float('inf')
         first_request_at = self._first_request_at.get(service)
         return 0.0 if first_request_at is None else now - first_request_at
 
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -123,3 +123,15 @@
             await anyio.sleep(1.0)
             tg.cancel_scope.cancel()
         self.assertEqual([], fixture.client.sent)
+
+    @virtual_time.run_without_io
+    async def test_later_leader_preloads_nothing(self):
+        # A new leader has no reports at first. It took this for a start
+        # without requests and blocked the engines with loads of models that
+        # nobody asked for.
+        fixture, orders = make_fixture('a')
+        fixture.cluster._leadership.fence = 2
+        fixture.cluster.reset_on_new_term()
+        async with anyio.create_task_group() as tg:
+            orders.plan(tg, anyio.current_time())
+        self.assertEqual([], fixture.client.sent)
