--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -149,6 +149,7 @@
         self._crashes = {}
         self._loading = {}
         self._first_request_at = {}
+        self._requested_before = False
         self._adapter_requested = anyio.Event()
         self.adapter_requests = {}
         self._response_count = 0
@@ -169,6 +170,8 @@
             # are full.
             self._buckets = quota.TokenBuckets(float('-inf'))
             self._rate_shares = quota.RateShares(float('-inf'))
+        else:
+            self._requested_before = True
 
     def summary(self):
         """Return the ClusterSummary of this term."""
@@ -327,7 +330,12 @@
         return traffic.target_s if traffic else None
 
     def since_first_request_s(self, service, now):
-        """Return the seconds since a service's first request, 0 if none."""
+        """Return the seconds since a service's first request, 0 if none.
+
+        A previous leader is taken to have seen requests long ago.
+        """
+        if self._requested_before:
+            return float('inf')
         first_request_at = self._first_request_at.get(service)
         return 0.0 if first_request_at is None else now - first_request_at
 
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -204,14 +204,14 @@
         )
         cluster = make_cluster(config)
         cluster._leadership.fence = 2
-        update = cluster.handle_report(make_report(share=0.25))
+        update = cluster.handle_report(builders.make_report(share=0.25))
         self.assertEqual((update.fence, update.share), (2, None))
         draws = {'club': 5_000.0}
         granted = 0.0
         for _ in range(8):
             await anyio.sleep(0.25)
             update = cluster.handle_report(
-                make_report(quota_fence=2, share=0.25, draws=draws)
+                builders.make_report(quota_fence=2, share=0.25, draws=draws)
             )
             granted += update.grants['club']
         self.assertEqual(update.share, 0.25)
@@ -231,11 +231,13 @@
         for fence in (0, 7):
             for name in ('front-1', 'front-2'):
                 cluster.handle_report(
-                    make_report(name, quota_fence=fence, share=0.5)
+                    builders.make_report(name, quota_fence=fence, share=0.5)
                 )
             await anyio.sleep(0.3)
         draws = {'club': 5_000.0}
-        cluster.handle_report(make_report(quota_fence=7, draws=draws))
+        cluster.handle_report(builders.make_report(quota_fence=7, draws=draws))
         await anyio.sleep(1.0)
-        update = cluster.handle_report(make_report(quota_fence=7, draws=draws))
+        update = cluster.handle_report(
+            builders.make_report(quota_fence=7, draws=draws)
+        )
         self.assertAlmostEqual(update.grants['club'], 1_000.0, delta=1.0)
