Pass server entries on with their latest revision

A server could stay unknown to one instance while all others used it. Since entries older than an own list are ignored, an instance that listed the servers while an entry was missing did not take it back from a new leader that had not seen the gap: the leader kept the revision at which the content of the entry last changed. It now keeps the latest revision, without passing on heartbeats.

The new test fails on the code before.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -278,6 +278,10 @@
             )
         if is_changed:
             self._number_entry(obj.name, obj)
+        else:
+            # Other instances ignore revisions older than their own lists.
+            number, _ = self._entries[obj.name]
+            self._entries[obj.name] = (number, obj)
         state.server = server
         state.missing_since = None
 
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -182,3 +182,14 @@
         seen = leader.entry_number
         leader.apply_list([stored(server, 3)], 3, 2.0)
         self.assertEqual(set(leader.changed_entries(seen)), {'s1'})
+
+    def test_server_that_came_back_is_restored_by_a_new_leader(self):
+        # Guards against a server that an instance never uses again: it had
+        # listed the servers while the entry was missing, the leader had not.
+        server = builders.make_server('s1')
+        leader = make_view(server)
+        leader.apply_list([stored(server, 5)], 6, 2.0)
+        follower = make_view(server)
+        follower.apply_list([], 4, 1.0)
+        follower.apply_entries(leader.changed_entries(0), True, 2.0)
+        self.assertEqual(set(follower.states), {'s1'})
