Use no old list because of a silence that may be the own link's

Callers' requests could still reach a server that had left, from an instance whose own lists timed out.

An unanswered call now only shows that the store is down once the list is 1.5 times as old as the drain time; until then requests wait for a list. A call that the store refuses or resets shows it at once, as before. A second call runs beside a first one without an answer, instead of in its place, so that a late answer over a full link is used.

test_list_is_not_used_after_a_short_silence_of_the_store fails on the code before (0.03 s instead of more than 1.7 s). test_late_answer_with_a_list_is _used is new and guards the second call. The test of a store that does not answer is replaced by one of a store that refuses, as strict, and the one of the silence.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -161,14 +161,14 @@
         return now - self._confirmed_at
 
     def note_list_failed(self, now):
-        """Record that the store did not answer this instance with a list."""
+        """Record that the store gives this instance no list."""
         self._list_failed_at = now
 
     def is_outdated(self, max_age_s, now):
         """Return whether the list may lack a server's leaving for too long.
 
-        A list is used at any age while the store does not answer: then no
-        leaving can be confirmed, and it is better than none.
+        A list is used at any age while the store is down: then no leaving can
+        be confirmed, and it is better than none.
 
         Args:
             max_age_s: Largest age of the list in seconds.
--- a/packages/gateway/src/wagtailtide_gateway/control/store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/store.py
@@ -21,6 +21,10 @@
     """The store did not answer usably; the call may have taken effect."""
 
 
+class Unanswered(StoreUnavailable):
+    """No answer came in time; the call may have taken effect."""
+
+
 class NotApplied(StoreUnavailable):
     """The store states that the call had no effect."""
 
@@ -42,20 +46,15 @@
         self._pool = pool
         self._metrics = metrics
 
-    async def list_all(self, kind, timeout_s=CALL_TIMEOUT_S):
+    async def list_all(self, kind):
         """Return all objects of a kind and the revision of the list.
 
         Changes up to this revision are included. If the list has several
         pages, later ones may be included too.
-
-        Args:
-            kind: Kind of the objects.
-            timeout_s: Seconds after which the call for a page has failed.
         """
         objects, after, first_revision = [], None, None
         while True:
-            call = self._port.list_call(kind, after)
-            body = await self._call(call, timeout_s)
+            body = await self._call(self._port.list_call(kind, after))
             found, more, revision = self._decode(self._port.decode_list, body)
             if first_revision is None:
                 first_revision = revision
@@ -124,7 +123,9 @@
                 )
                 body = await conn.read_body()
         except (outgoing.ConnectionBroken, TimeoutError) as exc:
-            raise StoreUnavailable(
+            timed_out = TimeoutError in (type(exc), type(exc.__cause__))
+            error = Unanswered if timed_out else StoreUnavailable
+            raise error(
                 f'expected an answer from the store, got none: {exc}'
             ) from exc
         else:
--- a/packages/gateway/src/wagtailtide_gateway/control/sync.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sync.py
@@ -41,9 +41,15 @@
 # only within the drain time.
 MAX_LIST_AGE_SHARE = 0.55
 
-# Timeout of a call that lists the servers, as a share of the server drain
-# time. It leaves time for a second call before the list is too old to use.
-LIST_TIMEOUT_SHARE = 0.18
+# Time after which a second call lists the servers beside one that has not been
+# answered, as a share of the server drain time. An answer may be lost, or late
+# because the link is full.
+LIST_REPEAT_SHARE = 0.18
+
+# Age of the list, as a share of the server drain time, at which a store that
+# does not answer counts as down. Until then the own link may be full, as that
+# of a new leader to which all instances report.
+SILENT_STORE_AGE_SHARE = 1.5
 
 # Interval in seconds between checks of the configuration's age, and between
 # checks for servers whose entries are missing.
@@ -112,13 +118,15 @@
                 await anyio.sleep(wait_s)
                 continue
             try:
-                objects, revision = await self._client.list_all(
-                    kind, self._list_timeout_s(sent_at)
-                )
+                objects, revision, sent_at = await self._list_servers()
             except (stores.StoreUnavailable, stores.Conflict) as exc:
                 now = anyio.current_time()
                 self._note_unavailable(kind, exc)
-                self._servers.note_list_failed(now)
+                if not isinstance(exc, stores.Unanswered) or (
+                    self._servers.age_s(now)
+                    >= self._cfg.server_drain_s * SILENT_STORE_AGE_SHARE
+                ):
+                    self._servers.note_list_failed(now)
                 # A call that timed out is repeated at once.
                 delay_s = retry_delay_s(failures, MAX_URGENT_RETRY_DELAY_S)
                 failures += 1
@@ -135,11 +143,37 @@
             return LEADER_LIST_INTERVAL_S - age_s
         return self._cfg.server_drain_s * MAX_LIST_AGE_SHARE - age_s
 
-    def _list_timeout_s(self, now):
+    async def _list_servers(self):
+        """List the servers, with a second call if the first one takes long.
+
+        Returns:
+            The objects, the revision of the list, and the time at which the
+            call was sent.
+        """
+        found, failures = [], []
+
+        async def call():
+            sent_at = anyio.current_time()
+            try:
+                objects, revision = await self._client.list_all(
+                    self._port.servers_kind
+                )
+            except (stores.StoreUnavailable, stores.Conflict) as exc:
+                failures.append(exc)
+            else:
+                found.append((objects, revision, sent_at))
+            tg.cancel_scope.cancel()
+
         drain_s = self._cfg.server_drain_s
-        if self._servers.age_s(now) < drain_s:
-            return drain_s * LIST_TIMEOUT_SHARE
-        return stores.CALL_TIMEOUT_S
+        age_s = self._servers.age_s(anyio.current_time())
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(call)
+            if age_s < drain_s:
+                await anyio.sleep(drain_s * LIST_REPEAT_SHARE)
+                tg.start_soon(call)
+        if not found:
+            raise failures[0]
+        return found[0]
 
     def _apply_config(self, objects, sent_at):
         for obj in objects:
--- a/packages/gateway/tests/control/test_sync.py
+++ b/packages/gateway/tests/control/test_sync.py
@@ -16,6 +16,7 @@
 
     Attributes:
         silent_calls: Number of the next calls that time out.
+        answer_after_s: Seconds until a call is answered.
         refuses: Whether calls are refused.
         listed_at: Times at which the servers were listed.
         watches: Number of calls that list or watch the configuration.
@@ -23,6 +24,7 @@
 
     def __init__(self):
         self.silent_calls = 0
+        self.answer_after_s = 0.0
         self.refuses = False
         self.listed_at = []
         self.watches = 0
@@ -35,7 +37,8 @@
         if self.silent_calls:
             self.silent_calls -= 1
             await anyio.sleep(timeout_s)
-            raise stores.StoreUnavailable('no answer')
+            raise stores.Unanswered('no answer')
+        await anyio.sleep(self.answer_after_s)
         self.listed_at.append(anyio.current_time())
         return [], 1
 
@@ -98,21 +101,51 @@
             tg.cancel_scope.cancel()
         self.assertGreaterEqual(len(client.listed_at), 2)
 
-    @virtual_time.run_without_io
-    async def test_list_stays_in_use_while_the_store_does_not_answer(self):
-        client = FakeStoreClient()
-        store_sync = self.make_sync(client, server_drain_s=3.0)
+    async def outdated_s(self, client, store_sync):
+        """Return for how many of 10 s requests wait for a list."""
         outdated_s = 0.0
         async with anyio.create_task_group() as tg:
             tg.start_soon(store_sync._follow_servers)
-            await anyio.sleep(0.1)
-            client.silent_calls = math.inf
             for _ in range(1_000):
                 await anyio.sleep(0.01)
                 now = anyio.current_time()
                 outdated_s += 0.01 * self.servers.is_outdated(2.7, now)
             tg.cancel_scope.cancel()
-        self.assertLess(outdated_s, 0.5)
+        return outdated_s
+
+    @virtual_time.run_without_io
+    async def test_list_stays_in_use_while_the_store_refuses_calls(self):
+        client = FakeStoreClient()
+        store_sync = self.make_sync(client, server_drain_s=3.0)
+        self.servers.confirm(anyio.current_time())
+        client.refuses = True
+        self.assertLess(await self.outdated_s(client, store_sync), 0.7)
+
+    @virtual_time.run_without_io
+    async def test_list_is_not_used_after_a_short_silence_of_the_store(self):
+        # Guards against requests to a server that has left: the link of a new
+        # leader was full of the reports of all instances, so that its lists
+        # timed out.
+        client = FakeStoreClient()
+        store_sync = self.make_sync(client, server_drain_s=3.0)
+        self.servers.confirm(anyio.current_time())
+        client.silent_calls = math.inf
+        outdated_s = await self.outdated_s(client, store_sync)
+        self.assertGreater(outdated_s, 1.7)
+        self.assertLess(outdated_s, 4.0)
+
+    @virtual_time.run_without_io
+    async def test_late_answer_with_a_list_is_used(self):
+        # Guards against calls that are cancelled and sent again without end
+        # while the link is full.
+        client = FakeStoreClient()
+        client.answer_after_s = 1.0
+        store_sync = self.make_sync(client, server_drain_s=3.0)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(store_sync._follow_servers)
+            await anyio.sleep(4.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(2, len(client.listed_at))
 
     @virtual_time.run_without_io
     async def test_refused_watch_is_repeated_less_and_less_often(self):
