Weight missing adapters like the requests of an only copy

In all 46 cases no engine with the model was free of model orders; one engine with two models of many adapters was chosen for four loads in 16 s.

Cause: a request that lacks an adapter counted one slot, like a request that is only delayed, and so less than evicting a model of one request every few seconds from another engine.

Ruled out: adapters in use, whose unload takes long (6 of 41 unloads).

It now has the factor of the only copy of a model, as all such requests fail.

test_rare_model_is_evicted_rather_than_adapters_are_blocked failed on the code before.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -34,7 +34,8 @@
 
 # The only copy of a model is worth this many times the model's busy slots,
 # because without it all requests for the model wait or fail, plus a base for
-# models with few requests.
+# models with few requests. The same factor applies to requests that lack an
+# adapter.
 ONLY_COPY_FACTOR = 4.0
 ONLY_COPY_BASE_SLOTS = 0.5
 
@@ -400,7 +401,9 @@
             continue
         loss = sum(copy_loss(snapshot, name) for name in victims)
         delayed_slots = max(1.0, snapshot.demand[model.name].busy_slots)
-        delayed_slots += _adapter_misses_per_s(snapshot, engine, victims)
+        delayed_slots += ONLY_COPY_FACTOR * _adapter_misses_per_s(
+            snapshot, engine, victims
+        )
         delay_s = load_time_s(model, engine)
         if any(_is_running(snapshot, name) for name in victims):
             delay_s += UNLOAD_WAIT_S
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -165,6 +165,23 @@
         (step,) = plan(engines, demand)
         self.assertEqual('e2', step.engine)
 
+    def test_rare_model_is_evicted_rather_than_adapters_are_blocked(self):
+        # Requests that lack an adapter all fail while their engine is blocked.
+        # They counted no more than requests that are only delayed.
+        engines = [
+            builders.make_engine_view('e1', ('a', 'b')),
+            builders.make_engine_view('e2', ('d', 'e')),
+        ]
+        demand = [
+            builders.make_demand('a', 9.0, adapter_misses_per_s=0.8),
+            builders.make_demand('d', 9.0),
+            builders.make_demand('b', 0.0, idle=True, deferrable=True),
+            builders.make_demand('e', 0.6, deferrable=True),
+            builders.make_demand('c', 2.0, waiting=2, deferrable=True),
+        ]
+        (step,) = plan(engines, demand)
+        self.assertEqual('e2', step.engine)
+
     def test_model_without_running_requests_is_evicted_first(self):
         # An unload waits for the running requests of its model. Engines were
         # blocked for up to five seconds before the load began.
