gateway: Do not report a request as not run after a server may have run it

It is now answered 502 with the fate unknown, and the reason for the refused retry.

test_refused_retry_is_not_reported_as_not_run failed before (503). The second half of test_stream_without_any_event_gets_an_error_response expected that 503 after a server had crashed while it ran the stream; it now expects 502. It still guards that the caller gets an error response.

--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -107,8 +107,9 @@
                 raise self._cut_error(job)
             outcome = 'whole'
         except kinds.ServingError as exc:
-            outcome, reason = exc.kind.value, exc.message
-            await self._refuse(exc, out)
+            error = _error_after_run(job, exc)
+            outcome, reason = error.kind.value, error.message
+            await self._refuse(error, out)
         except incoming.CallerDisconnected:
             pass  # The caller disconnected; logged with the outcome gone.
         except Exception:
@@ -456,6 +457,22 @@
         LOG.info('request', extra=fields)
 
 
+def _error_after_run(job, exc):
+    """Return the ServingError of a request that a server may have run.
+
+    A retry may be refused, but the request is not one that was not run.
+    """
+    if job is None or not job.possible_runs:
+        return exc
+    if exc.fate is not kinds.Fate.NOT_RUN:
+        return exc
+    return kinds.ServingError(
+        kinds.ErrorKind.BACKEND_SERVER_ERROR,
+        'the request failed, may have run and could not be retried: '
+        f'{exc.message}',
+    )
+
+
 def _shutting_down_error():
     return kinds.ServingError(
         kinds.ErrorKind.SHUTTING_DOWN,
