gateway: Keep the models of all servers known to all instances

- During an outage of the store an instance dropped the residencies of the last leader after 3 s and routed by the models that its list had named long before.
They are now dropped only for an own list that is newer.
- Residencies of a server that an instance did not know yet, or knew as its previous process, were ignored while their number counted as seen.
Entries are applied first, and after a new server the instance reports the residencies that it has.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -25,8 +25,8 @@
 RESPONSE_TIMEOUT_S = 0.8
 
 # Pause after an exchange that failed, at least, and after any at most. Between
-# these the pause is as long as the exchange took, so that the exchanges of all
-# instances together keep a slow leader busy for half of the time at most.
+# these the pause is as long as the exchange took, so that fewer exchanges wait
+# at a slow leader.
 MIN_FAILURE_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.4
 
@@ -77,6 +77,8 @@
         self._residency_number = 0
         self._entry_number = 0
         self._own_list_count = 0
+        self._updated_list_count = 0
+        self._new_state_count = 0
         self._next_full_at = 0.0
         self._fence = 0
         # Whether this instance has the data and numbers of the leader.
@@ -154,7 +156,7 @@
             self._shared_state.accrue_shares(self._leadership.record)
             self._shared_state.restore_report(report)
             if not self.has_recent_update:
-                self._shared_state.servers.discard_leader_residencies()
+                self._discard_old_residencies()
                 self._start_term(self._fence)
                 self.loading_s = {}
                 self.refill_waits_s = {}
@@ -164,6 +166,15 @@
         completed.set()
         return update is not None
 
+    def _discard_old_residencies(self):
+        """Route by an own list if there is one since the last update.
+
+        Without one, the residencies of the last leader are the newest.
+        """
+        servers = self._shared_state.servers
+        if servers.own_list_count != self._updated_list_count:
+            servers.discard_leader_residencies()
+
     def _drop_old_numbers(self):
         """Drop numbers that do not tell what this instance has any more."""
         record = self._leadership.record
@@ -176,6 +187,11 @@
             # about.
             self._own_list_count = own_list_count
             self._entry_number = 0
+        new_state_count = self._shared_state.servers.new_state_count
+        if new_state_count != self._new_state_count:
+            # Residencies of servers that were unknown were not applied.
+            self._new_state_count = new_state_count
+            self._residency_number = 0
 
     def _start_term(self, fence):
         """Report next what this instance has, instead of numbers."""
@@ -273,6 +289,10 @@
             self._start_term(update.fence)
             self._shared_state.apply_update(update, sent_at)
             return
+        self._updated_list_count = self._shared_state.servers.own_list_count
+        if not urgent and self._leadership.fence is None:
+            self._shared_state.apply_server_entries(update, now)
+            self._entry_number = update.entry_number
         self._residency_number = update.residency_number
         self.refill_waits_s = update.refill_waits_s
         self._shared_state.apply_update(update, sent_at)
@@ -280,8 +300,5 @@
             return
         self._in_step = True
         self.loading_s = update.loading_s
-        if self._leadership.fence is None:
-            self._shared_state.apply_server_entries(update, now)
-            self._entry_number = update.entry_number
-        else:
+        if self._leadership.fence is not None:
             self._shared_state.apply_loads(update)
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -100,6 +100,8 @@
         health: Failure rates of the servers.
         has_list: Whether a whole list has been received.
         own_list_count: Number of whole lists that this instance has read.
+        new_state_count: Number of servers, and of their restarts, that this
+            instance has learned of.
         entry_number: Number of the last change of an entry, other than of its
             models.
     """
@@ -119,6 +121,7 @@
         self.health = health.Health()
         self.has_list = False
         self.own_list_count = 0
+        self.new_state_count = 0
         self.entry_number = 0
 
     def apply_list(self, objects, revision, now):
@@ -278,6 +281,7 @@
             # The previous process's residency, loads and refusals do not apply
             # to a restarted server.
             state = self.states[server.id] = ServerState(server)
+            self.new_state_count += 1
             LOG.info(
                 'server listed',
                 extra={
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -218,17 +218,35 @@
 
     def list_servers(self, count):
         """Apply a list of servers that hold three models each."""
-        objects = []
-        for number in range(count):
-            value = {
-                'models': [f'model-{number}-{i}' for i in range(3)],
-                'description': 'x' * 200,
-            }
-            objects.append(ports.StoredObject(f's{number}', number, value))
-        self.shared_state.servers.apply_list(
-            objects, count, anyio.current_time()
-        )
-        self.shared_state.servers.confirm(anyio.current_time())
+        models_by_id = {
+            f's{number}': [f'model-{number}-{i}' for i in range(3)]
+            for number in range(count)
+        }
+        self.apply_list(models_by_id, count)
+
+    def apply_list(self, models_by_id, revision):
+        """Apply a list of servers.
+
+        Args:
+            models_by_id: Names of the models of each server by its id.
+            revision: Revision of the list and of its entries.
+        """
+        objects = [
+            ports.StoredObject(
+                server_id,
+                revision,
+                {'models': models, 'description': 'x' * 200},
+            )
+            for server_id, models in models_by_id.items()
+        ]
+        now = anyio.current_time()
+        self.shared_state.servers.apply_list(objects, revision, now)
+        self.shared_state.servers.confirm(now)
+
+    def models_of(self, server_id):
+        """Return the models by which this instance routes to a server."""
+        state = self.shared_state.servers.states[server_id]
+        return set(state.residency.models)
 
     async def run(self):
         """Take part in the election until cancelled."""
