gateway: Bound the exchanges that waiting requests start

The pause after an exchange now grows with the instances, so that all of them together start at most 1,000 a second: 0.13 s at 133 instances, 0.012 s at 12.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -24,6 +24,10 @@
 
 RESPONSE_TIMEOUT_S = 0.8
 
+# Exchanges a second that waiting requests of all instances may start. A leader
+# of two cores answers them with about half of its processor.
+MAX_EXCHANGES_PER_S = 1000.0
+
 # Pause after an exchange that failed, at least, and after any at most. Between
 # these the pause is as long as the exchange took, so that fewer exchanges wait
 # at a slow leader.
@@ -127,7 +131,10 @@
         while True:
             started_at = anyio.current_time()
             succeeded = await self._exchange()
-            pause_s = anyio.current_time() - started_at
+            pause_s = max(
+                anyio.current_time() - started_at,
+                self.instances / MAX_EXCHANGES_PER_S,
+            )
             if not succeeded:
                 pause_s = max(pause_s, MIN_FAILURE_PAUSE_S)
             await anyio.sleep(min(pause_s, MAX_PAUSE_S))
--- a/packages/gateway/tests/control/test_exchange.py
+++ b/packages/gateway/tests/control/test_exchange.py
@@ -1,6 +1,7 @@
 import unittest
 
 import anyio
+from wagtailtide_gateway.control import exchange
 from wagtailtide_testing import virtual_time
 
 from tests import builders
@@ -122,3 +123,26 @@
             attempts = network.attempts[leader.address] - before
             tg.cancel_scope.cancel()
         self.assertLessEqual(attempts, 11)
+
+    @virtual_time.run_without_io
+    async def test_exchanges_of_a_large_fleet_are_bounded(self):
+        # Guards against a leader that is kept busy by waiting requests, which
+        # start an exchange each.
+        fake_store, network, leader, _ = make_pair()
+        others = [
+            election_fixture.Member(f'other-{number}', fake_store, network)
+            for number in range(100)
+        ]
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(leader.run)
+            await anyio.sleep(1.0)
+            for member in others:
+                tg.start_soon(member.run)
+            await anyio.sleep(3.0)
+            before = network.attempts[leader.address]
+            async with anyio.create_task_group() as waiting:
+                for member in others:
+                    waiting.start_soon(request_exchanges, member, 2.0)
+            attempts = network.attempts[leader.address] - before
+            tg.cancel_scope.cancel()
+        self.assertLess(attempts / 2.0, 1.1 * exchange.MAX_EXCHANGES_PER_S)
