gateway: Give up a lease that is taken while the instance stops

A takeover that was in progress when the stop began succeeded after the lease had been released; nobody led until it expired.

--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -131,6 +131,8 @@
                 await anyio.sleep(
                     POLL_INTERVAL_S * (0.7 + 0.6 * random.random())
                 )
+        # A takeover may have been in progress when the stop began.
+        await self._give_up_lease()
 
     async def release_lease(self):
         """Release the lease, so that another instance can lead at once."""
--- a/packages/gateway/tests/control/test_leadership.py
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -92,6 +92,19 @@
                 await wait_until(lambda: other.leadership.is_leader)
             tg.cancel_scope.cancel()
 
+    @virtual_time.run_without_io
+    async def test_lease_taken_during_a_stop_is_given_up(self):
+        fake_store, _, members = make_members('stopping')
+        (member,) = members
+        fake_store.write_delay_s['stopping'] = 0.3
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(member.leadership.run)
+            await wait_until(lambda: fake_store.holders)
+            await member.leadership.release_lease()
+            await anyio.sleep(2.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(fake_store.holders, ['stopping', ''])
+
 
 class NewLeaderTest(unittest.TestCase):
     @virtual_time.run_without_io
