gateway: Step down only if an engine refuses an order of this term

A refusal for an old fencing token that arrives after the instance has taken the lease again ended the new term: the same class as the late refusal of a report.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -73,7 +73,7 @@
                 'status': status,
             },
         )
-        if status == 412:
+        if status == 412 and order.fence == self._leadership.fence:
             self._leadership.step_down(
                 'an engine has seen a newer fencing token'
             )
--- a/packages/gateway/tests/control/test_engine_client.py
+++ b/packages/gateway/tests/control/test_engine_client.py
@@ -51,6 +51,29 @@
     return engine
 
 
+class LateRefusal(CannedClient):
+    """EngineClient whose order is refused in a later term."""
+
+    async def _call(self, state, call, timeout_s):
+        self._leadership.fence = 3
+        return types.SimpleNamespace(status=412), b''
+
+
+class OrderTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_refusal_of_an_earlier_term_does_not_end_a_later_one(self):
+        fixture = leader_fixture.LeaderFixture(builders.make_server('e1'))
+        fixture.add_listed_engines()
+        fixture.fleet.start_term(1)
+        fixture.add_listed_engines()
+        client = LateRefusal(fixture, None)
+        steps = []
+        client._leadership.step_down = steps.append
+        engine = fixture.fleet.engines['e1']
+        await client.send_order('e1', engine, True, 'b')
+        self.assertEqual(steps, [])
+
+
 class RefreshTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_report_replaces_models_and_order_count(self):
