gateway: Publish nothing for engine states that have been replaced

The end of a model step of an earlier term, or of an earlier process of the engine, published the models that it knew, over those that had been read since, until the engine's next change. Requests went to an engine without their model.

--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -119,4 +119,13 @@
     def update_residency(self, server_id, engine, residency):
         """Set the residency of an engine and publish it to the instances."""
         engine.residency = residency
-        self._cluster.publish(server_id, residency)
+        self.publish(server_id, engine, residency)
+
+    def publish(self, server_id, engine, residency):
+        """Publish a residency unless the engine's state has been replaced.
+
+        Orders of an earlier term, or to an earlier process of the engine, may
+        end after that.
+        """
+        if self.engines.get(server_id) is engine:
+            self._cluster.publish(server_id, residency)
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -200,6 +200,7 @@
         tg.start_soon(self._run_step, service, step, engine, load_s)
 
     async def _run_step(self, service, step, engine, load_s):
+        fence = self._fleet.fence
         try:
             if await self._send_orders(step, engine, load_s):
                 engine.loaded_at[step.model] = anyio.current_time()
@@ -210,8 +211,9 @@
         finally:
             engine.busy = engine.from_store = False
             engine.loading, engine.victims = None, frozenset()
-            self._cluster.publish(step.engine, engine.residency)
-            self._cluster.set_loading(service.name, step.model, None)
+            self._fleet.publish(step.engine, engine, engine.residency)
+            if self._fleet.fence == fence:
+                self._cluster.set_loading(service.name, step.model, None)
 
     async def _send_orders(self, step, engine, load_s):
         """Send the orders of a step; return whether all were carried out."""
@@ -235,7 +237,7 @@
             if name not in victims
         }
         residency = dataclasses.replace(engine.residency, models=models)
-        self._cluster.publish(server_id, residency)
+        self._fleet.publish(server_id, engine, residency)
 
     async def _order_model(self, server_id, engine, load, name, expected_s):
         """Order a load or unload; return whether it was carried out."""
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -178,3 +178,22 @@
         async with anyio.create_task_group() as tg:
             orders.plan(tg, anyio.current_time())
         self.assertEqual([], fixture.client.sent)
+
+    @virtual_time.run_without_io
+    async def test_step_of_an_earlier_term_publishes_nothing(self):
+        # Guards against models of an earlier term that replace the ones that
+        # the engine has been found to hold.
+        fixture, orders = make_fixture('a', 'b')
+        fixture.fleet.fence = 1
+        await report_demand(fixture, ('c', 0, 40, 0.4), ('b', 10, 0, 0.4))
+        async with anyio.create_task_group() as tg:
+            orders.plan(tg, anyio.current_time())
+            await anyio.sleep(1.0)
+            fixture.fleet.start_term(2)
+            fixture.add_listed_engines()
+            engine = fixture.fleet.engines['e1']
+            found = builders.make_residency(['x'], order_count=9)
+            fixture.fleet.update_residency('e1', engine, found)
+            await anyio.sleep(15.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(fixture.published_models('e1'), {'x'})
