gateway: Start no extra weight store loads after a short term

Each new leader may start three loads in the window whose loads it does not know. After a term that was shorter than the window these three may have been started, so there are none. The lease record's renewals give the length of the previous term.

test_leader_after_a_short_term_starts_no_extra_loads failed before: three were left.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_controller.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_controller.py
@@ -72,4 +72,4 @@
             return
         self._cluster.reset_on_new_term()
         self._fleet.start_term(self._leadership.fence)
-        self._models.start_term(now)
+        self._models.start_term(self._leadership.previous_term_s, now)
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -40,6 +40,8 @@
         fence: Fencing token if this instance is the leader, else None.
         resigned_fence: Last fencing token that this instance gave up, 0 if
             there is none.
+        previous_term_s: Duration in seconds, at least, of the term before the
+            one of this instance.
     """
 
     def __init__(self, client, port, cfg, clock, cluster_summary):
@@ -62,6 +64,7 @@
         self.record = None
         self.fence = None
         self.resigned_fence = 0
+        self.previous_term_s = 0.0
 
     @property
     def is_leader(self):
@@ -273,6 +276,8 @@
         except (stores.StoreUnavailable, stores.Conflict) as exc:
             LOG.info('duty not taken', extra={'reason': str(exc)})
             return
+        if previous is not None:
+            self.previous_term_s = previous.renewals * lease.RENEW_INTERVAL_S
         self._note_renewal(sent_at)
         self._term_started_at = self._clock()
         self.fence = record.fence
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -41,10 +41,16 @@
             cfg.load_window_s
         )
 
-    def start_term(self, now):
-        """Start a leadership term."""
+    def start_term(self, previous_term_s, now):
+        """Start a leadership term.
+
+        Args:
+            previous_term_s: Duration of the previous term in seconds, at
+                least.
+            now: Time in seconds.
+        """
         self._store_load_limiter.start_term(
-            self._config.deployment, self._fleet.fence, now
+            self._config.deployment, self._fleet.fence, previous_term_s, now
         )
 
     async def await_idle(self, server_id):
--- a/packages/gateway/src/wagtailtide_gateway/control/store_loads.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/store_loads.py
@@ -23,21 +23,25 @@
         self._window_s = window_s
         self._started_at = collections.deque()
 
-    def start_term(self, deployment, fence, now):
+    def start_term(self, deployment, fence, previous_term_s, now):
         """Start a leadership term.
 
         The loads that the previous leader started in this window are unknown.
         All that its rate allows are taken as started, less EXTRA_LOADS, which
-        the store allows beyond its rate.
+        the store allows beyond its rate. If the previous term was shorter than
+        the window, its leader may have started these as well.
 
         Args:
             deployment: The Deployment, for the rates of its services.
             fence: Fencing token of the term, 1 if there was no leader before.
+            previous_term_s: Duration of the previous term in seconds, at
+                least.
             now: Time in seconds.
         """
         self._started_at.clear()
         if fence > 1:
-            assumed = self._allowed(deployment) - EXTRA_LOADS
+            extra = EXTRA_LOADS if previous_term_s >= self._window_s else 0
+            assumed = self._allowed(deployment) - extra
             self._started_at.extend([now] * assumed)
 
     def record_load(self, now):
--- a/packages/gateway/tests/control/test_order_safety.py
+++ b/packages/gateway/tests/control/test_order_safety.py
@@ -53,7 +53,7 @@
         if fleet.fence != self.leadership.fence:
             cluster.reset_on_new_term()
             fleet.start_term(self.leadership.fence)
-            self._models.start_term(now)
+            self._models.start_term(10.0, now)
         for server_id in fleet.sync_with_list():
             tg.start_soon(self._models.await_idle, server_id)
         cluster.handle_report(report)
--- a/packages/gateway/tests/control/test_store_loads.py
+++ b/packages/gateway/tests/control/test_store_loads.py
@@ -29,10 +29,17 @@
     def test_new_leader_assumes_a_nearly_used_window(self):
         # Guards against a new leader that starts as many loads as its
         # predecessor did in the same window.
-        self.limiter.start_term(self.deployment, 2, 0.0)
+        self.limiter.start_term(self.deployment, 2, 5.0, 0.0)
         self.assertEqual(3, self.limiter.remaining(self.deployment, 0, 4.9))
         self.assertEqual(10, self.limiter.remaining(self.deployment, 0, 5.0))
 
+    def test_leader_after_a_short_term_starts_no_extra_loads(self):
+        # Guards against three leaders in one window that start the extra
+        # loads each.
+        self.limiter.start_term(self.deployment, 3, 2.0, 0.0)
+        self.assertEqual(0, self.limiter.remaining(self.deployment, 0, 4.9))
+        self.assertEqual(10, self.limiter.remaining(self.deployment, 0, 5.0))
+
     def test_first_leader_may_use_the_whole_window(self):
-        self.limiter.start_term(self.deployment, 1, 0.0)
+        self.limiter.start_term(self.deployment, 1, 0.0, 0.0)
         self.assertEqual(10, self.limiter.remaining(self.deployment, 0, 0.0))
