--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -24,8 +24,8 @@
 
 RESPONSE_TIMEOUT_S = 0.8
 
-# Exchanges a second that waiting requests of all instances may start, so that a
-# burst of them leaves the leader time for its other work.
+# Exchanges a second that waiting requests of all instances may start, so that
+# a burst of them leaves the leader time for its other work.
 MAX_EXCHANGES_PER_S = 1000.0
 
 # Pause after an exchange that failed, at least, and after any at most. Between
