--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -38,6 +38,8 @@
             leaving.
         unavailable_until: Time in seconds until which the server is taken to
             lack a model or adapter, by model and adapter.
+        limit_per_s: Requests a second that the server takes from all
+            instances together by its last response, or None.
     """
 
     server: backend.BackendServer
@@ -47,6 +49,7 @@
     missing_since: float | None = None
     reported_leaving: bool = False
     unavailable_until: dict = dataclasses.field(default_factory=dict)
+    limit_per_s: float | None = None
 
     @property
     def load(self):
--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -27,6 +27,8 @@
             have the model or adapter.
         signed: Whether the response carries the server's signature.
         weights_version: Version of the weights, or None.
+        stated_limit_per_s: Requests a second that the server takes from all
+            instances together, or None if it states no limit.
         headers: Headers to forward to the caller.
     """
 
@@ -36,6 +38,7 @@
     misdirected: bool
     signed: bool
     weights_version: str | None
+    stated_limit_per_s: float | None
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -1,6 +1,7 @@
 """One attempt to run a request on one backend server."""
 
 import dataclasses
+import logging
 
 import anyio
 from wagtailtide_core.retries import fate
@@ -9,6 +10,8 @@
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import deployment
 
+LOG = logging.getLogger(__name__)
+
 # Longest idle time of a connection that is reused for a request that is not
 # idempotent. If the server closes the connection as the request is sent, it is
 # unknown whether the request ran.
@@ -145,8 +148,32 @@
             response = self._backend_port.decode_response_head(
                 head.status, head.headers
             )
+        self._record_limit(response)
         return await self._classify(response)
 
+    def _record_limit(self, response):
+        """Record the limit that the server states for all instances.
+
+        Only a signed response shows that a server has lifted its limit; other
+        responses may lack the statement for another reason.
+        """
+        if response.attempt_id != self._job.req.attempt_id:
+            return
+        limit, previous = response.stated_limit_per_s, self._state.limit_per_s
+        if limit == previous or (limit is None and not response.signed):
+            return
+        self._state.limit_per_s = limit
+        LOG.info(
+            'server limit changed',
+            extra={
+                'server': self._state.server.id,
+                'limit_per_s': limit,
+                'previous': previous,
+                'request': self._job.req.attempt_id,
+                'load': self._state.load,
+            },
+        )
+
     async def _classify(self, response):
         is_success = 200 <= response.status < 300
         if (
