--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -8,6 +8,7 @@
 
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.control import server_limits
 from wagtailtide_gateway.decisions import quota
 from wagtailtide_gateway.model import backend
 
@@ -148,6 +149,7 @@
         self._residency_number = 0
         self._crashes = {}
         self._loading = {}
+        self._limits = server_limits.ClusterLimits(servers)
         self._first_request_at = {}
         self._requested_before = False
         self._adapter_requested = anyio.Event()
@@ -195,6 +197,7 @@
         now = anyio.current_time()
         self.reset_on_new_term()
         self._receive_share(report, now)
+        self._limits.receive(report, now)
         if not report.urgent:
             self._store_report(report, now)
         for request in report.adapters:
@@ -402,6 +405,8 @@
             entries={},
             share=self._rate_shares.issue(report.instance, now),
             fills=None,
+            limits=self._limits.shared_with(report, now),
+            permits=self._limits.grant(report, now),
         )
         if report.urgent:
             return update
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -111,6 +111,16 @@
         """Seconds since the last update of a leader."""
         return anyio.current_time() - self._last_update_at
 
+    @property
+    def leaderless_instances(self):
+        """Number of instances that share limits while no leader answers.
+
+        None while the leader answers.
+        """
+        if self._hears_leader:
+            return None
+        return self.instances or self._recorded_instances()
+
     def start_now(self):
         """Start an exchange now instead of at the next interval."""
         self._requested.set()
@@ -291,6 +301,7 @@
     def _apply_update(self, update, sent_at, now, urgent):
         self._last_update_at = anyio.current_time()
         self.instances = update.instances
+        self._shared_state.apply_limits(update, not urgent, now)
         if update.fence != self._fence:
             # The report was made for the numbers of another term.
             self._start_term(update.fence)
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -11,9 +11,10 @@
 
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import digests
+from wagtailtide_gateway.control import server_limits
 from wagtailtide_gateway.model import backend
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 MAX_MESSAGE_BYTES = 4_194_304
 
@@ -97,6 +98,10 @@
         quota_fence: Fencing token of the last leader heard, 0 if there was
             none.
         share: Share of each rate that it uses while no leader answers.
+        limits: Limits that servers have stated, by server id; in an urgent
+            report of those in `permits` only.
+        permits: Number of permits that its waiting requests need, by server
+            id.
     """
 
     instance: str
@@ -116,6 +121,8 @@
     known_entries: Mapping[str, int]
     quota_fence: int
     share: float
+    limits: Mapping[str, server_limits.ReportedLimit]
+    permits: Mapping[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,6 +155,9 @@
             the present one.
         fills: Part of each burst that is left, for the organisations that
             have used some of it; None in the reply to an urgent report.
+        limits: Limits of the servers that have one, by server id; in the reply
+            to an urgent report of those in its `permits` only.
+        permits: Number of permits granted, by server id.
     """
 
     fence: int
@@ -168,6 +178,8 @@
     entries: Mapping[str, ports.StoredObject | None]
     share: float | None
     fills: Mapping[str, float] | None
+    limits: Mapping[str, server_limits.SharedLimit]
+    permits: Mapping[str, int]
 
 
 def _pack(values):
@@ -177,6 +189,10 @@
     ]
 
 
+def _pack_by_key(values):
+    return dict(zip(values, _pack(values.values()), strict=True))
+
+
 def encode_report(report):
     """Return a Report as bytes."""
     return cbor2.dumps(
@@ -199,13 +215,15 @@
             dict(report.known_entries),
             report.quota_fence,
             report.share,
+            _pack_by_key(report.limits),
+            dict(report.permits),
         ]
     )
 
 
 def decode_report(data):
     """Return the Report in a message; raise BadMessage if it is invalid."""
-    fields = _fields(data, 18)
+    fields = _fields(data, 20)
     try:
         return Report(
             str(fields[1]),
@@ -225,6 +243,11 @@
             {str(k): int(v) for k, v in fields[15].items()},
             int(fields[16]),
             float(fields[17]),
+            {
+                str(server): server_limits.ReportedLimit(*row)
+                for server, row in fields[18].items()
+            },
+            {str(k): int(v) for k, v in fields[19].items()},
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected the fields of a report: {exc}') from exc
@@ -260,13 +283,15 @@
             },
             update.share,
             None if update.fills is None else dict(update.fills),
+            _pack_by_key(update.limits),
+            dict(update.permits),
         ]
     )
 
 
 def decode_update(data):
     """Return the LeaderUpdate in a message; raise BadMessage if invalid."""
-    fields = _fields(data, 19)
+    fields = _fields(data, 21)
     try:
         return LeaderUpdate(
             int(fields[1]),
@@ -290,6 +315,11 @@
             },
             None if fields[17] is None else float(fields[17]),
             fields[18] and {str(k): float(v) for k, v in fields[18].items()},
+            {
+                str(server): server_limits.SharedLimit(*row)
+                for server, row in fields[19].items()
+            },
+            {str(k): int(v) for k, v in fields[20].items()},
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -6,6 +6,7 @@
 
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.decisions import health
+from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.model import backend
 
 LOG = logging.getLogger(__name__)
@@ -38,8 +39,7 @@
             leaving.
         unavailable_until: Time in seconds until which the server is taken to
             lack a model or adapter, by model and adapter.
-        limit_per_s: Requests a second that the server takes from all
-            instances together by its last response, or None.
+        limit: ServerLimit that the server states.
     """
 
     server: backend.BackendServer
@@ -49,7 +49,9 @@
     missing_since: float | None = None
     reported_leaving: bool = False
     unavailable_until: dict = dataclasses.field(default_factory=dict)
-    limit_per_s: float | None = None
+    limit: server_limits.ServerLimit = dataclasses.field(
+        default_factory=server_limits.ServerLimit
+    )
 
     @property
     def load(self):
--- a/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -45,6 +45,9 @@
         service_s: Seconds that a request occupies a slot.
         ready_in_s: Seconds until the first server can run the request, 0 if
             one can now.
+        limited_per_s: Requests a second that the servers which state a limit
+            take in addition. They are not counted in slots and load.
+        limited_waiting: Requests of other instances that wait for these.
     """
 
     slots: float
@@ -53,6 +56,8 @@
     instances: int
     service_s: float
     ready_in_s: float = 0.0
+    limited_per_s: float = 0.0
+    limited_waiting: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,13 +101,23 @@
     """Return how many seconds a request that arrives now would wait.
 
     A full pool finishes slots / service_s requests a second. Each other
-    instance is assumed to have as many requests waiting as this one.
+    instance is assumed to have as many requests waiting as this one, unless
+    all servers state limits: then the leader counts them.
     """
-    if pool.slots <= 0:
+    starts_per_s = throughput(pool)
+    if starts_per_s <= 0:
         return pool.ready_in_s
-    backlog = max(0.0, pool.load - pool.slots)
-    backlog += pool.waiting_ahead * pool.instances
-    return pool.ready_in_s + backlog * pool.service_s / pool.slots
+    if pool.slots > 0:
+        backlog = max(0.0, pool.load - pool.slots)
+        backlog += pool.waiting_ahead * pool.instances
+    else:
+        backlog = 1 + pool.waiting_ahead + pool.limited_waiting
+    return pool.ready_in_s + backlog / starts_per_s
+
+
+def throughput(pool):
+    """Return how many requests a second the servers of a pool can start."""
+    return pool.slots / max(pool.service_s, MIN_SERVICE_S) + pool.limited_per_s
 
 
 def decide(pool, has_capacity, time_left_s):
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -288,6 +288,7 @@
                 'leaving': state.server.leaving,
                 'own_load': state.own_load,
                 'others_load': state.others_load,
+                'limit_per_s': state.limit.per_s,
                 'failure_rate': shared_state.servers.health.failure_rate(
                     server_id, now
                 ),
--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -1,17 +1,16 @@
 """One attempt to run a request on one backend server."""
 
 import dataclasses
-import logging
 
 import anyio
 from wagtailtide_core.retries import fate
 
 from wagtailtide_gateway import ports
+from wagtailtide_gateway.control import server_limits as limits
+from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import deployment
 
-LOG = logging.getLogger(__name__)
-
 # Longest idle time of a connection that is reused for a request that is not
 # idempotent. If the server closes the connection as the request is sent, it is
 # unknown whether the request ran.
@@ -159,19 +158,13 @@
         """
         if response.attempt_id != self._job.req.attempt_id:
             return
-        limit, previous = response.stated_limit_per_s, self._state.limit_per_s
-        if limit == previous or (limit is None and not response.signed):
+        if response.stated_limit_per_s is None and not response.signed:
             return
-        self._state.limit_per_s = limit
-        LOG.info(
-            'server limit changed',
-            extra={
-                'server': self._state.server.id,
-                'limit_per_s': limit,
-                'previous': previous,
-                'request': self._job.req.attempt_id,
-                'load': self._state.load,
-            },
+        statement = server_limits.Statement(
+            response.stated_limit_per_s, anyio.current_time()
+        )
+        limits.record_statement(
+            self._state, statement, self._job.req.attempt_id
         )
 
     async def _classify(self, response):
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -81,9 +81,10 @@
         try:
             while True:
                 state, decision = self._decide(job, waiter)
+                now = anyio.current_time()
                 if decision.verdict is admission.Verdict.SEND:
+                    state.limit.record_request(now)
                     return state
-                now = anyio.current_time()
                 is_overdue = wait_timeout_at is not None and (
                     now > wait_timeout_at
                 )
@@ -103,14 +104,19 @@
         finally:
             if waiter is not None:
                 self._wait_queues.remove(job.service.name, waiter)
+                waiter.wait_for_permit(None)
                 job.waited_s += anyio.current_time() - started_at
                 if job.req.model is not None:
                     self._demand.record_wait_end(*job.demand_key)
 
     def has_free_server(self, job):
         """Return whether a server that was not tried could run a request."""
-        capable = self._capable_servers(job, anyio.current_time())
-        return self._best_free(job, capable)[1] is not None
+        now = anyio.current_time()
+        unlimited, limited = self._capable_by_limit(job, now)
+        return (
+            self._best_free(job, unlimited)[1] is not None
+            or self._best_permitted(job, limited, now) is not None
+        )
 
     def _join_queue(self, job):
         if job.req.model is not None:
@@ -125,8 +131,21 @@
         if self._needs_adapter(job):
             self._request_adapter(job)
             recheck_s = ADAPTER_RECHECK_INTERVAL_S
+        self._request_permit(job, waiter)
         await waiter.wait(max(0.0, min(recheck_s, job.wait_left_s)))
 
+    def _request_permit(self, job, waiter):
+        """Request a permit of the limited server with the shortest queue."""
+        now = anyio.current_time()
+        _, limited = self._capable_by_limit(job, now)
+        limits = [state.limit for state in limited]
+        if waiter.limit not in limits:
+            waiter.wait_for_permit(
+                min(limits, key=lambda limit: limit.queue_s, default=None)
+            )
+        if waiter.limit is not None and waiter.limit.begin_request(now):
+            self._exchange.start_now()
+
     def _request_adapter(self, job):
         self._shared_state.adapter_requests.add(
             messages.AdapterRequest(
@@ -170,10 +189,22 @@
         model, adapter = job.req.model, job.req.adapter
         return [s for s in states if s.can_serve(model, adapter, now)]
 
+    def _capable_by_limit(self, job, now):
+        """Return the capable servers without and those with a limit."""
+        capable = self._capable_servers(job, now)
+        return (
+            [s for s in capable if s.limit.per_s is None],
+            [s for s in capable if s.limit.per_s is not None],
+        )
+
     def _decide(self, job, waiter):
         now = anyio.current_time()
-        capable = self._capable_servers(job, now)
-        candidates, best = self._best_free(job, capable)
+        unlimited, limited = self._capable_by_limit(job, now)
+        candidates, best = self._best_free(job, unlimited)
+        if best is None:
+            best = self._best_permitted(job, limited, now)
+        if best is None:
+            job.limited_servers = len(limited)
         ahead = self._wait_queues.ahead(
             job.service.name, job.req.model, job.priority, waiter
         )
@@ -183,7 +214,11 @@
             waiting_ahead=ahead,
             instances=max(1, self._exchange.instances),
             service_s=self._service_time_s(job),
-            ready_in_s=0.0 if capable else self._ready_in_s(job, now),
+            ready_in_s=(
+                0.0 if unlimited or limited else self._ready_in_s(job, now)
+            ),
+            limited_per_s=self._limited_per_s(limited),
+            limited_waiting=self._limited_waiting(limited),
         )
         decision = admission.decide(pool, best is not None, job.wait_left_s)
         return best, decision
@@ -212,6 +247,22 @@
             return candidates, None
         return candidates, next(s for s in capable if s.server.id == best.id)
 
+    def _best_permitted(self, job, limited, now):
+        """Return the best limited server that may get a request, or None."""
+        instances = self._exchange.leaderless_instances
+        permitted = [s for s in limited if s.limit.allows(instances, now)]
+        return self._best_free(job, permitted)[1]
+
+    def _limited_per_s(self, limited):
+        instances = self._exchange.leaderless_instances
+        return sum(s.limit.usable_per_s(instances) for s in limited)
+
+    def _limited_waiting(self, limited):
+        """Return how many requests of other instances the leader counted."""
+        if self._exchange.leaderless_instances is not None:
+            return 0
+        return sum(s.limit.others_waiting for s in limited)
+
     def _candidate(self, state, now):
         server = state.server
         return server_choice.Candidate(
@@ -260,9 +311,10 @@
     def _refusal(self, job, decision):
         now = anyio.current_time()
         usable = self._usable_servers(job, now)
+        unlimited, limited = self._capable_by_limit(job, now)
         if not usable:
             kind = kinds.ErrorKind.NO_BACKEND_SERVER
-        elif not self._capable_servers(job, now):
+        elif not unlimited and not limited:
             kind = kinds.ErrorKind.MODEL_LOADING
         else:
             kind = kinds.ErrorKind.OVERLOADED
@@ -270,7 +322,10 @@
             (state.server.slots for state in usable), default=DEFAULT_SLOTS
         )
         service_s = self._service_time_s(job)
-        retries_per_s = slots / service_s / max(1, self._exchange.instances)
+        starts_per_s = slots / service_s
+        if limited and not unlimited:
+            starts_per_s = self._limited_per_s(limited)
+        retries_per_s = starts_per_s / max(1, self._exchange.instances)
         retry_delay_s = self._retry_schedule.assign(
             job.demand_key, now + decision.retry_after_s, retries_per_s, now
         )
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -448,6 +448,7 @@
                 organisation=job.organisation and job.organisation.name,
                 cost=job.cost,
                 waited_ms=round(job.waited_s * 1000),
+                limited=job.limited_servers,
                 config=self._shared_state.config.version,
                 config_age_ms=round(self._shared_state.config.age_s * 1000),
             )
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -31,6 +31,8 @@
         possible_runs: Number of servers that may have run it.
         send_count: Number of attempts at servers.
         waited_s: Seconds that it has waited for a server.
+        limited_servers: Number of servers that could run it but for their
+            limits, when it last had no server.
         first_byte_at: Time of the first byte of its response, or None.
     """
 
@@ -49,6 +51,7 @@
     possible_runs: int = 0
     send_count: int = 0
     waited_s: float = 0.0
+    limited_servers: int = 0
     first_byte_at: float | None = None
 
     @property
--- a/packages/gateway/src/wagtailtide_gateway/serving/wait_queue.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/wait_queue.py
@@ -74,6 +74,7 @@
         model: Name of the model that it waits for, or None.
         priority: Priority, 0 is the most urgent.
         wake_event: Event that is set when it should check for a server.
+        limit: ServerLimit of which it waits for a permit, or None.
     """
 
     def __init__(self, model, priority, number):
@@ -81,6 +82,7 @@
         self.priority = priority
         self._arrival_number = number
         self.wake_event = anyio.Event()
+        self.limit = None
 
     def __lt__(self, other):
         return (self.priority, self._arrival_number) < (
@@ -88,6 +90,13 @@
             other._arrival_number,
         )
 
+    def wait_for_permit(self, limit):
+        """Set the ServerLimit of which it waits for a permit, or None."""
+        for old_or_new, change in ((self.limit, -1), (limit, 1)):
+            if old_or_new is not None:
+                old_or_new.waiting += change
+        self.limit = limit
+
     async def wait(self, timeout_s):
         """Wait until woken, for at most a time in seconds."""
         with anyio.move_on_after(timeout_s):
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -9,6 +9,7 @@
 from wagtailtide_gateway.control import demand
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.control import server_limits
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.decisions import quota
 from wagtailtide_gateway.serving import wait_queue
@@ -99,6 +100,10 @@
         else:
             loads, rows = self._loads(), self.demand.take_demand()
         self.local_quota.set_first_share(instances)
+        permits = server_limits.permits_to_request(self.servers.states, now)
+        limits = server_limits.limits_to_report(self.servers.states, now)
+        if urgent:
+            limits = {s: limits[s] for s in permits if s in limits}
         return messages.Report(
             instance=instance,
             urgent=urgent,
@@ -117,6 +122,8 @@
             known_entries={} if seen[1] else self.servers.entry_digests(),
             quota_fence=self.local_quota.fence,
             share=self.local_quota.share,
+            limits=limits,
+            permits=permits,
         )
 
     def _known_residencies(self):
@@ -181,6 +188,18 @@
             self.servers.apply_residency(server_id, residency)
         self.wait_queues.wake()
 
+    def apply_limits(self, update, is_full, reported_at):
+        """Apply the limits of servers in an update of the leader.
+
+        Args:
+            update: The LeaderUpdate.
+            is_full: Whether it is the reply to a report that is not urgent.
+            reported_at: Time in seconds at which the report was made.
+        """
+        server_limits.apply_update(
+            self.servers.states, update, is_full, reported_at
+        )
+
     def apply_server_entries(self, update, sent_at):
         """Apply the server entries in an update of the leader.
 
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -182,5 +182,7 @@
         'known_entries': {},
         'quota_fence': 1,
         'share': 0.1,
+        'limits': {},
+        'permits': {},
     }
     return messages.Report(**fields | changes)
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -3,6 +3,7 @@
 import cbor2
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.control import server_limits
 
 from tests import builders
 
@@ -24,6 +25,11 @@
     {'s1': 12},
     2,
     0.25,
+    {
+        's1': server_limits.ReportedLimit(1.6, 0.3),
+        's2': server_limits.ReportedLimit(None, 2.0),
+    },
+    {'s1': 2},
 )
 UPDATE = messages.LeaderUpdate(
     3,
@@ -44,6 +50,8 @@
     {'s1': ports.StoredObject('s1', 3, {'state': 'ready'}), 's3': None},
     0.25,
     {'desk': 0.9},
+    {'s1': server_limits.SharedLimit(1.6, 0.3, 4)},
+    {'s1': 1},
 )
 
 
