--- a/packages/gateway/src/wagtailtide_gateway/control/digests.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/digests.py
@@ -38,6 +38,7 @@
                 server.slots,
                 server.leaving,
                 server.time_left_s,
+                server.software_version,
                 server.residency.process_start_ms,
             ]
         )
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -292,6 +292,7 @@
                 extra={
                     'server': server.id,
                     'service': server.service,
+                    'software_version': server.software_version,
                     'address': str(server.address),
                     'revision': obj.revision,
                 },
--- a/packages/gateway/src/wagtailtide_gateway/model/backend.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/backend.py
@@ -60,6 +60,8 @@
         leaving: Whether the server accepts no new requests.
         time_left_s: Seconds until the server stops, None if not known.
         residency: Models that the server holds.
+        software_version: Version of the server's software, not of the weights
+            of its models.
     """
 
     id: str
@@ -70,6 +72,7 @@
     leaving: bool
     time_left_s: float | None
     residency: Residency
+    software_version: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/model/request.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/request.py
@@ -38,6 +38,8 @@
         prefix: Segments of the prompt, in order.
         resume_after: Identifier of the last event that the caller received, or
             None.
+        resumes: Identifier of the attempt that brought the first event of the
+            stream that this one resumes, or None.
     """
 
     attempt_id: str
@@ -56,6 +58,7 @@
     has_token_counts: bool
     prefix: tuple[PromptSegment, ...]
     resume_after: str | None
+    resumes: str | None
 
     @property
     def tokens(self):
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -347,6 +347,7 @@
 
     def _record_start(self, job, state):
         job.tried.append(state.server.id)
+        job.software_versions.append(state.server.software_version)
         job.send_count += 1
         # Until the outcome is known, the request may have run.
         job.possible_runs += 1
@@ -444,6 +445,8 @@
                 model=job.req.model,
                 adapter=job.req.adapter,
                 servers=','.join(job.tried),
+                software_versions=','.join(job.software_versions),
+                resumes=job.req.resumes,
                 ran_on=job.possible_runs,
                 organisation=job.organisation and job.organisation.name,
                 cost=job.cost,
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -135,6 +135,7 @@
         'leaving': False,
         'time_left_s': None,
         'residency': make_residency(),
+        'software_version': 'v1',
     }
     return backend.BackendServer(**fields | changes)
 
