--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -86,6 +86,11 @@
         self._dispatch = dispatch
         self._conn = None
 
+    @property
+    def software_version(self):
+        """Software version of the server."""
+        return self._state.server.software_version
+
     async def open(self):
         """Send the request and return its ResponseHead or a Failure.
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -80,6 +80,7 @@
         wait_timeout_at = None
         try:
             while True:
+                self._require_server_of_version(job)
                 state, decision = self._decide(job, waiter)
                 now = anyio.current_time()
                 if decision.verdict is admission.Verdict.SEND:
@@ -118,6 +119,32 @@
             or self._best_permitted(job, limited, now) is not None
         )
 
+    def _require_server_of_version(self, job):
+        """Check that a begun stream still has servers that may go on with it.
+
+        If no other server of its version has the model, a server that broke
+        the stream off may be tried again.
+
+        Raises:
+            ServingError: No server of its version is left.
+        """
+        version = job.software_version
+        if version is None:
+            return
+        if not any(
+            state.accepts_requests and state.server.software_version == version
+            for state in self._servers.of_service(job.service.name)
+        ):
+            raise kinds.ServingError(
+                kinds.ErrorKind.STREAM_BROKEN
+                if job.has_response_started
+                else kinds.ErrorKind.NO_BACKEND_SERVER,
+                f'no server of software version {version}, which began the '
+                'stream, is left',
+            )
+        if not self._capable_servers(job, anyio.current_time()):
+            job.tried.clear()
+
     def _join_queue(self, job):
         if job.req.model is not None:
             self._demand.record_wait(*job.demand_key)
@@ -178,6 +205,7 @@
             state
             for state in self._servers.of_service(job.service.name)
             if state.accepts_requests
+            and job.software_version in (None, state.server.software_version)
             and state.server.id not in job.tried
             and not health.is_unreachable(state.server.id, now)
         ]
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -347,7 +347,7 @@
 
     def _record_start(self, job, state):
         job.tried.append(state.server.id)
-        job.software_versions.append(state.server.software_version)
+        job.sends.append((state.server.id, state.server.software_version))
         job.send_count += 1
         # Until the outcome is known, the request may have run.
         job.possible_runs += 1
@@ -444,8 +444,8 @@
                 route=job.route.name,
                 model=job.req.model,
                 adapter=job.req.adapter,
-                servers=','.join(job.tried),
-                software_versions=','.join(job.software_versions),
+                servers=','.join(server for server, _ in job.sends),
+                software_versions=','.join(v for _, v in job.sends),
                 resumes=job.req.resumes,
                 ran_on=job.possible_runs,
                 organisation=job.organisation and job.organisation.name,
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -28,8 +28,10 @@
         fingerprint: Hash that identifies repetitions of the same request.
         prefix_hash: Hash of the shareable prefix of its prompt, or None.
         tried: Ids of servers that are not to be tried again.
-        software_versions: Software versions of the servers that it was sent
-            to, in order.
+        sends: Id and software version of each server that it was sent to, in
+            order.
+        software_version: Software version of the server that began its stream,
+            None if no server has. Only servers of this version may go on.
         possible_runs: Number of servers that may have run it.
         send_count: Number of attempts at servers.
         waited_s: Seconds that it has waited for a server.
@@ -50,7 +52,8 @@
     fingerprint: str
     prefix_hash: int | None
     tried: list = dataclasses.field(default_factory=list)
-    software_versions: list = dataclasses.field(default_factory=list)
+    sends: list = dataclasses.field(default_factory=list)
+    software_version: str | None = None
     possible_runs: int = 0
     send_count: int = 0
     waited_s: float = 0.0
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -80,6 +80,7 @@
             if data:
                 if self._job.first_byte_at is None:
                     self._job.first_byte_at = anyio.current_time()
+                    self._job.software_version = attempt.software_version
                 await self._out.send(data)
         partial = self._splitter.take_partial()
         if partial:
