--- a/packages/core/src/wagtailtide_core/errors/kinds.py
+++ b/packages/core/src/wagtailtide_core/errors/kinds.py
@@ -42,6 +42,7 @@
     FORBIDDEN = 'forbidden'
     RATE_EXCEEDED = 'rate_exceeded'
     RATE_UNCONFIRMED = 'rate_unconfirmed'
+    RESUME_UNCONFIRMED = 'resume_unconfirmed'
     REQUEST_ABOVE_BURST = 'request_above_burst'
     OVERLOADED = 'overloaded'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
@@ -110,6 +111,7 @@
     ErrorKind.FORBIDDEN: _not_retryable(403),
     ErrorKind.RATE_EXCEEDED: _retry_after_computed(429),
     ErrorKind.RATE_UNCONFIRMED: _retry_after_computed(503),
+    ErrorKind.RESUME_UNCONFIRMED: _retry_after_computed(503),
     ErrorKind.REQUEST_ABOVE_BURST: _not_retryable(413),
     ErrorKind.OVERLOADED: _retry_after_computed(503),
     ErrorKind.DEADLINE_UNREACHABLE: _retry_after_computed(503),
--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -9,6 +9,7 @@
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import server_limits
+from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import quota
 from wagtailtide_gateway.model import backend
 
@@ -150,6 +151,7 @@
         self._crashes = {}
         self._loading = {}
         self._limits = server_limits.ClusterLimits(servers)
+        self._origins = stream_origins.OriginDirectory()
         self._first_request_at = {}
         self._requested_before = False
         self._adapter_requested = anyio.Event()
@@ -198,6 +200,7 @@
         self.reset_on_new_term()
         self._receive_share(report, now)
         self._limits.receive(report, now)
+        self._origins.receive(report.begun_streams, now)
         if not report.urgent:
             self._store_report(report, now)
         for request in report.adapters:
@@ -407,6 +410,11 @@
             fills=None,
             limits=self._limits.shared_with(report, now),
             permits=self._limits.grant(report, now),
+            origin_number=self._origins.number,
+            origins=self._origins.answer(
+                report,
+                not report.urgent and self._servers.has_several_versions(now),
+            ),
         )
         if report.urgent:
             return update
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -80,6 +80,7 @@
         self._requested = anyio.Event()
         self._residency_number = 0
         self._entry_number = 0
+        self._origin_number = 0
         self._own_list_count = 0
         self._updated_list_count = 0
         self._new_state_count = 0
@@ -214,7 +215,8 @@
         """Report next what this instance has, instead of numbers."""
         self._fence = fence
         self._in_step = False
-        self._residency_number = self._entry_number = 0
+        self._residency_number = self._entry_number = self._origin_number = 0
+        self._shared_state.stream_origins.report_again(anyio.current_time())
 
     def _recorded_instances(self):
         record = self._leadership.record
@@ -231,7 +233,7 @@
         return self._shared_state.make_report(
             self._cfg.instance,
             lease.leading_capacity(self._cfg.cpu_cores, self._cfg.link_mbps),
-            (self._residency_number, self._entry_number),
+            (self._residency_number, self._entry_number, self._origin_number),
             elapsed_s,
             urgent,
             self.instances or self._recorded_instances(),
@@ -317,6 +319,7 @@
         if urgent:
             return
         self._in_step = True
+        self._origin_number = update.origin_number
         self.loading_s = update.loading_s
         if self._leadership.fence is not None:
             self._shared_state.apply_loads(update)
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -12,9 +12,10 @@
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import server_limits
+from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.model import backend
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 MAX_MESSAGE_BYTES = 4_194_304
 
@@ -102,6 +103,11 @@
             report of those in `permits` only.
         permits: Number of permits that its waiting requests need, by server
             id.
+        begun_streams: Software version by key of the streams begun since the
+            last report.
+        wanted_origins: Keys of streams whose version it wants to know.
+        seen_origin_number: Number of the last stream of this leader that it
+            has heard of, 0 if there is none.
     """
 
     instance: str
@@ -123,6 +129,9 @@
     share: float
     limits: Mapping[str, server_limits.ReportedLimit]
     permits: Mapping[str, int]
+    begun_streams: Mapping[int, str]
+    wanted_origins: tuple[int, ...]
+    seen_origin_number: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,6 +167,9 @@
         limits: Limits of the servers that have one, by server id; in the reply
             to an urgent report of those in its `permits` only.
         permits: Number of permits granted, by server id.
+        origin_number: Number of the last begun stream included.
+        origins: Software version by key of streams that were begun or asked
+            for.
     """
 
     fence: int
@@ -180,6 +192,8 @@
     fills: Mapping[str, float] | None
     limits: Mapping[str, server_limits.SharedLimit]
     permits: Mapping[str, int]
+    origin_number: int
+    origins: Mapping[int, str]
 
 
 def _pack(values):
@@ -217,13 +231,16 @@
             report.share,
             _pack_by_key(report.limits),
             dict(report.permits),
+            stream_origins.group_by_version(report.begun_streams),
+            list(report.wanted_origins),
+            report.seen_origin_number,
         ]
     )
 
 
 def decode_report(data):
     """Return the Report in a message; raise BadMessage if it is invalid."""
-    fields = _fields(data, 20)
+    fields = _fields(data, 23)
     try:
         return Report(
             str(fields[1]),
@@ -248,6 +265,9 @@
                 for server, row in fields[18].items()
             },
             {str(k): int(v) for k, v in fields[19].items()},
+            _versions_by_key(fields[20]),
+            tuple(int(key) for key in fields[21]),
+            int(fields[22]),
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected the fields of a report: {exc}') from exc
@@ -285,13 +305,15 @@
             None if update.fills is None else dict(update.fills),
             _pack_by_key(update.limits),
             dict(update.permits),
+            update.origin_number,
+            stream_origins.group_by_version(update.origins),
         ]
     )
 
 
 def decode_update(data):
     """Return the LeaderUpdate in a message; raise BadMessage if invalid."""
-    fields = _fields(data, 21)
+    fields = _fields(data, 23)
     try:
         return LeaderUpdate(
             int(fields[1]),
@@ -320,6 +342,8 @@
                 for server, row in fields[19].items()
             },
             {str(k): int(v) for k, v in fields[20].items()},
+            int(fields[21]),
+            _versions_by_key(fields[22]),
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(
@@ -364,6 +388,14 @@
     return fields
 
 
+def _versions_by_key(keys_by_version):
+    return {
+        int(key): str(version)
+        for version, keys in keys_by_version.items()
+        for key in keys
+    }
+
+
 def _residency(row):
     order_count, process_start_ms, models = row
     return backend.Residency(
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -5,6 +5,7 @@
 import logging
 
 from wagtailtide_gateway.control import digests
+from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import health
 from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.model import backend
@@ -19,6 +20,10 @@
 # refused one because it lacks that model or adapter.
 UNAVAILABLE_TTL_S = 0.4
 
+# Seconds for which a software version counts after its last server has left:
+# the longest time for which a stream that it began may be resumed.
+VERSION_TTL_S = stream_origins.ORIGIN_TTL_S
+
 # Weight of the latest request in the mean service time.
 SERVICE_TIME_SMOOTHING = 0.05
 
@@ -122,6 +127,8 @@
         self._list_revision = 0
         self._confirmed_at = float('-inf')
         self._list_failed_at = float('-inf')
+        self._listed_since = None
+        self._versions_left_at = {}
         self.states = {}
         self.health = health.Health()
         self.has_list = False
@@ -147,10 +154,15 @@
             del self._revisions[server_id]
         for server_id in self.states.keys() - listed:
             self._handle_missing(server_id, now)
-        self.has_list = True
+        self._note_listed(now)
         self.own_list_count += 1
         self._on_change()
 
+    def _note_listed(self, now):
+        self.has_list = True
+        if self._listed_since is None:
+            self._listed_since = now
+
     def apply_changes(self, changes, now):
         """Apply changes reported by a watch."""
         for change in changes:
@@ -230,8 +242,8 @@
             if obj is not None:
                 self._upsert(obj, now)
             elif server_id in self.states:
-                self._delete(server_id, 'removed by the leader')
-        self.has_list = True
+                self._delete(server_id, 'removed by the leader', now)
+        self._note_listed(now)
         if entries:
             self._on_change()
 
@@ -245,7 +257,9 @@
             since = state.missing_since
             if since is not None and now - since >= MISSING_GRACE_S:
                 self._delete(
-                    server_id, 'entry still missing after the store outage'
+                    server_id,
+                    'entry still missing after the store outage',
+                    now,
                 )
 
     def _upsert(self, obj, now):
@@ -283,6 +297,8 @@
         if state is None or state.server.residency.process_start_ms != (
             server.residency.process_start_ms
         ):
+            if state is not None:
+                self._note_version_left(state, now)
             # The previous process's residency, loads and refusals do not apply
             # to a restarted server.
             state = self.states[server.id] = ServerState(server)
@@ -327,15 +343,50 @@
             if state.missing_since is None:
                 state.missing_since = now
             return
-        self._delete(server_id, 'entry removed')
+        self._delete(server_id, 'entry removed', now)
 
-    def _delete(self, server_id, reason):
-        del self.states[server_id]
+    def _delete(self, server_id, reason, now):
+        self._note_version_left(self.states.pop(server_id), now)
         self._number_entry(server_id, None)
         self.health.retain(self.states.keys())
         LOG.info('server gone', extra={'server': server_id, 'reason': reason})
         self._on_change()
 
+    def _note_version_left(self, state, now):
+        server = state.server
+        self._versions_left_at[(server.service, server.software_version)] = now
+
+    def software_versions(self, service, now):
+        """Return the software versions that a service has had lately.
+
+        Args:
+            service: Name of the service.
+            now: Time in seconds.
+        """
+        return {
+            s.server.software_version for s in self.of_service(service)
+        } | {
+            version
+            for (name, version), left_at in self._versions_left_at.items()
+            if name == service and now - left_at <= VERSION_TTL_S
+        }
+
+    def has_several_versions(self, now):
+        """Return whether a service has had several versions lately."""
+        services = {s.server.service for s in self.states.values()}
+        return any(len(self.software_versions(s, now)) > 1 for s in services)
+
+    def only_version(self, service, now):
+        """Return the only software version that a service has had lately.
+
+        None if it has had several, or if the list is too new to tell.
+        """
+        since = self._listed_since
+        if since is None or now - since <= VERSION_TTL_S:
+            return None
+        versions = self.software_versions(service, now)
+        return versions.pop() if len(versions) == 1 else None
+
     def apply_residency(self, server_id, residency):
         """Apply a residency from an update of the leader."""
         state = self.states.get(server_id)
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -15,6 +15,7 @@
 from wagtailtide_gateway.serving import attempt as attempts
 from wagtailtide_gateway.serving import finder
 from wagtailtide_gateway.serving import relay as relays
+from wagtailtide_gateway.serving import resumption
 
 LOG = logging.getLogger(__name__)
 
@@ -62,6 +63,7 @@
         self._finder = finder.Finder(
             cfg, shared_state, exchange, lambda: self.is_stopping
         )
+        self._resumption = resumption.Resumption(cfg, shared_state, exchange)
         self._budget = retries.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
@@ -181,6 +183,7 @@
 
     async def _serve(self, job, out):
         self._check_quarantine(job)
+        await self._resumption.bind(job)
         await self._access.charge(job)
         now = anyio.current_time()
         self._budget.record_request(job.service.name, now)
@@ -189,7 +192,12 @@
                 *job.demand_key, job.route.latency_target_s
             )
         try:
-            relay = relays.Relay(job, out, lambda: self._reserve_retry(job))
+            relay = relays.Relay(
+                job,
+                out,
+                lambda: self._reserve_retry(job),
+                self._resumption.record_begun,
+            )
             await self._run_with_retries(job, relay, out)
         finally:
             if not job.possible_runs:
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -18,15 +18,18 @@
         reserve_retry: Function that returns whether another server is free
             to resume the stream and the retry budget allows it. If so, the
             retry has been charged.
+        record_begun: Function that is called with the job when its stream
+            begins.
 
     Attributes:
         has_reserved_retry: Whether the next retry has been charged already.
     """
 
-    def __init__(self, job, out, reserve_retry):
+    def __init__(self, job, out, reserve_retry, record_begun):
         self._job = job
         self._out = out
         self._reserve_retry = reserve_retry
+        self._record_begun = record_begun
         self.has_reserved_retry = False
         self._splitter = events.EventSplitter(job.req.resume_after)
         self._weights_version = None
@@ -81,6 +84,7 @@
                 if self._job.first_byte_at is None:
                     self._job.first_byte_at = anyio.current_time()
                     self._job.software_version = attempt.software_version
+                    self._record_begun(self._job)
                 await self._out.send(data)
         partial = self._splitter.take_partial()
         if partial:
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -11,6 +11,7 @@
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import server_limits
 from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import quota
 from wagtailtide_gateway.serving import wait_queue
 
@@ -34,6 +35,7 @@
         crashes: CrashTracker, requests that servers were running when they
             crashed.
         adapter_requests: Adapters that waiting requests need.
+        stream_origins: StreamOrigins, versions that began streams.
     """
 
     def __init__(self, port, clock):
@@ -48,6 +50,7 @@
         self.demand = demand.DemandCounter()
         self.crashes = crashes.CrashTracker()
         self.adapter_requests = set()
+        self.stream_origins = stream_origins.StreamOrigins()
         self._crash_reports = []
 
     def attribute_crash(self, server_id, process_start_ms):
@@ -81,8 +84,9 @@
         Args:
             instance: Name of this instance.
             capacity: Its capacity to lead, in cores.
-            seen: Numbers of the last residency change and of the last change
-                of a server entry that this instance has.
+            seen: Numbers of the last residency change, of the last change of
+                a server entry and of the last begun stream that this instance
+                has.
             elapsed_s: Seconds since the last report.
             urgent: Whether the report contains only draws on rates and
                 requests for adapters, and no loads or demand.
@@ -124,6 +128,9 @@
             share=self.local_quota.share,
             limits=limits,
             permits=permits,
+            begun_streams=self.stream_origins.take_unreported(),
+            wanted_origins=self.stream_origins.wanted,
+            seen_origin_number=seen[2],
         )
 
     def _known_residencies(self):
@@ -143,6 +150,7 @@
     def restore_report(self, report):
         """Restore crash reports and returned quota after a failed report."""
         self._crash_reports = list(report.crashes) + self._crash_reports
+        self.stream_origins.restore_unreported(report.begun_streams)
         for name, amount in report.draws.items():
             self.local_quota.add_granted(name, -amount)
 
@@ -184,6 +192,7 @@
             and self.config.version
         ):
             self.config.confirm(sent_at - update.config_age_s)
+        self.stream_origins.learn(update.origins, anyio.current_time())
         for server_id, residency in update.residencies.items():
             self.servers.apply_residency(server_id, residency)
         self.wait_queues.wake()
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -185,5 +185,8 @@
         'share': 0.1,
         'limits': {},
         'permits': {},
+        'begun_streams': {},
+        'wanted_origins': (),
+        'seen_origin_number': 0,
     }
     return messages.Report(**fields | changes)
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -18,8 +18,11 @@
 
 
 def _decode_server(obj):
-    residency = builders.make_residency(obj.value['models'])
-    return builders.make_server(obj.name, residency=residency)
+    return builders.make_server(
+        obj.name,
+        residency=builders.make_residency(obj.value['models']),
+        software_version=obj.value['version'],
+    )
 
 
 PORT = types.SimpleNamespace(
@@ -224,18 +227,24 @@
         }
         self.apply_list(models_by_id, count)
 
-    def apply_list(self, models_by_id, revision):
+    def apply_list(self, models_by_id, revision, versions=None):
         """Apply a list of servers.
 
         Args:
             models_by_id: Names of the models of each server by its id.
             revision: Revision of the list and of its entries.
+            versions: Software versions by id, v1 by default.
         """
+        versions = versions or {}
         objects = [
             ports.StoredObject(
                 server_id,
                 revision,
-                {'models': models, 'description': 'x' * 200},
+                {
+                    'models': models,
+                    'version': versions.get(server_id, 'v1'),
+                    'description': 'x' * 200,
+                },
             )
             for server_id, models in models_by_id.items()
         ]
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -22,6 +22,9 @@
     def age_s(self, now):
         return 0.0
 
+    def has_several_versions(self, now):
+        return False
+
     def changed_entries(self, number, known):
         return {'s1': None}
 
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -30,6 +30,9 @@
         's2': server_limits.ReportedLimit(None, 2.0),
     },
     {'s1': 2},
+    {2**64 - 1: 'v1', 17: 'v1.1'},
+    (4, 5),
+    6,
 )
 UPDATE = messages.LeaderUpdate(
     3,
@@ -52,6 +55,8 @@
     {'desk': 0.9},
     {'s1': server_limits.SharedLimit(1.6, 0.3, 4)},
     {'s1': 1},
+    7,
+    {2**64 - 1: 'v1', 5: 'v1.1'},
 )
 
 
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -227,3 +227,59 @@
         follower.apply_list([], 4, 1.0)
         sync_entries(leader, follower, 2.0)
         self.assertEqual(set(follower.states), {'s1'})
+
+
+class SoftwareVersionTest(unittest.TestCase):
+    SETTLED_S = servers.VERSION_TTL_S + 1.0
+
+    def test_only_version_is_known_after_a_time(self):
+        # Guards against an instance that has just started and does not know
+        # of a version whose last server left before.
+        view = make_view(builders.make_server('s1'))
+        self.assertIsNone(view.only_version('engines', 1.0))
+        self.assertEqual(view.only_version('engines', self.SETTLED_S), 'v1')
+
+    def test_version_counts_for_a_time_after_its_last_server_left(self):
+        view = make_view(
+            builders.make_server('s1'),
+            builders.make_server('s2', software_version='v1.1'),
+        )
+        view.apply_list(
+            [stored(builders.make_server('s1'))], 2, self.SETTLED_S
+        )
+        self.assertTrue(view.has_several_versions(self.SETTLED_S + 1.0))
+        self.assertIsNone(view.only_version('engines', self.SETTLED_S + 1.0))
+        later = self.SETTLED_S + servers.VERSION_TTL_S + 1.0
+        self.assertEqual(view.only_version('engines', later), 'v1')
+
+    def test_version_before_a_restart_under_the_same_id_counts(self):
+        view = make_view(builders.make_server('s1'))
+        restarted = builders.make_server(
+            's1',
+            software_version='v1.1',
+            residency=builders.make_residency(process_start_ms=2),
+        )
+        view.apply_changes(
+            [ports.Change(stored(restarted, 2), False)], self.SETTLED_S
+        )
+        self.assertEqual(
+            view.software_versions('engines', self.SETTLED_S), {'v1', 'v1.1'}
+        )
+
+    def test_versions_of_other_services_do_not_count(self):
+        view = make_view(
+            builders.make_server('s1'),
+            builders.make_server(
+                's2', service='ledger', software_version='v7'
+            ),
+        )
+        self.assertEqual(view.only_version('engines', self.SETTLED_S), 'v1')
+        self.assertFalse(view.has_several_versions(self.SETTLED_S))
+
+    def test_changed_version_is_passed_on(self):
+        leader = make_view(builders.make_server('s1'))
+        follower = make_view(builders.make_server('s1'))
+        changed = builders.make_server('s1', software_version='v1.1')
+        leader.apply_changes([ports.Change(stored(changed, 2), False)], 1.0)
+        sync_entries(leader, follower, 1.0)
+        self.assertEqual(follower.states['s1'].server.software_version, 'v1.1')
--- /dev/null
+++ b/packages/gateway/tests/control/test_stream_origins.py
@@ -0,0 +1,158 @@
+import contextlib
+import unittest
+
+import anyio
+from wagtailtide_gateway.control import stream_origins
+from wagtailtide_testing import virtual_time
+
+from tests import builders
+from tests.control import election_fixture
+
+TWO_VERSIONS = {'s1': 'v1', 's2': 'v1.1'}
+
+
+class StreamOriginsTest(unittest.TestCase):
+    def test_record_expires_after_the_longest_stream(self):
+        origins = stream_origins.StreamOrigins()
+        origins.record_begun('a1', 'v1', 10.0)
+        last_at = 10.0 + stream_origins.ORIGIN_TTL_S
+        self.assertEqual(origins.version_of('a1', last_at), 'v1')
+        self.assertIsNone(origins.version_of('a1', last_at + 0.1))
+
+    def test_lost_report_is_repeated(self):
+        origins = stream_origins.StreamOrigins()
+        origins.record_begun('a1', 'v1', 10.0)
+        lost = origins.take_unreported()
+        origins.record_begun('a2', 'v1.1', 10.1)
+        origins.restore_unreported(lost)
+        self.assertEqual(
+            origins.take_unreported(),
+            {
+                stream_origins.origin_key('a1'): 'v1',
+                stream_origins.origin_key('a2'): 'v1.1',
+            },
+        )
+
+    def test_attempt_is_asked_for_until_all_requests_have_ended(self):
+        origins = stream_origins.StreamOrigins()
+        origins.add_wanted('a1')
+        origins.add_wanted('a1')
+        origins.remove_wanted('a1')
+        self.assertEqual(origins.wanted, (stream_origins.origin_key('a1'),))
+        origins.remove_wanted('a1')
+        self.assertEqual(origins.wanted, ())
+
+
+class OriginDirectoryTest(unittest.TestCase):
+    def test_answer_has_what_was_asked_for_and_what_is_new(self):
+        directory = stream_origins.OriginDirectory()
+        directory.receive({1: 'v1', 2: 'v1'}, 10.0)
+        seen = directory.number
+        directory.receive({3: 'v1.1'}, 10.1)
+        report = builders.make_report(
+            wanted_origins=(1, 9), seen_origin_number=seen
+        )
+        self.assertEqual(directory.answer(report, True), {1: 'v1', 3: 'v1.1'})
+        self.assertEqual(directory.answer(report, False), {1: 'v1'})
+
+    def test_instance_without_a_number_gets_no_earlier_records(self):
+        # Guards against a new leader that sends all records to everyone.
+        directory = stream_origins.OriginDirectory()
+        directory.receive(dict.fromkeys(range(1000), 'v1'), 10.0)
+        self.assertEqual(directory.answer(builders.make_report(), True), {})
+
+    def test_records_expire(self):
+        directory = stream_origins.OriginDirectory()
+        directory.receive({1: 'v1'}, 10.0)
+        later = 10.1 + stream_origins.ORIGIN_TTL_S
+        directory.receive({2: 'v1'}, later)
+        report = builders.make_report(
+            wanted_origins=(1, 2), seen_origin_number=1
+        )
+        self.assertEqual(directory.answer(report, True), {2: 'v1'})
+
+
+def version_at(member, attempt_id):
+    return member.shared_state.stream_origins.version_of(
+        attempt_id, anyio.current_time()
+    )
+
+
+def record_begun(member, attempt_id, version):
+    member.shared_state.stream_origins.record_begun(
+        attempt_id, version, anyio.current_time()
+    )
+
+
+@contextlib.asynccontextmanager
+async def running_cluster(versions):
+    """Run three instances, the first of which leads.
+
+    Args:
+        versions: Software versions of the servers s1 and s2, v1 by default.
+
+    Yields:
+        The Member objects, and a function that ends the leader.
+    """
+    store = election_fixture.FakeStore()
+    network = election_fixture.FakeNetwork()
+    members = [
+        election_fixture.Member(name, store, network)
+        for name in ('leader', 'origin', 'other')
+    ]
+    leader, *others = members
+    leader_scope = anyio.CancelScope()
+
+    async def lead():
+        with leader_scope:
+            await leader.run()
+
+    def end_leader():
+        leader_scope.cancel()
+        del network.instances[leader.address]
+
+    leader.apply_list({'s1': ['m1'], 's2': ['m1']}, 1, versions)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(lead)
+        await anyio.sleep(1.0)
+        for member in others:
+            tg.start_soon(member.run)
+        await anyio.sleep(1.0)
+        yield members, end_leader
+        tg.cancel_scope.cancel()
+
+
+class ClusterTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_all_instances_know_what_began_a_stream(self):
+        # Incident 006. They know it when neither the leader nor the instance
+        # that began the stream answers any more.
+        async with running_cluster(TWO_VERSIONS) as (members, _):
+            _, origin, other = members
+            record_begun(origin, 'a1', 'v1.1')
+            await anyio.sleep(0.6)
+            self.assertEqual(version_at(other, 'a1'), 'v1.1')
+
+    @virtual_time.run_without_io
+    async def test_records_are_not_passed_on_while_there_is_one_version(self):
+        async with running_cluster({}) as (members, _):
+            _, origin, other = members
+            record_begun(origin, 'a1', 'v1')
+            await anyio.sleep(0.6)
+            self.assertIsNone(version_at(other, 'a1'))
+            other.shared_state.stream_origins.add_wanted('a1')
+            await other.exchange.wait_for_exchange(1.0)
+            self.assertEqual(version_at(other, 'a1'), 'v1')
+
+    @virtual_time.run_without_io
+    async def test_new_leader_learns_what_began_the_running_streams(self):
+        async with running_cluster({}) as (members, end_leader):
+            _, origin, other = members
+            record_begun(origin, 'a1', 'v1')
+            await anyio.sleep(0.6)
+            end_leader()
+            await anyio.sleep(6.0)
+            other.shared_state.stream_origins.add_wanted('a1')
+            for _ in range(2):
+                await other.exchange.wait_for_exchange(1.0)
+            self.assertEqual(version_at(other, 'a1'), 'v1')
