--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -73,12 +73,15 @@
         response_bytes: Size of these responses in bytes.
         largest_capacity: Largest capacity to lead of these instances, in
             cores.
+        software_versions: Service and software version of the servers known
+            lately.
     """
 
     instances: int
     responses: int
     response_bytes: int
     largest_capacity: float
+    software_versions: tuple[tuple[str, str], ...]
 
 
 @dataclasses.dataclass
@@ -187,6 +190,9 @@
                 (r.report.capacity for r in self._reports.values()),
                 default=0.0,
             ),
+            software_versions=self._servers.software_versions(
+                anyio.current_time()
+            ),
         )
 
     @property
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -159,6 +159,7 @@
     async def _exchange(self):
         """Exchange once; return whether the leader answered."""
         now = anyio.current_time()
+        self._note_first_versions(now)
         self._drop_old_numbers()
         urgent = self._in_step and now < self._next_full_at
         if not urgent:
@@ -184,6 +185,13 @@
         completed.set()
         return update is not None
 
+    def _note_first_versions(self, now):
+        """Pass on what the lease told of the servers before the start."""
+        versions = self._leadership.first_versions
+        if versions is not None:
+            self._leadership.first_versions = None
+            self._shared_state.servers.note_earlier_versions(versions, now)
+
     def _discard_old_residencies(self):
         """Route by an own list if there is one since the last update.
 
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -40,6 +40,9 @@
         fence: Fencing token if this instance is the leader, else None.
         resigned_fence: Last fencing token that this instance gave up, 0 if
             there is none.
+        first_versions: Service and software version of the servers that were
+            known when this instance first read the lease, None if the record
+            does not state them or was not read yet.
         previous_term_s: Duration in seconds, at least, of the term before the
             one of this instance.
     """
@@ -64,6 +67,8 @@
         self.record = None
         self.fence = None
         self.resigned_fence = 0
+        self.first_versions = None
+        self._has_read = False
         self.previous_term_s = 0.0
 
     @property
@@ -181,6 +186,7 @@
             min_capacity=lease.min_capacity(
                 (self._capacity, summary.largest_capacity)
             ),
+            software_versions=summary.software_versions,
         )
         sent_at = self._clock()
         if self._unconfirmed_since is None:
@@ -269,6 +275,7 @@
             renewals=0,
             instances=previous.instances if previous else 0,
             min_capacity=previous.min_capacity if previous else 0.0,
+            software_versions=previous.software_versions if previous else (),
         )
         sent_at = self._clock()
         try:
@@ -318,9 +325,21 @@
         except (stores.StoreUnavailable, stores.Conflict) as exc:
             LOG.info('duty unknown', extra={'reason': str(exc)})
             return False
+        if not self._has_read:
+            self._has_read = True
+            # Without a record no instance has run before.
+            self.first_versions = (
+                self.record.software_versions if self.record else ()
+            )
         return True
 
 
+def _decode_versions(rows):
+    if rows is None:
+        return None
+    return tuple((str(service), str(version)) for service, version in rows)
+
+
 def _decode(value):
     try:
         return lease.DutyRecord(
@@ -330,8 +349,9 @@
             int(value['fence']),
             int(value['renewals']),
             int(value['instances']),
-            # Earlier versions do not write it.
+            # Earlier versions do not write these.
             float(value.get('min_capacity', 0.0)),
+            _decode_versions(value.get('software_versions')),
         )
     except (KeyError, TypeError, ValueError) as exc:
         raise stores.StoreUnavailable(
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -128,6 +128,7 @@
         self._confirmed_at = float('-inf')
         self._list_failed_at = float('-inf')
         self._listed_since = None
+        self._has_earlier_versions = False
         self._versions_left_at = {}
         self.states = {}
         self.health = health.Health()
@@ -356,36 +357,48 @@
         server = state.server
         self._versions_left_at[(server.service, server.software_version)] = now
 
-    def software_versions(self, service, now):
-        """Return the software versions that a service has had lately.
+    def note_earlier_versions(self, versions, now):
+        """Record what servers there were before this instance started.
 
         Args:
-            service: Name of the service.
+            versions: Service and software version of each.
             now: Time in seconds.
         """
-        return {
-            s.server.software_version for s in self.of_service(service)
-        } | {
-            version
-            for (name, version), left_at in self._versions_left_at.items()
-            if name == service and now - left_at <= VERSION_TTL_S
+        self._has_earlier_versions = True
+        for row in versions:
+            self._versions_left_at[row] = now
+
+    def software_versions(self, now):
+        """Return service and software version of the servers known lately."""
+        listed = {
+            (state.server.service, state.server.software_version)
+            for state in self.states.values()
+        }
+        left = {
+            row
+            for row, left_at in self._versions_left_at.items()
+            if now - left_at <= VERSION_TTL_S
         }
+        return tuple(sorted(listed | left))
 
     def has_several_versions(self, now):
         """Return whether a service has had several versions lately."""
-        services = {s.server.service for s in self.states.values()}
-        return any(len(self.software_versions(s, now)) > 1 for s in services)
+        versions = self.software_versions(now)
+        return len(versions) > len({service for service, _ in versions})
 
     def only_version(self, service, now):
         """Return the only software version that a service has had lately.
 
-        None if it has had several, or if the list is too new to tell.
+        None if it has had several, or if this instance has neither listed the
+        servers for long enough nor learned what there was before.
         """
-        since = self._listed_since
-        if since is None or now - since <= VERSION_TTL_S:
+        if self._listed_since is None:
+            return None
+        is_new = now - self._listed_since <= VERSION_TTL_S
+        if is_new and not self._has_earlier_versions:
             return None
-        versions = self.software_versions(service, now)
-        return versions.pop() if len(versions) == 1 else None
+        versions = [v for s, v in self.software_versions(now) if s == service]
+        return versions[0] if len(versions) == 1 else None
 
     def apply_residency(self, server_id, residency):
         """Apply a residency from an update of the leader."""
--- a/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
@@ -59,6 +59,8 @@
         instances: Number of instances that report to the leader.
         min_capacity: Capacity from which an instance takes over at once;
             smaller ones wait for DEFERENCE_S.
+        software_versions: Service and software version of the servers that
+            the leader has known lately, None if the writer did not state them.
     """
 
     holder: str
@@ -68,6 +70,7 @@
     renewals: int
     instances: int
     min_capacity: float = 0.0
+    software_versions: tuple[tuple[str, str], ...] | None = None
 
 
 def leading_capacity(cpu_cores, link_mbps):
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -176,6 +176,7 @@
         changes: Changed settings.
 
     Attributes:
+        store: The FakeStore.
         leadership: Its Leadership.
         cluster: Its ClusterState.
         exchange: Its Exchange.
@@ -184,6 +185,7 @@
 
     def __init__(self, name, fake_store, network, **changes):
         self.name = name
+        self.store = fake_store
         self.address = backend.Address(f'10.0.0.{len(network.instances)}', 1)
         network.instances[self.address] = self
         cfg = builders.make_settings(
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -22,6 +22,9 @@
     def age_s(self, now):
         return 0.0
 
+    def software_versions(self, now):
+        return ()
+
     def has_several_versions(self, now):
         return False
 
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -239,6 +239,14 @@
         self.assertIsNone(view.only_version('engines', 1.0))
         self.assertEqual(view.only_version('engines', self.SETTLED_S), 'v1')
 
+    def test_versions_before_the_start_make_the_only_one_known(self):
+        view = make_view(builders.make_server('s1'))
+        view.note_earlier_versions((('engines', 'v1'), ('ledger', 'v2')), 0.5)
+        self.assertEqual(view.only_version('engines', 1.0), 'v1')
+        view.note_earlier_versions((('engines', 'v0'),), 0.5)
+        self.assertIsNone(view.only_version('engines', 1.0))
+        self.assertEqual(view.only_version('engines', self.SETTLED_S), 'v1')
+
     def test_version_counts_for_a_time_after_its_last_server_left(self):
         view = make_view(
             builders.make_server('s1'),
@@ -263,7 +271,8 @@
             [ports.Change(stored(restarted, 2), False)], self.SETTLED_S
         )
         self.assertEqual(
-            view.software_versions('engines', self.SETTLED_S), {'v1', 'v1.1'}
+            view.software_versions(self.SETTLED_S),
+            (('engines', 'v1'), ('engines', 'v1.1')),
         )
 
     def test_versions_of_other_services_do_not_count(self):
--- a/packages/gateway/tests/control/test_stream_origins.py
+++ b/packages/gateway/tests/control/test_stream_origins.py
@@ -156,3 +156,25 @@
             for _ in range(2):
                 await other.exchange.wait_for_exchange(1.0)
             self.assertEqual(version_at(other, 'a1'), 'v1')
+
+
+class RestartTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_instances_that_all_restart_know_the_earlier_versions(self):
+        # Guards against refused resumptions after a restart of all instances,
+        # and against streams that go on at the version that replaced theirs.
+        for versions, only in (({}, 'v1'), (TWO_VERSIONS, None)):
+            async with running_cluster(versions) as (members, _):
+                store = members[0].store
+                await anyio.sleep(1.5)
+            started = election_fixture.Member(
+                'started', store, election_fixture.FakeNetwork()
+            )
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(started.run)
+                await anyio.sleep(1.0)
+                started.apply_list({'s1': ['m1']}, 2)
+                servers = started.shared_state.servers
+                now = anyio.current_time()
+                self.assertEqual(servers.only_version('engines', now), only)
+                tg.cancel_scope.cancel()
