--- a/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
@@ -48,7 +48,9 @@
             Whether the adapter request is handled.
         """
         candidates = []
-        for server_id, engine in self._fleet.available_engines(service):
+        for server_id, engine in self._fleet.available_engines(
+            service, request.software_version
+        ):
             resident = engine.residency.models.get(request.model)
             if resident is None or engine.busy or now < engine.not_before:
                 continue
--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -105,12 +105,18 @@
                 new_ids.append(server_id)
         return new_ids
 
-    def available_engines(self, service):
-        """Return a service's engines that accept requests, with their ids."""
+    def available_engines(self, service, software_version=None):
+        """Return a service's engines that accept requests, with their ids.
+
+        Args:
+            service: The Service.
+            software_version: Software version of the engines, None for all.
+        """
         return [
             (server_id, self.engines[server_id])
             for server_id, state in self._servers.states.items()
             if state.server.service == service.name
+            and software_version in (None, state.server.software_version)
             and server_id in self.engines
             and state.accepts_requests
             and not self._cluster.is_unreachable(server_id)
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -47,11 +47,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterRequest:
-    """An adapter that a waiting request needs and no usable server holds."""
+    """An adapter that a waiting request needs and no usable server holds.
+
+    Attributes:
+        service: Name of the service.
+        model: Name of the model.
+        adapter: Name of the adapter.
+        software_version: Software version of the servers that may run the
+            request, None if all may.
+    """
 
     service: str
     model: str
     adapter: str
+    software_version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -176,7 +176,10 @@
     def _request_adapter(self, job):
         self._shared_state.adapter_requests.add(
             messages.AdapterRequest(
-                job.service.name, job.req.model, job.req.adapter
+                job.service.name,
+                job.req.model,
+                job.req.adapter,
+                job.software_version,
             )
         )
         self._exchange.start_now()
--- a/packages/gateway/tests/control/test_adapter_orders.py
+++ b/packages/gateway/tests/control/test_adapter_orders.py
@@ -25,7 +25,7 @@
     return fixture
 
 
-async def run_orders(fixture, age_s=0.0):
+async def run_orders(fixture, age_s=0.0, request=ADAPTER_REQUEST):
     """Run the orders for one adapter request of the given age.
 
     Returns:
@@ -35,7 +35,7 @@
         fixture.config, fixture.fleet, fixture.cluster, fixture.client
     )
     now = anyio.current_time()
-    fixture.cluster.adapter_requests[ADAPTER_REQUEST] = now - age_s
+    fixture.cluster.adapter_requests[request] = now - age_s
     async with anyio.create_task_group() as tg:
         orders.start(tg, now)
     return [(load, name) for _, _, load, _, name in fixture.client.sent]
@@ -50,6 +50,14 @@
         self.assertEqual({'a9'}, held.adapters)
         self.assertEqual({}, fixture.cluster.adapter_requests)
 
+    @virtual_time.run_without_io
+    async def test_adapter_at_another_software_version_is_not_enough(self):
+        # Guards against a resumed stream whose servers lack the adapter.
+        fixture = make_fixture('a9')
+        request = dataclasses.replace(ADAPTER_REQUEST, software_version='v1.1')
+        self.assertEqual([], await run_orders(fixture, request=request))
+        self.assertIn(request, fixture.cluster.adapter_requests)
+
     @virtual_time.run_without_io
     async def test_least_recently_requested_adapter_is_unloaded(self):
         # Guards the limit on adapters in an engine; exceeding it crashes the
