--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -63,11 +63,15 @@
         """Estimated number of requests in the server."""
         return self.own_load + self.others_load
 
+    @property
+    def leaves(self):
+        """Whether the server is known to be leaving."""
+        return self.server.leaving or self.reported_leaving
+
     @property
     def accepts_requests(self):
         """Whether requests may be sent to the server."""
-        leaves = self.server.leaving or self.reported_leaving
-        return not leaves and self.missing_since is None
+        return not self.leaves and self.missing_since is None
 
     @property
     def residency(self):
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -132,7 +132,7 @@
         if version is None:
             return
         if not any(
-            state.accepts_requests and state.server.software_version == version
+            state.server.software_version == version and not state.leaves
             for state in self._servers.of_service(job.service.name)
         ):
             raise kinds.ServingError(
