--- a/packages/gateway/src/wagtailtide_gateway/control/stream_origins.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/stream_origins.py
@@ -8,6 +8,7 @@
 the instance that began the stream.
 """
 
+import collections
 import hashlib
 
 # Seconds for which a record is kept: the longest time that a caller waits for
@@ -32,19 +33,23 @@
 
 
 def _drop_expired(records, now):
-    """Drop the expired ones of records that are ordered by their time."""
-    for key, (_, recorded_at) in list(records.items()):
+    """Drop the expired records of an OrderedDict, which has the oldest first.
+
+    A record is a tuple of the version, its time in seconds and more.
+    """
+    while records:
+        _, recorded_at, *_ = next(iter(records.values()))
         if now - recorded_at <= ORIGIN_TTL_S:
             break
-        del records[key]
+        records.popitem(last=False)
 
 
 class StreamOrigins:
     """Records of one instance: own streams and what the leader passed on."""
 
     def __init__(self):
-        self._known = {}
-        self._own = {}
+        self._known = collections.OrderedDict()
+        self._own = collections.OrderedDict()
         self._unreported = {}
         self._wanted = {}
 
@@ -112,17 +117,15 @@
 
     def __init__(self):
         self.number = 1
-        self._records = {}
-        self._numbers = {}
+        self._records = collections.OrderedDict()
 
     def receive(self, versions, now):
         """Add the version by key in a report of an instance."""
-        self._drop_expired(now)
+        _drop_expired(self._records, now)
         for key, version in versions.items():
             if key not in self._records:
                 self.number += 1
-                self._records[key] = (version, now)
-                self._numbers[key] = self.number
+                self._records[key] = (version, now, self.number)
 
     def answer(self, report, with_new):
         """Return the version by key for the sender of a report.
@@ -143,15 +146,10 @@
 
     def _since(self, number):
         versions = {}
-        for key in reversed(self._records):
-            if self._numbers[key] <= number:
+        for key, (version, _, record_number) in reversed(
+            self._records.items()
+        ):
+            if record_number <= number:
                 break
-            versions[key] = self._records[key][0]
+            versions[key] = version
         return versions
-
-    def _drop_expired(self, now):
-        _drop_expired(self._records, now)
-        for key in list(self._numbers):
-            if key in self._records:
-                break
-            del self._numbers[key]
