--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -0,0 +1,197 @@
+"""Servers that are able to run a request, as this instance knows them."""
+
+import random
+
+import anyio
+from wagtailtide_core.errors import kinds
+
+from wagtailtide_gateway.decisions import admission
+from wagtailtide_gateway.decisions import server_choice
+
+# Service times assumed before any request of a service has completed.
+DEFAULT_ENGINE_SERVICE_S = 1.5
+DEFAULT_PLAIN_SERVICE_S = 0.1
+
+# Time to fetch an adapter and to learn from the leader that it is there.
+ADAPTER_FETCH_S = 0.08
+
+# Added to the load time of a model whose load has not been ordered yet: the
+# engine may have to unload another model first.
+LOAD_ORDER_DELAY_S = 1.0
+
+# Share of the server drain time after which the list of servers is too old to
+# send requests by it. The rest is for the request to reach its server.
+MAX_LIST_AGE_SHARE = 0.9
+
+# Time in which a list that is too old is expected to be replaced.
+LIST_REFRESH_S = 0.3
+
+# Time in which a plain service without a usable server is expected to recover:
+# an unreachable server is removed or comes back within seconds.
+UNREACHABLE_RECOVERY_S = 1.0
+
+
+class Availability:
+    """Tells which servers can run a request, and which one is the best.
+
+    Args:
+        cfg: The Settings.
+        servers: ServerView of the instance.
+        exchange: Exchange with the leader.
+    """
+
+    def __init__(self, cfg, servers, exchange):
+        self._cfg = cfg
+        self._servers = servers
+        self._exchange = exchange
+
+    def usable(self, job, now):
+        """Return the ServerState of each server that the request may use.
+
+        It need not hold the request's model.
+        """
+        if self._is_list_outdated(now):
+            return []
+        health = self._servers.health
+        return [
+            state
+            for state in self._servers.of_service(job.service.name)
+            if state.accepts_requests
+            and job.software_version in (None, state.server.software_version)
+            and state.server.id not in job.tried
+            and not health.is_unreachable(state.server.id, now)
+        ]
+
+    def capable(self, job, now):
+        """Return the usable servers that hold the request's model."""
+        states = self.usable(job, now)
+        if job.is_plain:
+            return states
+        model, adapter = job.req.model, job.req.adapter
+        return [s for s in states if s.can_serve(model, adapter, now)]
+
+    def capable_by_limit(self, job, now):
+        """Return the capable servers without and those with a limit."""
+        capable = self.capable(job, now)
+        return (
+            [s for s in capable if s.limit.per_s is None],
+            [s for s in capable if s.limit.per_s is not None],
+        )
+
+    def best_free(self, job, capable):
+        """Return the candidates and the one to use, None if it is full.
+
+        Args:
+            job: The Job.
+            capable: ServerState objects of the servers that can run it.
+
+        Returns:
+            The Candidate objects and a ServerState or None.
+        """
+        now = anyio.current_time()
+        candidates = [self._candidate(state, now) for state in capable]
+        best = server_choice.choose_server(
+            candidates, self._cfg.zone, job.prefix_hash, random.random
+        )
+        if best is None or best.load >= admission.load_limit(
+            job.priority,
+            best.slots,
+            job.route.latency_target_s,
+            self.service_time_s(job),
+        ):
+            return candidates, None
+        return candidates, next(s for s in capable if s.server.id == best.id)
+
+    def best_permitted(self, job, limited, now):
+        """Return the best limited server that may get a request, or None."""
+        instances = self._exchange.leaderless_instances
+        permitted = [s for s in limited if s.limit.allows(instances, now)]
+        return self.best_free(job, permitted)[1]
+
+    def limited_per_s(self, limited):
+        """Return the requests a second that limited servers take.
+
+        While no leader answers, only the part of this instance counts.
+
+        Args:
+            limited: ServerState of each.
+        """
+        instances = self._exchange.leaderless_instances
+        return sum(s.limit.usable_per_s(instances) for s in limited)
+
+    def limited_waiting(self, limited):
+        """Return how many requests of other instances the leader counted."""
+        if self._exchange.leaderless_instances is not None:
+            return 0
+        return sum(s.limit.others_waiting for s in limited)
+
+    def needs_adapter(self, job):
+        """Return whether usable servers lack only the request's adapter."""
+        if job.req.adapter is None:
+            return False
+        now = anyio.current_time()
+        states = self.usable(job, now)
+        return any(s.can_serve(job.req.model, None, now) for s in states) and (
+            not any(
+                s.can_serve(job.req.model, job.req.adapter, now)
+                for s in states
+            )
+        )
+
+    def ready_in_s(self, job, now):
+        """Return the seconds until a server is able to run the request.
+
+        Raises:
+            ServingError: The service has no such model.
+        """
+        if self._is_list_outdated(now):
+            return LIST_REFRESH_S
+        usable = self.usable(job, now)
+        if job.is_plain:
+            return UNREACHABLE_RECOVERY_S
+        if any(s.can_serve(job.req.model, None, now) for s in usable):
+            return ADAPTER_FETCH_S
+        loading_s = self._exchange.loading_s.get(job.demand_key)
+        if loading_s is not None:
+            return loading_s
+        model = job.service.engine.models.get(job.req.model)
+        if model is None:
+            raise kinds.ServingError(
+                kinds.ErrorKind.UNKNOWN_MODEL,
+                f'service {job.service.name} has no model {job.req.model}; '
+                'use a model that the service is configured with',
+            )
+        return self._load_s(model, usable) + LOAD_ORDER_DELAY_S
+
+    def service_time_s(self, job):
+        """Return the seconds that a request like this occupies a slot."""
+        default_s = (
+            DEFAULT_PLAIN_SERVICE_S
+            if job.is_plain
+            else DEFAULT_ENGINE_SERVICE_S
+        )
+        return self._servers.service_time_s(job.service.name, default_s)
+
+    def _is_list_outdated(self, now):
+        max_age_s = self._cfg.server_drain_s * MAX_LIST_AGE_SHARE
+        return self._servers.is_outdated(max_age_s, now)
+
+    def _candidate(self, state, now):
+        server = state.server
+        return server_choice.Candidate(
+            id=server.id,
+            zone=server.zone,
+            slots=server.slots,
+            load=state.load,
+            failure_rate=self._servers.health.failure_rate(server.id, now),
+        )
+
+    def _load_s(self, model, usable):
+        times = [model.store_load_s]
+        for state in usable:
+            residency = state.residency
+            if model.name in residency.in_memory:
+                times.append(model.memory_load_s)
+            elif model.name in residency.on_disk:
+                times.append(model.disk_load_s)
+        return min(times)
