--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -12,6 +12,9 @@
 DEFAULT_ENGINE_SERVICE_S = 1.5
 DEFAULT_PLAIN_SERVICE_S = 0.1
 
+# Slots per server assumed while no server of a service is usable.
+DEFAULT_SLOTS = 8
+
 # Time to fetch an adapter and to learn from the leader that it is there.
 ADAPTER_FETCH_S = 0.08
 
@@ -125,6 +128,21 @@
             return 0
         return sum(s.limit.others_waiting for s in limited)
 
+    def retries_per_s(self, job, now):
+        """Return the retries a second that this instance may admit."""
+        instances = max(1, self._exchange.instances)
+        unlimited, limited = self.capable_by_limit(job, now)
+        if limited and not unlimited:
+            if self._exchange.leaderless_instances is not None:
+                # The rate is that of this instance alone.
+                instances = 1
+            return self.limited_per_s(limited) / instances
+        slots = max(
+            (state.server.slots for state in self.usable(job, now)),
+            default=DEFAULT_SLOTS,
+        )
+        return slots / self.service_time_s(job) / instances
+
     def needs_adapter(self, job):
         """Return whether usable servers lack only the request's adapter."""
         if job.req.adapter is None:
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -8,9 +8,6 @@
 from wagtailtide_gateway.decisions import retry_schedule
 from wagtailtide_gateway.serving import availability
 
-# Slots per server assumed while no server of a service is usable.
-DEFAULT_SLOTS = 8
-
 # Waiting requests check for a server at least this often.
 RECHECK_INTERVAL_S = 0.25
 
@@ -199,14 +196,7 @@
             kind = kinds.ErrorKind.MODEL_LOADING
         else:
             kind = kinds.ErrorKind.OVERLOADED
-        slots = max(
-            (state.server.slots for state in usable), default=DEFAULT_SLOTS
-        )
-        service_s = self._availability.service_time_s(job)
-        starts_per_s = slots / service_s
-        if limited and not unlimited:
-            starts_per_s = self._availability.limited_per_s(limited)
-        retries_per_s = starts_per_s / max(1, self._exchange.instances)
+        retries_per_s = self._availability.retries_per_s(job, now)
         retry_delay_s = self._retry_schedule.assign(
             job.demand_key, now + decision.retry_after_s, retries_per_s, now
         )
