--- a/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
@@ -44,10 +44,13 @@
     def _start_load(self, tg, service, request, now):
         """Start loading an adapter on the least loaded engine with its model.
 
+        Engines that state a limit are used only if no other one has the model,
+        because the requests that need the adapter would wait for permits.
+
         Returns:
             Whether the adapter request is handled.
         """
-        candidates = []
+        candidates, is_held = [], False
         for server_id, engine in self._fleet.available_engines(
             service, request.software_version
         ):
@@ -57,13 +60,22 @@
             if request.adapter in resident.adapters:
                 self._cluster.publish(server_id, engine.residency)
                 engine.adapter_used_at[(request.model, request.adapter)] = now
-                return True
-            candidates.append(
-                (self._cluster.load_of(server_id), server_id, engine)
+                if not self._fleet.is_limited(server_id):
+                    return True
+                is_held = True
+                continue
+            order = (
+                self._fleet.is_limited(server_id),
+                self._cluster.load_of(server_id),
             )
+            candidates.append((order, server_id, engine))
         if not candidates:
-            return False
-        _, server_id, engine = min(candidates, key=lambda row: row[0])
+            return is_held
+        (on_limited, _), server_id, engine = min(
+            candidates, key=lambda row: row[0]
+        )
+        if on_limited and is_held:
+            return True
         engine.adapter_used_at[(request.model, request.adapter)] = now
         tg.start_soon(self._load_adapter, service, server_id, engine, request)
         return True
--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -122,6 +122,11 @@
             and not self._cluster.is_unreachable(server_id)
         ]
 
+    def is_limited(self, server_id):
+        """Return whether a server states a limit of requests a second."""
+        state = self._servers.states.get(server_id)
+        return state is not None and state.limit.per_s is not None
+
     def update_residency(self, server_id, engine, residency):
         """Set the residency of an engine and publish it to the instances."""
         engine.residency = residency
--- a/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -115,6 +115,21 @@
     return pool.ready_in_s + backlog / starts_per_s
 
 
+def with_other_server(pool, ready_in_s):
+    """Return the pool for a request that limited servers can run.
+
+    Args:
+        pool: Pool of the limited servers.
+        ready_in_s: Seconds until a server without a limit can run it. If that
+            is sooner, the request waits for this one.
+    """
+    if ready_in_s >= predict_wait_s(pool):
+        return pool
+    return dataclasses.replace(
+        pool, limited_per_s=0.0, limited_waiting=0, ready_in_s=ready_in_s
+    )
+
+
 def throughput(pool):
     """Return how many requests a second the servers of a pool can start."""
     return pool.slots / max(pool.service_s, MIN_SERVICE_S) + pool.limited_per_s
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -1,5 +1,6 @@
 """Servers that are able to run a request, as this instance knows them."""
 
+import math
 import random
 
 import anyio
@@ -144,18 +145,32 @@
         return slots / self.service_time_s(job) / instances
 
     def needs_adapter(self, job):
-        """Return whether usable servers lack only the request's adapter."""
+        """Return whether servers with the model lack the request's adapter.
+
+        Servers that state a limit count only if no other one has the model.
+        """
         if job.req.adapter is None:
             return False
         now = anyio.current_time()
-        states = self.usable(job, now)
-        return any(s.can_serve(job.req.model, None, now) for s in states) and (
-            not any(
-                s.can_serve(job.req.model, job.req.adapter, now)
-                for s in states
-            )
+        states = [
+            s
+            for s in self.usable(job, now)
+            if s.can_serve(job.req.model, None, now)
+        ]
+        states = [s for s in states if s.limit.per_s is None] or states
+        return bool(states) and not any(
+            s.can_serve(job.req.model, job.req.adapter, now) for s in states
         )
 
+    def other_server_in_s(self, job):
+        """Return the seconds until a server without a limit can run a request.
+
+        Infinity if none is about to.
+        """
+        if self.needs_adapter(job):
+            return ADAPTER_FETCH_S
+        return self._exchange.loading_s.get(job.demand_key, math.inf)
+
     def ready_in_s(self, job, now):
         """Return the seconds until a server is able to run the request.
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -183,6 +183,10 @@
             limited_per_s=self._availability.limited_per_s(limited),
             limited_waiting=self._availability.limited_waiting(limited),
         )
+        if limited and not unlimited:
+            pool = admission.with_other_server(
+                pool, self._availability.other_server_in_s(job)
+            )
         decision = admission.decide(pool, best is not None, job.wait_left_s)
         return best, decision
 
--- a/packages/gateway/tests/control/test_adapter_orders.py
+++ b/packages/gateway/tests/control/test_adapter_orders.py
@@ -4,6 +4,7 @@
 import anyio
 from wagtailtide_gateway.control import adapter_orders
 from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_testing import virtual_time
 
 from tests import builders
@@ -12,14 +13,17 @@
 ADAPTER_REQUEST = messages.AdapterRequest(leader_fixture.SERVICE, 'a', 'a9')
 
 
-def make_fixture(*adapters):
+def make_residency(*adapters):
     residency = builders.make_residency(['a'])
     model = dataclasses.replace(
         residency.models['a'], adapters=frozenset(adapters)
     )
-    residency = dataclasses.replace(residency, models={'a': model})
+    return dataclasses.replace(residency, models={'a': model})
+
+
+def make_fixture(*adapters):
     fixture = leader_fixture.LeaderFixture(
-        builders.make_server('e1', residency=residency)
+        builders.make_server('e1', residency=make_residency(*adapters))
     )
     fixture.add_listed_engines()
     return fixture
@@ -58,6 +62,39 @@
         self.assertEqual([], await run_orders(fixture, request=request))
         self.assertIn(request, fixture.cluster.adapter_requests)
 
+    @virtual_time.run_without_io
+    async def test_adapter_is_not_loaded_at_an_engine_with_a_limit(self):
+        # Guards against requests that wait for permits though another engine
+        # has their model: the engine with a limit is the least loaded one.
+        for held in ((), ('a9',)):
+            with self.subTest(held=held):
+                limited = builders.make_server(
+                    'e1', residency=make_residency(*held)
+                )
+                other = builders.make_server('e2', residency=make_residency())
+                fixture = leader_fixture.LeaderFixture(limited, other)
+                fixture.add_listed_engines()
+                fixture.servers.states['e1'].limit.update(
+                    server_limits.Statement(1.6, 0.0)
+                )
+                fixture.cluster.handle_report(
+                    builders.make_report(loads={'e2': 5})
+                )
+                await run_orders(fixture)
+                self.assertEqual(
+                    [server for _, server, *_ in fixture.client.sent], ['e2']
+                )
+
+    @virtual_time.run_without_io
+    async def test_engine_with_a_limit_gets_the_adapter_if_it_is_the_only_one(
+        self,
+    ):
+        fixture = make_fixture()
+        fixture.servers.states['e1'].limit.update(
+            server_limits.Statement(1.6, 0.0)
+        )
+        self.assertEqual([(True, 'a9')], await run_orders(fixture))
+
     @virtual_time.run_without_io
     async def test_least_recently_requested_adapter_is_unloaded(self):
         # Guards the limit on adapters in an engine; exceeding it crashes the
--- a/packages/gateway/tests/decisions/test_admission.py
+++ b/packages/gateway/tests/decisions/test_admission.py
@@ -84,3 +84,33 @@
         for _ in range(10):
             schedule.assign('m', 1.0, 2.0, 0.0)
         self.assertEqual(schedule.assign('m', 60.5, 2.0, 60.0), 0.5)
+
+
+class LimitedServersTest(unittest.TestCase):
+    def make_pool(self, **changes):
+        fields = {
+            'slots': 0.0,
+            'load': 0.0,
+            'waiting_ahead': 0,
+            'instances': 12,
+            'service_s': 1.5,
+            'limited_per_s': 2.0,
+        }
+        return admission.ServerPool(**fields | changes)
+
+    def test_wait_for_a_permit_counts_all_that_wait(self):
+        pool = self.make_pool(waiting_ahead=1, limited_waiting=4)
+        self.assertAlmostEqual(admission.predict_wait_s(pool), 6 / 2.0)
+
+    def test_request_that_would_wait_too_long_is_refused_at_once(self):
+        pool = self.make_pool(limited_waiting=40)
+        decision = admission.decide(pool, False, 2.0)
+        self.assertIs(decision.verdict, admission.Verdict.REFUSE)
+        self.assertGreater(decision.retry_after_s, 1.0)
+
+    def test_request_waits_for_another_server_that_is_ready_sooner(self):
+        pool = self.make_pool(limited_waiting=40)
+        soon = admission.with_other_server(pool, 0.08)
+        decision = admission.decide(soon, False, 2.0)
+        self.assertIs(decision.verdict, admission.Verdict.WAIT)
+        self.assertIs(admission.with_other_server(pool, 60.0), pool)
