--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -6,6 +6,10 @@
 
 from wagtailtide_gateway.model import backend
 
+# Smallest share of a service's engines without a limit for which the models of
+# the others are placed on these as well.
+MIN_UNLIMITED_SHARE = 0.5
+
 
 @dataclasses.dataclass
 class EngineState:
@@ -127,6 +131,19 @@
         state = self._servers.states.get(server_id)
         return state is not None and state.limit.per_s is not None
 
+    def placeable_engines(self, service):
+        """Return the available engines whose models count as placed.
+
+        An engine with a limit takes few requests, so each of its models needs
+        a copy elsewhere. If most engines state limits there is no room for
+        that, and all of them count.
+        """
+        engines = self.available_engines(service)
+        unlimited = [row for row in engines if not self.is_limited(row[0])]
+        if len(unlimited) < MIN_UNLIMITED_SHARE * len(engines):
+            return engines
+        return unlimited
+
     def update_residency(self, server_id, engine, residency):
         """Set the residency of an engine and publish it to the instances."""
         engine.residency = residency
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -73,7 +73,8 @@
     def _snapshot(self, service, now):
         copies, serving = collections.Counter(), collections.Counter()
         views = []
-        for server_id, engine in self._fleet.available_engines(service):
+        engines = self._fleet.placeable_engines(service)
+        for server_id, engine in engines:
             copies.update(engine.planned_models)
             serving.update(engine.serving_models)
             if not engine.busy and now >= engine.not_before:
@@ -81,7 +82,7 @@
         self._cluster.note_serving(service.name, serving)
         return placement.Snapshot(
             engines=tuple(views),
-            engine_count=len(self._fleet.available_engines(service)),
+            engine_count=len(engines),
             copies=copies,
             serving_copies=serving,
             utilisation=self._utilisation(service),
@@ -102,7 +103,7 @@
 
     def _utilisation(self, service):
         loads = collections.defaultdict(list)
-        for server_id, engine in self._fleet.available_engines(service):
+        for server_id, engine in self._fleet.placeable_engines(service):
             for name in engine.residency.models:
                 loads[name].append(self._cluster.load_of(server_id))
         return {
@@ -119,7 +120,7 @@
     def _cached(self, service):
         """Return the models that some engine has a copy of or is loading."""
         found = set()
-        for _, engine in self._fleet.available_engines(service):
+        for _, engine in self._fleet.placeable_engines(service):
             residency = engine.residency
             found |= residency.in_memory | residency.on_disk
             found |= residency.models.keys()
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -4,6 +4,7 @@
 from wagtailtide_gateway.control import engine_client
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import model_orders
+from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_testing import virtual_time
 
 from tests import builders
@@ -197,3 +198,59 @@
             await anyio.sleep(15.0)
             tg.cancel_scope.cancel()
         self.assertEqual(fixture.published_models('e1'), {'x'})
+
+
+class LimitedEngineTest(unittest.TestCase):
+    def make_fixture(self, *limited):
+        """Return three engines, some of which state a limit, and orders."""
+        fixture = leader_fixture.LeaderFixture(
+            *(
+                builders.make_server(
+                    id_, residency=builders.make_residency([model])
+                )
+                for id_, model in (('e1', 'a'), ('e2', 'b'), ('e3', 'c'))
+            )
+        )
+        fixture.add_listed_engines()
+        for id_ in limited:
+            fixture.servers.states[id_].limit.update(
+                server_limits.Statement(1.6, anyio.current_time())
+            )
+        orders = model_orders.ModelOrders(
+            fixture.config,
+            fixture.servers,
+            fixture.fleet,
+            fixture.cluster,
+            fixture.client,
+            builders.make_settings(),
+        )
+        return fixture, orders
+
+    async def loads(self, fixture, orders):
+        """Return server and model of each load while 'a' runs requests."""
+        rows = [(name, 3, 0, 0.4) for name in ('a', 'b', 'c')]
+        await report_demand(fixture, *rows)
+        async with anyio.create_task_group() as tg:
+            orders.plan(tg, anyio.current_time())
+            await anyio.sleep(1.0)
+            tg.cancel_scope.cancel()
+        return [
+            (server, model)
+            for _, server, load, model, _ in fixture.client.sent
+            if load
+        ]
+
+    @virtual_time.run_without_io
+    async def test_model_of_an_engine_with_a_limit_is_loaded_elsewhere(self):
+        # Guards against requests that are refused for as long as the only
+        # engine with their model states a limit.
+        fixture, orders = self.make_fixture('e1')
+        loads = await self.loads(fixture, orders)
+        self.assertEqual([model for _, model in loads], ['a'])
+        self.assertNotEqual(loads[0][0], 'e1')
+
+    @virtual_time.run_without_io
+    async def test_models_stay_if_most_engines_state_limits(self):
+        # Guards against loads of all models on the few engines that are left.
+        fixture, orders = self.make_fixture('e1', 'e2')
+        self.assertEqual(await self.loads(fixture, orders), [])
