--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -6,9 +6,9 @@
 
 from wagtailtide_gateway.model import backend
 
-# Smallest share of a service's engines without a limit for which the models of
-# the others are placed on these as well.
-MIN_UNLIMITED_SHARE = 0.5
+# Largest share of a service's engines with limits for which placement avoids
+# these engines.
+MAX_LIMITED_SHARE = 0.5
 
 
 @dataclasses.dataclass
@@ -126,23 +126,31 @@
             and not self._cluster.is_unreachable(server_id)
         ]
 
-    def is_limited(self, server_id):
-        """Return whether a server states a limit of requests a second."""
+    def limit_per_s(self, server_id):
+        """Return the requests a second that a server takes, None for any."""
         state = self._servers.states.get(server_id)
-        return state is not None and state.limit.per_s is not None
+        return None if state is None else state.limit.per_s
 
-    def placeable_engines(self, service):
-        """Return the available engines whose models count as placed.
+    def placement_limits(self, service):
+        """Return the limit of each engine that placement has to avoid, by id.
 
-        An engine with a limit takes few requests, so each of its models needs
-        a copy elsewhere. If most engines state limits there is no room for
-        that, and all of them count.
+        None of them if most engines of the service state limits: then the
+        others have no room for the models of these.
         """
-        engines = self.available_engines(service)
-        unlimited = [row for row in engines if not self.is_limited(row[0])]
-        if len(unlimited) < MIN_UNLIMITED_SHARE * len(engines):
-            return engines
-        return unlimited
+        limits = {
+            server_id: self.limit_per_s(server_id)
+            for server_id, _ in self.available_engines(service)
+        }
+        limited = {
+            s: per_s for s, per_s in limits.items() if per_s is not None
+        }
+        if len(limited) > MAX_LIMITED_SHARE * len(limits):
+            return {}
+        return limited
+
+    def is_limited(self, server_id):
+        """Return whether a server states a limit of requests a second."""
+        return self.limit_per_s(server_id) is not None
 
     def update_residency(self, server_id, engine, residency):
         """Set the residency of an engine and publish it to the instances."""
--- a/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/placement.py
@@ -97,6 +97,9 @@
         on_disk: Models with a copy on the host's disk.
         load: Number of requests in the engine.
         loaded_at: Time in seconds at which each model was loaded, where known.
+        spare_per_s: Requests a second that it can take for further models.
+        surplus: Resident models whose requests its limit does not cover. They
+            do not count as copies, and evicting them loses nothing.
     """
 
     id: str
@@ -106,6 +109,8 @@
     on_disk: frozenset[str]
     load: float
     loaded_at: Mapping[str, float]
+    spare_per_s: float = math.inf
+    surplus: frozenset[str] = frozenset()
 
     @property
     def cached(self):
@@ -128,6 +133,7 @@
         unserved: Requests that arrived while no engine had the model.
         unserved_s: Seconds since the first of them, 0 if there is none.
         adapter_misses_per_s: Requests a second that lack an adapter.
+        rate_per_s: Requests a second.
     """
 
     model: str
@@ -139,6 +145,7 @@
     unserved: int
     unserved_s: float
     adapter_misses_per_s: float
+    rate_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,6 +226,48 @@
     return copies
 
 
+def within_limit(models, demand, limit_per_s):
+    """Return the models that an engine with a limit can serve.
+
+    These are the least requested ones whose requests it takes all together.
+    The others need copies elsewhere.
+
+    Args:
+        models: Names of the engine's models.
+        demand: Demand by model name.
+        limit_per_s: Requests a second that it takes, None without a limit.
+    """
+    if limit_per_s is None:
+        return models
+    rates = {n: demand[n].rate_per_s if n in demand else 0.0 for n in models}
+    served, total_per_s = set(), 0.0
+    for name in sorted(models, key=lambda n: (rates[n], n)):
+        total_per_s += rates[name]
+        if total_per_s > limit_per_s:
+            break
+        served.add(name)
+    return served
+
+
+def with_limit(engine, demand, limit_per_s):
+    """Return the EngineView of an engine with a limit.
+
+    Args:
+        engine: The EngineView.
+        demand: Demand by model name.
+        limit_per_s: Requests a second that it takes, None without a limit.
+    """
+    if limit_per_s is None:
+        return engine
+    served = within_limit(engine.models, demand, limit_per_s)
+    used_per_s = sum(demand[n].rate_per_s for n in served if n in demand)
+    return dataclasses.replace(
+        engine,
+        spare_per_s=limit_per_s - used_per_s,
+        surplus=engine.models - served,
+    )
+
+
 def load_time_s(model, engine):
     """Return the seconds that a model takes to load on an engine."""
     if model.name in engine.in_memory:
@@ -253,6 +302,12 @@
     )
 
 
+def _eviction_loss(snapshot, engine, model):
+    if model in engine.surplus and snapshot.serving_copies.get(model, 0):
+        return 0.0
+    return copy_loss(snapshot, model)
+
+
 def copy_gain(snapshot, model):
     """Return the gain, in slots, from one more copy of a model."""
     demand = snapshot.demand[model]
@@ -311,8 +366,9 @@
         loads_left -= from_store
         deferrable_loads += from_store and snapshot.demand[name].deferrable
         copies[name] += 1
-        copies.subtract(victims)
-        serving.subtract(victims)
+        counted = [v for v in victims if v not in engine.surplus]
+        copies.subtract(counted)
+        serving.subtract(counted)
         steps.append(Step(engine.id, name, tuple(victims), from_store))
     return steps
 
@@ -394,12 +450,14 @@
     for engine in available.values():
         if model.name in engine.models:
             continue
+        if snapshot.demand[model.name].rate_per_s > engine.spare_per_s:
+            continue
         if needs_weight_store(model, engine) and not may_use_weight_store:
             continue
         victims = _select_victims(snapshot, models, model, engine)
         if victims is None:
             continue
-        loss = sum(copy_loss(snapshot, name) for name in victims)
+        loss = sum(_eviction_loss(snapshot, engine, name) for name in victims)
         delayed_slots = max(1.0, snapshot.demand[model.name].busy_slots)
         delayed_slots += ONLY_COPY_FACTOR * _adapter_misses_per_s(
             snapshot, engine, victims
@@ -435,7 +493,11 @@
     victims, loss = [], 0.0
     ranked = sorted(
         engine.models,
-        key=lambda n: (copy_loss(snapshot, n), not _is_idle(snapshot, n), n),
+        key=lambda n: (
+            _eviction_loss(snapshot, engine, n),
+            not _is_idle(snapshot, n),
+            n,
+        ),
     )
     for name in ranked:
         if needed_mb <= 0:
@@ -443,7 +505,7 @@
         loaded_at = engine.loaded_at.get(name, -math.inf)
         if snapshot.now - loaded_at < MIN_RESIDENCY_S or name not in models:
             continue
-        loss += copy_loss(snapshot, name)
+        loss += _eviction_loss(snapshot, engine, name)
         needed_mb -= models[name].weights_mb
         victims.append(name)
     if needed_mb > 0 or (victims and loss * EVICTION_HYSTERESIS >= gain):
--- a/packages/gateway/tests/decisions/test_placement.py
+++ b/packages/gateway/tests/decisions/test_placement.py
@@ -293,3 +293,54 @@
             ),
             ['a', 'b'],
         )
+
+
+class LimitTest(unittest.TestCase):
+    def test_engine_with_a_limit_keeps_its_least_requested_models(self):
+        demand = {
+            name: builders.make_demand(name, rate_per_s=rate)
+            for name, rate in (('busy', 3.0), ('rare', 0.4), ('other', 1.0))
+        }
+        models = {'busy', 'rare', 'other', 'unrequested'}
+        rows = {
+            None: models,
+            5.0: models,
+            1.6: {'rare', 'other', 'unrequested'},
+            1.0: {'rare', 'unrequested'},
+            0.2: {'unrequested'},
+        }
+        for limit_per_s, expected in rows.items():
+            with self.subTest(limit_per_s):
+                self.assertEqual(
+                    placement.within_limit(models, demand, limit_per_s),
+                    expected,
+                )
+
+    def test_engine_with_a_limit_gets_only_models_that_it_can_serve(self):
+        # Guards against models that are never served because the engines
+        # without a limit are full of requested ones.
+        demand = [
+            builders.make_demand('busy', 6.0, rate_per_s=4.0),
+            builders.make_demand('rare', 1.0, rate_per_s=0.4),
+            builders.make_demand('old', 6.0, rate_per_s=4.0),
+        ]
+        by_name = {d.model: d for d in demand}
+        limited = placement.with_limit(
+            builders.make_engine_view('e1', ['old'], free_mb=0.0),
+            by_name,
+            1.6,
+        )
+        other = builders.make_engine_view('e2', ['old'], free_mb=0.0)
+        self.assertEqual(limited.surplus, {'old'})
+        snapshot = builders.make_snapshot(
+            [limited, other],
+            demand,
+            copies={'old': 1},
+            serving_copies={'old': 1},
+            cached=frozenset(),
+        )
+        models = {n: builders.make_model(n) for n in by_name}
+        steps = placement.plan(snapshot, models)
+        loads = {(step.engine, step.model) for step in steps}
+        self.assertIn(('e1', 'rare'), loads)
+        self.assertNotIn(('e1', 'busy'), loads)
