--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -128,7 +128,8 @@
     def _cached(self, service, limits):
         """Return the models that an engine has a copy of or is loading.
 
-        Engines with a limit do not count, as they are not ordered to load.
+        Engines with a limit do not count, because they load only models that
+        they can serve.
         """
         found = set()
         for server_id, engine in self._fleet.available_engines(service):
