--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_limits.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_limits.py
@@ -108,7 +108,7 @@
         expires_at = requested_at + PERMIT_TTL_S
         self._expiries.extend([expires_at] * count)
 
-    def begin_request(self, now):
+    def start_permit_request(self, now):
         """Return whether permits should be requested again now."""
         if now - self._requested_at < REQUEST_INTERVAL_S:
             return False
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -144,7 +144,7 @@
             waiter.wait_for_permit(
                 min(limits, key=lambda limit: limit.queue_s, default=None)
             )
-        if waiter.limit is not None and waiter.limit.begin_request(now):
+        if waiter.limit is not None and waiter.limit.start_permit_request(now):
             self._exchange.start_now()
 
     def _request_adapter(self, job):
--- a/packages/gateway/tests/decisions/test_server_limits.py
+++ b/packages/gateway/tests/decisions/test_server_limits.py
@@ -125,8 +125,8 @@
 
     def test_waiting_requests_do_not_request_permits_without_pause(self):
         limit = make_limit()
-        self.assertTrue(limit.begin_request(1.0))
-        self.assertFalse(limit.begin_request(1.01))
+        self.assertTrue(limit.start_permit_request(1.0))
+        self.assertFalse(limit.start_permit_request(1.01))
         self.assertTrue(
-            limit.begin_request(1.0 + server_limits.REQUEST_INTERVAL_S)
+            limit.start_permit_request(1.0 + server_limits.REQUEST_INTERVAL_S)
         )
