--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+import enum
 import re
 
 import anyio
@@ -52,6 +53,14 @@
         self.progress = progress
 
 
+class Framing(enum.Enum):
+    """How the end of a response body is marked."""
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CLOSE = 'close'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
     """Status and headers of a response."""
@@ -59,6 +68,16 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def framing(self):
+        """Framing of the body of a response to a GET or POST request."""
+        names = {name.lower() for name, _ in self.headers}
+        if b'transfer-encoding' in names:
+            return Framing.CHUNKS
+        if b'content-length' in names or self.status in (204, 304):
+            return Framing.LENGTH
+        return Framing.CLOSE
+
 
 class Connection:
     """A client connection that carries one request at a time.
--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -76,6 +76,9 @@
         job: The Job of the request.
         state: ServerState of the server.
         dispatch: The Dispatch.
+
+    Attributes:
+        framing: Framing of the server's response, None without one.
     """
 
     def __init__(self, backend_port, pool, job, state, dispatch):
@@ -85,6 +88,7 @@
         self._state = state
         self._dispatch = dispatch
         self._conn = None
+        self.framing = None
 
     @property
     def software_version(self):
@@ -152,6 +156,7 @@
             response = self._backend_port.decode_response_head(
                 head.status, head.headers
             )
+        self.framing = head.framing
         self._record_limit(response)
         return await self._classify(response)
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -466,6 +466,12 @@
             if job.first_byte_at is not None:
                 first_byte_s = job.first_byte_at - request.received_at
                 fields['first_ms'] = round(first_byte_s * 1000)
+            if job.stream_end is not None:
+                fields.update(
+                    framing=job.stream_end.framing.value,
+                    events=job.stream_end.events,
+                    partial_bytes=job.stream_end.partial_bytes,
+                )
         LOG.info('request', extra=fields)
 
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.model import request
 
@@ -11,6 +12,21 @@
 DEADLINE_MARGIN_S = 0.05
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamEnd:
+    """Where the stream of one server ended.
+
+    Attributes:
+        framing: How the end of the response is marked.
+        events: Number of complete events of the whole stream.
+        partial_bytes: Number of bytes after the last complete event.
+    """
+
+    framing: outgoing.Framing
+    events: int
+    partial_bytes: int
+
+
 @dataclasses.dataclass
 class Job:
     """A request and its progress. Times are in seconds of the event loop.
@@ -38,6 +54,7 @@
         limited_servers: Number of servers that could run it but for their
             limits, when it last had no server.
         first_byte_at: Time of the first byte of its response, or None.
+        stream_end: StreamEnd of the last server that sent its stream, or None.
     """
 
     req: request.CallerRequest
@@ -59,6 +76,7 @@
     waited_s: float = 0.0
     limited_servers: int = 0
     first_byte_at: float | None = None
+    stream_end: StreamEnd | None = None
 
     @property
     def time_left_s(self):
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -7,6 +7,7 @@
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.serving import attempt as attempts
 from wagtailtide_gateway.serving import events
+from wagtailtide_gateway.serving import job as jobs
 
 
 class Relay:
@@ -74,25 +75,34 @@
                 data = await self._read_chunk(attempt)
             except outgoing.ConnectionBroken as exc:
                 # Discard the event that the server did not complete.
-                self._splitter.take_partial()
+                self._take_partial(attempt)
                 return str(exc)
             if data is None:
                 break
+            events_data = self._splitter.feed(data)
             if may_resume:
-                data = self._splitter.feed(data)
+                data = events_data
             if data:
                 if self._job.first_byte_at is None:
                     self._job.first_byte_at = anyio.current_time()
                     self._job.software_version = attempt.software_version
                     self._record_begun(self._job)
                 await self._out.send(data)
-        partial = self._splitter.take_partial()
-        if partial:
+        partial = self._take_partial(attempt)
+        if partial and may_resume:
             await self._out.send(partial)
         await attempt.keep_connection()
         await self._out.finish()
         return None
 
+    def _take_partial(self, attempt):
+        """Return the bytes after the last event; note where it ended."""
+        partial = self._splitter.take_partial()
+        self._job.stream_end = jobs.StreamEnd(
+            attempt.framing, self._splitter.count, len(partial)
+        )
+        return partial
+
     async def _read_chunk(self, attempt):
         """Return the next bytes of a stream, None at its end.
 
