gateway: Take a stream that ends inside an event for broken

Cause: the relay took the end of the body for the end of the stream. A response without a length or chunks has its end with the connection, and nothing compared that with the events: the rest of an event was even passed on before the end. Why this works: an event is complete with its blank line, whatever the framing, so bytes after the last one, or no event at all where only the connection marks the end, mean that the stream broke. It then takes the way of every broken stream: resumed, or ended without the end of the response.

--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -70,6 +70,7 @@
             self._weights_version = head.weights_version
             self._out.start(head.status, head.headers)
         may_resume = self._job.route.may_resume
+        events_before = self._splitter.count
         while True:
             try:
                 data = await self._read_chunk(attempt)
@@ -89,8 +90,11 @@
                     self._record_begun(self._job)
                 await self._out.send(data)
         partial = self._take_partial(attempt)
-        if partial and may_resume:
-            await self._out.send(partial)
+        if partial.strip():
+            return 'stream ended inside an event'
+        has_events = self._splitter.count > events_before
+        if attempt.framing is outgoing.Framing.CLOSE and not has_events:
+            return 'stream without a length or chunks ended without an event'
         await attempt.keep_connection()
         await self._out.finish()
         return None
