gateway: Do not trust a response that ended as its server crashed

What callers would see: a response without a length or chunks whose server crashes between two events, or within a plain response, is short and looks complete. Cause: the connections of a crashed server end like those of a finished response. Why this works: a new connection is tried after such a response; a server that refuses it has crashed, and the response is treated as broken. The connection is kept for the next request, which needs one anyway.

--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -33,6 +33,9 @@
 # their own limit, Route.first_event_timeout_s.
 FIRST_EVENT_TIMEOUT_S = 2.5
 
+# Reason of an attempt whose response may lack its end.
+CUT_BY_CRASH = 'server crashed as the response ended with its connection'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
@@ -214,6 +217,8 @@
             body = await self._conn.read_body()
         except outgoing.ConnectionBroken as exc:
             return Failure(False, str(exc), broken=True)
+        if await self.was_cut_by_crash():
+            return Failure(False, CUT_BY_CRASH, broken=True)
         await self.keep_connection()
         return Response(head, body)
 
@@ -230,6 +235,17 @@
         with anyio.fail_after(timeout_s):
             return await self._conn.read_data()
 
+    async def was_cut_by_crash(self):
+        """Return whether a received response may lack its end.
+
+        A response without a length or chunks ends with its connection, and
+        the connections of a server that crashed end as well.
+        """
+        return (
+            self.framing is outgoing.Framing.CLOSE
+            and await self._pool.is_refused(self._state.server.address)
+        )
+
     async def keep_connection(self):
         """Return the connection to the pool after a complete response."""
         conn, self._conn = self._conn, None
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -69,7 +69,6 @@
         if not self.started:
             self._weights_version = head.weights_version
             self._out.start(head.status, head.headers)
-        may_resume = self._job.route.may_resume
         events_before = self._splitter.count
         while True:
             try:
@@ -80,25 +79,37 @@
                 return str(exc)
             if data is None:
                 break
-            events_data = self._splitter.feed(data)
-            if may_resume:
-                data = events_data
-            if data:
-                if self._job.first_byte_at is None:
-                    self._job.first_byte_at = anyio.current_time()
-                    self._job.software_version = attempt.software_version
-                    self._record_begun(self._job)
-                await self._out.send(data)
+            await self._forward(attempt, data)
         partial = self._take_partial(attempt)
         if partial.strip():
             return 'stream ended inside an event'
-        has_events = self._splitter.count > events_before
-        if attempt.framing is outgoing.Framing.CLOSE and not has_events:
-            return 'stream without a length or chunks ended without an event'
+        if attempt.framing is outgoing.Framing.CLOSE:
+            if self._splitter.count == events_before:
+                return 'stream ended with its connection before an event'
+            if await attempt.was_cut_by_crash():
+                return attempts.CUT_BY_CRASH
+        if partial and self._job.route.may_resume:
+            await self._out.send(partial)
         await attempt.keep_connection()
         await self._out.finish()
         return None
 
+    async def _forward(self, attempt, data):
+        """Send received bytes to the caller.
+
+        Of a stream that may be resumed, only complete events are sent.
+        """
+        complete_events = self._splitter.feed(data)
+        if self._job.route.may_resume:
+            data = complete_events
+        if not data:
+            return
+        if self._job.first_byte_at is None:
+            self._job.first_byte_at = anyio.current_time()
+            self._job.software_version = attempt.software_version
+            self._record_begun(self._job)
+        await self._out.send(data)
+
     def _take_partial(self, attempt):
         """Return the bytes after the last event; note where it ended."""
         partial = self._splitter.take_partial()
