--- a/packages/gateway/src/wagtailtide_gateway/model/request.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/request.py
@@ -60,6 +60,11 @@
     resume_after: str | None
     resumes: str | None
 
+    @property
+    def shared_parts(self):
+        """Ids of the segments that other requests may share, in order."""
+        return tuple(segment.id for segment in self.prefix[:-1])
+
     @property
     def tokens(self):
         """Largest number of tokens the request uses, or None if not stated."""
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -29,6 +29,9 @@
 # might not finish before the process is killed.
 ACCEPT_AFTER_STOP_S = 2.8
 
+# Largest number of prompt segments in the line that ends a request.
+MAX_LOGGED_PARTS = 8
+
 
 class Gateway:
     """Serves requests from the state of the instance.
@@ -458,6 +461,7 @@
                 ran_on=job.possible_runs,
                 organisation=job.organisation and job.organisation.name,
                 cost=job.cost,
+                parts=','.join(job.req.shared_parts[:MAX_LOGGED_PARTS]),
                 waited_ms=round(job.waited_s * 1000),
                 limited=job.limited_servers,
                 config=self._shared_state.config.version,
