gateway: Report crashes again to a new leader

What callers would see: after a change of the leader, an instance that starts runs requests and parts that have crashed servers; each crashes servers anew. Cause: a new leader starts without data, and instances reported a crash once. Why this works: what each instance knows is in the first report to each new leader, as it is for begun streams.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -230,6 +230,7 @@
         self._in_step = False
         self._residency_number = self._entry_number = self._origin_number = 0
         self._shared_state.stream_origins.report_again(anyio.current_time())
+        self._shared_state.report_crashes_again()
 
     def _recorded_instances(self):
         record = self._leadership.record
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -112,6 +112,15 @@
                 LOG.info('suspect proved', extra={'fingerprint': fingerprint})
                 self._proved[fingerprint] = None
 
+    def report_crashes_again(self):
+        """Report all known crashes, because a new leader lacks them."""
+        now = anyio.current_time()
+        self._crash_reports = []
+        for tracker in (self.part_crashes, self.crashes):
+            for record in tracker.records(now):
+                for crash in record.crashes:
+                    self._report_crash(record.fingerprint, crash)
+
     def make_report(
         self, instance, capacity, seen, elapsed_s, urgent, instances
     ):
--- a/packages/gateway/tests/test_shared_state.py
+++ b/packages/gateway/tests/test_shared_state.py
@@ -40,6 +40,17 @@
             ),
         )
 
+    @virtual_time.run_without_io
+    async def test_known_crashes_are_reported_again_to_a_new_leader(self):
+        # Guards against instances that start under a new leader and learn
+        # nothing of what the previous one knew.
+        state = make_state()
+        known = crash_reports(PART, 2) + crash_reports('abc', 1)
+        state.learn_crashes(known)
+        self.assertEqual(make_report(state).crashes, ())
+        state.report_crashes_again()
+        self.assertCountEqual(make_report(state).crashes, known)
+
     @virtual_time.run_without_io
     async def test_proof_is_reported_and_ends_the_suspicion_elsewhere(self):
         state, other = make_state(), make_state()
