gateway: Keep crashes in the lease for instances that start anew

What callers would see: after all instances were killed at once, requests and parts that had crashed servers crash three more each. Cause: what instances know ends with them. Why this works: the leader writes the lease each second anyway; 100 crashes, of what was in most of them first, add no call to the store.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -27,6 +27,10 @@
 
 MAX_CRASHES = 200
 
+# Crashes in the lease, for instances that start after all have ended. The
+# lease is written each second.
+MAX_STORED_CRASHES = 100
+
 # Seconds for which a crash is repeated in the updates. In a large cluster an
 # instance exchanges about once a second, and an exchange may fail.
 CRASH_REPEAT_S = 5.0
@@ -75,6 +79,7 @@
             cores.
         software_versions: Service and software version of the servers known
             lately.
+        crashes: CrashReport objects of the most suspect requests and parts.
     """
 
     instances: int
@@ -82,6 +87,7 @@
     response_bytes: int
     largest_capacity: float
     software_versions: tuple[tuple[str, str], ...]
+    crashes: tuple[messages.CrashReport, ...]
 
 
 @dataclasses.dataclass
@@ -194,6 +200,7 @@
             software_versions=self._servers.software_versions(
                 anyio.current_time()
             ),
+            crashes=self._most_suspect_crashes(),
         )
 
     @property
@@ -491,6 +498,14 @@
         }
         return tuple(self._proved)
 
+    def _most_suspect_crashes(self):
+        """Return the crashes to store, of the most suspect ones first."""
+        counts = self._crash_counts()
+        ordered = sorted(
+            self._crashes, key=lambda crash: -counts[crash.fingerprint]
+        )
+        return tuple(ordered[:MAX_STORED_CRASHES])
+
     def _changed_residencies(self, report):
         return {
             server: published.residency
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -164,7 +164,7 @@
     async def _exchange(self):
         """Exchange once; return whether the leader answered."""
         now = anyio.current_time()
-        self._note_first_versions(now)
+        self._note_first_record(now)
         self._drop_old_numbers()
         urgent = self._in_step and now < self._next_full_at
         if not urgent:
@@ -190,8 +190,14 @@
         completed.set()
         return update is not None
 
-    def _note_first_versions(self, now):
-        """Pass on what the lease told of the servers before the start."""
+    def _note_first_record(self, now):
+        """Pass on what the lease told of the time before the start."""
+        if self._leadership.first_crashes:
+            self._shared_state.learn_crashes(
+                messages.CrashReport(*crash)
+                for crash in self._leadership.first_crashes
+            )
+            self._leadership.first_crashes = ()
         versions = self._leadership.first_versions
         if versions is not None:
             self._leadership.first_versions = None
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -43,6 +43,7 @@
         first_versions: Service and software version of the servers that were
             known when this instance first read the lease, None if the record
             does not state them or was not read yet.
+        first_crashes: Crashes in the record when this instance first read it.
         previous_term_s: Duration in seconds, at least, of the term before the
             one of this instance.
     """
@@ -68,6 +69,7 @@
         self.fence = None
         self.resigned_fence = 0
         self.first_versions = None
+        self.first_crashes = ()
         self._has_read = False
         self.previous_term_s = 0.0
 
@@ -187,6 +189,10 @@
                 (self._capacity, summary.largest_capacity)
             ),
             software_versions=summary.software_versions,
+            crashes=tuple(
+                (crash.fingerprint, crash.server, crash.boot_id)
+                for crash in summary.crashes
+            ),
         )
         sent_at = self._clock()
         if self._unconfirmed_since is None:
@@ -212,6 +218,7 @@
                     'fence': record.fence,
                     'took_ms': round((self._clock() - sent_at) * 1000),
                     **dataclasses.asdict(summary),
+                    'crashes': len(summary.crashes),
                 },
             )
             return True
@@ -276,6 +283,7 @@
             instances=previous.instances if previous else 0,
             min_capacity=previous.min_capacity if previous else 0.0,
             software_versions=previous.software_versions if previous else (),
+            crashes=previous.crashes if previous else (),
         )
         sent_at = self._clock()
         try:
@@ -331,6 +339,7 @@
             self.first_versions = (
                 self.record.software_versions if self.record else ()
             )
+            self.first_crashes = self.record.crashes if self.record else ()
         return True
 
 
@@ -352,6 +361,10 @@
             # Earlier versions do not write these.
             float(value.get('min_capacity', 0.0)),
             _decode_versions(value.get('software_versions')),
+            tuple(
+                (str(fingerprint), str(server), str(boot_id))
+                for fingerprint, server, boot_id in value.get('crashes', ())
+            ),
         )
     except (KeyError, TypeError, ValueError) as exc:
         raise stores.StoreUnavailable(
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -191,10 +191,30 @@
             builders.make_report('front-2', proved=('part:1',))
         )
         self.assertEqual((update.crashes, update.proved), ((), ('part:1',)))
+        self.assertEqual(cluster.summary().crashes, ())
         await anyio.sleep(cluster_state.CRASH_REPEAT_S)
         update = cluster.handle_report(builders.make_report('front-2'))
         self.assertEqual(update.proved, ())
 
+    @virtual_time.run_without_io
+    async def test_most_suspect_crashes_are_kept(self):
+        # Guards against a part that crashed servers being forgotten for the
+        # many requests that were in them by chance.
+        cluster = make_cluster()
+        suspect = tuple(
+            messages.CrashReport('part:1', f's{number}', '17')
+            for number in range(3)
+        )
+        cluster.handle_report(builders.make_report(crashes=suspect))
+        by_chance = tuple(
+            messages.CrashReport(f'request-{number}', 's1', '17')
+            for number in range(cluster_state.MAX_CRASHES)
+        )
+        cluster.handle_report(builders.make_report(crashes=by_chance))
+        stored = cluster.summary().crashes
+        self.assertEqual(stored[:3], suspect)
+        self.assertEqual(len(stored), cluster_state.MAX_STORED_CRASHES)
+
     @virtual_time.run_without_io
     async def test_new_term_starts_without_reports(self):
         cluster = make_cluster()
