quarantine: Count crashes at one moment once

What callers would see: when all engines crash at once, sound requests are refused as crashing servers. Cause: servers that fail together were counted as so many pieces of evidence. Why this works: what crashes servers does so one after the other, as requests with it begin; servers that fail together do so for one reason. Instances report how long ago a crash was, because they learn of it at different times; the lease keeps it.

--- a/packages/core/src/wagtailtide_core/quarantine/prompt_parts.py
+++ b/packages/core/src/wagtailtide_core/quarantine/prompt_parts.py
@@ -14,8 +14,13 @@
 
 PART_PREFIX = 'part:'
 
-# Crashes of which a part has to be the explanation to be blamed.
-CRASHES_TO_BLAME = 3
+# Moments at which servers crashed of which a part has to be the explanation to
+# be blamed.
+MOMENTS_TO_BLAME = 3
+
+# Crashes within this time are one moment. When many servers fail at once, what
+# all prompts share was in all of them.
+MOMENT_S = 0.25
 
 # A crash is not attributed to a part that was proved within this time before:
 # a part that crashes servers is never proved.
@@ -58,10 +63,12 @@
     Attributes:
         parts: Their fingerprints.
         crashes: The CrashId of each crash that they explain.
+        last_crash_at: Time in seconds of the last of them.
     """
 
     parts: frozenset[str]
     crashes: frozenset[crashes.CrashId]
+    last_crash_at: float
 
     @property
     def trials(self):
@@ -69,37 +76,58 @@
         return sum(crash.server == TRIAL for crash in self.crashes)
 
 
-def blamed_groups(crashes_by_part, min_crashes=CRASHES_TO_BLAME):
+def count_moments(times):
+    """Return the number of moments in a collection of times in seconds."""
+    moments, started_at = 0, float('-inf')
+    for at in sorted(times):
+        if at - started_at >= MOMENT_S:
+            moments, started_at = moments + 1, at
+    return moments
+
+
+def blamed_groups(crashes_by_part):
     """Return the BlamedGroup objects that explain the crashes.
 
-    The part that was in most crashes explains these. Other parts are blamed
-    only for what is left, because a sound part is in the crashes of the one
-    that shares a prompt with it.
+    The part that was in crashes at most moments explains these. Other parts
+    are blamed only for what is left, because a sound part is in the crashes of
+    the one that shares a prompt with it.
 
     Args:
-        crashes_by_part: Set of CrashId by fingerprint of the part.
-        min_crashes: Number of crashes from which a part is blamed.
+        crashes_by_part: For each part by its fingerprint, the time in seconds
+            of each crash by CrashId.
     """
     groups, unexplained = [], dict(sorted(crashes_by_part.items()))
     while unexplained:
-        found = max(unexplained.values(), key=len)
-        if len(found) < min_crashes:
+        found = max(unexplained.values(), key=_evidence)
+        if _evidence(found)[0] < MOMENTS_TO_BLAME:
             break
-        parts = frozenset(p for p, c in unexplained.items() if c == found)
-        groups.append(BlamedGroup(parts, frozenset(found)))
+        parts = frozenset(
+            part
+            for part, part_crashes in unexplained.items()
+            if part_crashes.keys() == found.keys()
+        )
+        groups.append(
+            BlamedGroup(parts, frozenset(found), max(found.values()))
+        )
         unexplained = {
-            part: part_crashes - found
+            part: {c: at for c, at in part_crashes.items() if c not in found}
             for part, part_crashes in unexplained.items()
             if part not in parts
         }
     return tuple(groups)
 
 
+def _evidence(part_crashes):
+    return count_moments(part_crashes.values()), len(part_crashes)
+
+
 class PartQuarantine:
     """Evidence of one instance for and against parts of prompts."""
 
     def __init__(self):
+        # Attributes crashes; the evidence that results is kept here.
         self._tracker = crashes.CrashTracker()
+        self._crashes = collections.OrderedDict()
         self._proved_at = collections.OrderedDict()
         self._groups = ()
         self._is_current = True
@@ -141,8 +169,9 @@
 
     def clear(self, part):
         """Drop the crashes of a sound part; return whether there were any."""
+        self._tracker.record_completed(part)
         self._is_current = False
-        return self._tracker.record_completed(part)
+        return self._crashes.pop(part, None) is not None
 
     def record_crash(self, server, boot_id, now):
         """Attribute a crash to the parts that were unproved on a server.
@@ -153,25 +182,48 @@
             now: Time in seconds.
 
         Returns:
-            The CrashRecord of each part with new evidence against it.
+            The parts with new evidence against them.
         """
-        self._is_current = False
         records = self._tracker.record_crash(server, boot_id, now)
-        proved = [r for r in records if self.is_proved(r.fingerprint, now)]
-        for record in proved:
-            self._tracker.record_completed(record.fingerprint)
-        return tuple(record for record in records if record not in proved)
-
-    def add_crashes(self, part, found, now):
-        """Add crashes of a part that other instances have reported."""
-        known = self._tracker.crashes_of(part, now)
-        if not found <= known:
-            self._is_current = False
-            self._tracker.replace_crashes(part, frozenset(found) | known, now)
+        crash, parts = crashes.CrashId(server, boot_id), []
+        for record in records:
+            part = record.fingerprint
+            self._tracker.record_completed(part)
+            if not self.is_proved(part, now):
+                self.add_crash(part, crash, now)
+                parts.append(part)
+        return tuple(parts)
+
+    def add_crash(self, part, crash, at):
+        """Add evidence against a part.
 
-    def records(self, now):
-        """Return the CrashRecord of each suspect part."""
-        return self._tracker.records(now)
+        Args:
+            part: Its fingerprint.
+            crash: The CrashId.
+            at: Time in seconds of the crash. The earliest one counts.
+        """
+        found = self._crashes.setdefault(part, {})
+        if at < found.get(crash, float('inf')):
+            found[crash] = at
+            self._is_current = False
+        while len(self._crashes) > crashes.MAX_RECORDS:
+            self._crashes.popitem(last=False)
+
+    def crashes(self, now):
+        """Yield part, CrashId and time in seconds of all evidence."""
+        self._drop_expired(now)
+        for part, found in self._crashes.items():
+            for crash, at in found.items():
+                yield part, crash, at
+
+    def _drop_expired(self, now):
+        expired = [
+            part
+            for part, found in self._crashes.items()
+            if now - max(found.values()) > crashes.RECORD_TTL_S
+        ]
+        for part in expired:
+            self.clear(part)
 
     def find_group(self, parts, now):
         """Return the BlamedGroup that a request with some parts has, or None.
@@ -181,27 +233,23 @@
             now: Time in seconds.
         """
         if not self._is_current:
+            self._drop_expired(now)
+            self._groups = blamed_groups(self._crashes)
             self._is_current = True
-            self._groups = blamed_groups(
-                {r.fingerprint: r.crashes for r in self.records(now)}
-            )
-        return next((g for g in self._groups if g.parts.issubset(parts)), None)
-
-    def last_crash_at(self, group, now):
-        """Return the time in seconds of the last evidence against a group."""
-        return max(
+        return next(
             (
-                record.last_at
-                for record in self.records(now)
-                if record.fingerprint in group.parts
+                group
+                for group in self._groups
+                if group.parts.issubset(parts)
+                and now - group.last_crash_at <= crashes.RECORD_TTL_S
             ),
-            default=float('-inf'),
+            None,
         )
 
     def is_trial_due(self, group, now):
         """Return whether a request of a blamed group may run as a trial."""
         pause_s = FIRST_TRIAL_AFTER_S * TRIAL_BACKOFF_FACTOR**group.trials
-        return now - self.last_crash_at(group, now) >= pause_s
+        return now - group.last_crash_at >= pause_s
 
     def start_trial(self, group, now):
         """Record a trial of a blamed group.
@@ -211,5 +259,5 @@
         """
         trial = crashes.CrashId(TRIAL, str(group.trials + 1))
         for part in group.parts:
-            self.add_crashes(part, {trial}, now)
+            self.add_crash(part, trial, now)
         return trial
--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -128,6 +128,12 @@
     digest: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Crash:
+    at: float
+    reported_at: float
+
+
 @dataclasses.dataclass(frozen=True)
 class _ReceivedReport:
     report: messages.Report
@@ -230,32 +236,37 @@
         if report.proved:
             proved = frozenset(report.proved)
             self._crashes = {
-                crash: reported_at
-                for crash, reported_at in self._crashes.items()
-                if crash.fingerprint not in proved
+                key: crash
+                for key, crash in self._crashes.items()
+                if key.fingerprint not in proved
             }
-        for crash in report.crashes:
-            self._crashes[crash] = now
+        for crash_report in report.crashes:
+            self._add_crash(crash_report, now)
         while len(self._crashes) > MAX_CRASHES:
             self._drop_least_suspect()
 
+    def _add_crash(self, crash_report, now):
+        key = dataclasses.replace(crash_report, age_s=0.0)
+        at = now - crash_report.age_s
+        if key in self._crashes:
+            at = min(at, self._crashes[key].at)
+        self._crashes[key] = _Crash(at, now)
+
     def _drop_least_suspect(self):
         """Drop the oldest crash of what was in one crash only, if any."""
         counts = self._crash_counts()
         del self._crashes[
             min(
                 self._crashes,
-                key=lambda crash: (
-                    counts[crash.fingerprint] > 1,
-                    self._crashes[crash],
+                key=lambda key: (
+                    counts[key.fingerprint] > 1,
+                    self._crashes[key].reported_at,
                 ),
             )
         ]
 
     def _crash_counts(self):
-        return collections.Counter(
-            crash.fingerprint for crash in self._crashes
-        )
+        return collections.Counter(key.fingerprint for key in self._crashes)
 
     def record_response(self, size):
         """Count a response of a size in bytes to a report."""
@@ -481,12 +492,19 @@
 
     def _crashes_for(self, report, now):
         """Return the crashes that an instance may not have heard of."""
-        if not report.seen_residency_number:
-            return tuple(self._crashes)
+        keys = self._crashes
+        if report.seen_residency_number:
+            keys = [
+                key
+                for key, crash in self._crashes.items()
+                if now - crash.reported_at < CRASH_REPEAT_S
+            ]
+        return self._crash_reports(keys, now)
+
+    def _crash_reports(self, keys, now):
         return tuple(
-            crash
-            for crash, reported_at in self._crashes.items()
-            if now - reported_at < CRASH_REPEAT_S
+            dataclasses.replace(key, age_s=now - self._crashes[key].at)
+            for key in keys
         )
 
     def _proved_lately(self, now):
@@ -502,9 +520,11 @@
         """Return the crashes to store, of the most suspect ones first."""
         counts = self._crash_counts()
         ordered = sorted(
-            self._crashes, key=lambda crash: -counts[crash.fingerprint]
+            self._crashes, key=lambda key: -counts[key.fingerprint]
+        )
+        return self._crash_reports(
+            ordered[:MAX_STORED_CRASHES], anyio.current_time()
         )
-        return tuple(ordered[:MAX_STORED_CRASHES])
 
     def _changed_residencies(self, report):
         return {
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -190,7 +190,7 @@
             ),
             software_versions=summary.software_versions,
             crashes=tuple(
-                (crash.fingerprint, crash.server, crash.boot_id)
+                (crash.fingerprint, crash.server, crash.boot_id, crash.age_s)
                 for crash in summary.crashes
             ),
         )
@@ -362,8 +362,10 @@
             float(value.get('min_capacity', 0.0)),
             _decode_versions(value.get('software_versions')),
             tuple(
-                (str(fingerprint), str(server), str(boot_id))
-                for fingerprint, server, boot_id in value.get('crashes', ())
+                (str(fingerprint), str(server), str(boot_id), float(age_s))
+                for fingerprint, server, boot_id, age_s in value.get(
+                    'crashes', ()
+                )
             ),
         )
     except (KeyError, TypeError, ValueError) as exc:
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -71,11 +71,13 @@
         fingerprint: Fingerprint of the request or part.
         server: Id of the server.
         boot_id: Identifier of the server's process.
+        age_s: Seconds since the crash.
     """
 
     fingerprint: str
     server: str
     boot_id: str
+    age_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -268,7 +270,7 @@
             {str(k): int(v) for k, v in fields[8].items()},
             tuple(ModelDemand(*row) for row in fields[9]),
             tuple(AdapterRequest(*row) for row in fields[10]),
-            tuple(CrashReport(*map(str, row)) for row in fields[11]),
+            tuple(_crash_report(row) for row in fields[11]),
             tuple(str(server) for server in fields[12]),
             float(fields[13]),
             {str(k): int(v) for k, v in fields[14].items()},
@@ -344,7 +346,7 @@
             {str(k): int(v) for k, v in fields[9].items()},
             {str(k): _residency(v) for k, v in fields[10].items()},
             {(str(s), str(m)): float(v) for s, m, v in fields[11]},
-            tuple(CrashReport(*map(str, row)) for row in fields[12]),
+            tuple(_crash_report(row) for row in fields[12]),
             tuple(str(server) for server in fields[13]),
             float(fields[14]),
             int(fields[15]),
@@ -406,6 +408,13 @@
     return fields
 
 
+def _crash_report(row):
+    fingerprint, server, boot_id, age_s = row
+    return CrashReport(
+        str(fingerprint), str(server), str(boot_id), float(age_s)
+    )
+
+
 def _versions_by_key(keys_by_version):
     return {
         int(key): str(version)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
@@ -61,8 +61,9 @@
             smaller ones wait for DEFERENCE_S.
         software_versions: Service and software version of the servers that
             the leader has known lately, None if the writer did not state them.
-        crashes: Fingerprint, server and process of the crashes of the most
-            suspect requests and parts of prompts.
+        crashes: Fingerprint, server, process and age in seconds at the last
+            renewal of the crashes of the most suspect requests and parts of
+            prompts.
     """
 
     holder: str
@@ -73,7 +74,7 @@
     instances: int
     min_capacity: float = 0.0
     software_versions: tuple[tuple[str, str], ...] | None = None
-    crashes: tuple[tuple[str, str, str], ...] = ()
+    crashes: tuple[tuple[str, str, str, float], ...] = ()
 
 
 def leading_capacity(cpu_cores, link_mbps):
--- a/packages/gateway/src/wagtailtide_gateway/serving/quarantine.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/quarantine.py
@@ -38,6 +38,11 @@
         now = anyio.current_time()
         verdict = self._crashes.verdict(job.fingerprint, now)
         if verdict is crashes.Verdict.REFUSED:
+            known = self._crashes.crashes_of(job.fingerprint, now)
+            LOG.info(
+                'request quarantined',
+                extra={'request': job.req.attempt_id, 'crashes': len(known)},
+            )
             raise _quarantined_error('this request')
         group = self._parts.find_group(job.part_fingerprints, now)
         if group is not None and not self._may_try(group, now):
@@ -61,7 +66,6 @@
         return self._is_leader() and self._parts.is_trial_due(group, now)
 
     def _log(self, job, group, now, event):
-        last_crash_at = self._parts.last_crash_at(group, now)
         parts = zip(job.req.shared_parts, job.part_fingerprints, strict=True)
         LOG.info(
             event,
@@ -70,7 +74,7 @@
                 'parts': ','.join(i for i, f in parts if f in group.parts),
                 'crashes': len(group.crashes) - group.trials,
                 'trials': group.trials,
-                'last_crash_age_s': round(now - last_crash_at, 2),
+                'last_crash_age_s': round(now - group.last_crash_at, 2),
             },
         )
 
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -1,6 +1,5 @@
 """State that the tasks of one instance share, and reports made from it."""
 
-import collections
 import logging
 import math
 
@@ -58,7 +57,7 @@
         self.adapter_requests = set()
         self.stream_origins = stream_origins.StreamOrigins()
         self.part_crashes = prompt_parts.PartQuarantine()
-        self._crash_reports = []
+        self._unreported_crashes = []
         self._proved = {}
 
     def attribute_crash(self, server_id, process_start_ms):
@@ -77,24 +76,20 @@
         requests = self.crashes.record_crash(server_id, boot_id, now)
         parts = self.part_crashes.record_crash(server_id, boot_id, now)
         crash = crashes.CrashId(server_id, boot_id)
-        for record in (*requests, *parts):
-            self._report_crash(record.fingerprint, crash)
+        for fingerprint in (*(r.fingerprint for r in requests), *parts):
+            self._unreported_crashes.append((fingerprint, crash, now))
         return len(requests)
 
-    def _report_crash(self, fingerprint, crash):
-        self._crash_reports.append(
-            messages.CrashReport(fingerprint, crash.server, crash.boot_id)
-        )
-
     def start_trial(self, group):
         """Record that a request runs although its parts are blamed.
 
         Args:
             group: The BlamedGroup of the parts.
         """
-        trial = self.part_crashes.start_trial(group, anyio.current_time())
+        now = anyio.current_time()
+        trial = self.part_crashes.start_trial(group, now)
         for part in group.parts:
-            self._report_crash(part, trial)
+            self._unreported_crashes.append((part, trial, now))
 
     def record_proof(self, fingerprints):
         """Record that a request and its parts crash no servers.
@@ -115,11 +110,23 @@
     def report_crashes_again(self):
         """Report all known crashes, because a new leader lacks them."""
         now = anyio.current_time()
-        self._crash_reports = []
-        for tracker in (self.part_crashes, self.crashes):
-            for record in tracker.records(now):
-                for crash in record.crashes:
-                    self._report_crash(record.fingerprint, crash)
+        self._unreported_crashes = list(self.part_crashes.crashes(now))
+        self._unreported_crashes += [
+            (record.fingerprint, crash, record.last_at)
+            for record in self.crashes.records(now)
+            for crash in record.crashes
+        ]
+
+    def _take_crash_reports(self, now):
+        """Return the next CrashReport objects for the leader."""
+        taken = self._unreported_crashes[:MAX_CRASH_REPORTS]
+        del self._unreported_crashes[:MAX_CRASH_REPORTS]
+        return tuple(
+            messages.CrashReport(
+                fingerprint, crash.server, crash.boot_id, now - at
+            )
+            for fingerprint, crash, at in taken
+        )
 
     def make_report(
         self, instance, capacity, seen, elapsed_s, urgent, instances
@@ -138,10 +145,6 @@
             instances: Number of instances that share the rates.
         """
         now = anyio.current_time()
-        crash_reports, self._crash_reports = (
-            self._crash_reports[:MAX_CRASH_REPORTS],
-            self._crash_reports[MAX_CRASH_REPORTS:],
-        )
         adapter_requests, self.adapter_requests = self.adapter_requests, set()
         proved, self._proved = self._proved, {}
         draws = self.local_quota.amounts_to_draw(elapsed_s)
@@ -165,7 +168,7 @@
             loads=loads,
             demand=rows,
             adapters=tuple(adapter_requests),
-            crashes=tuple(crash_reports),
+            crashes=self._take_crash_reports(now),
             unreachable=tuple(self.servers.health.unreachable_servers(now)),
             capacity=capacity,
             known_residencies={} if seen[0] else self._known_residencies(),
@@ -196,7 +199,11 @@
 
     def restore_report(self, report):
         """Restore crash reports and returned quota after a failed report."""
-        self._crash_reports = list(report.crashes) + self._crash_reports
+        now = anyio.current_time()
+        self._unreported_crashes[:0] = [
+            (r.fingerprint, _crash_id(r), now - r.age_s)
+            for r in report.crashes
+        ]
         self._proved = dict.fromkeys(report.proved) | self._proved
         self.stream_origins.restore_unreported(report.begun_streams)
         for name, amount in report.draws.items():
@@ -289,22 +296,22 @@
             crash_reports: CrashReport objects.
         """
         now = anyio.current_time()
-        found = collections.defaultdict(set)
         for report in crash_reports:
-            found[report.fingerprint].add(
-                crashes.CrashId(report.server, report.boot_id)
-            )
-        for fingerprint, crash_ids in found.items():
+            fingerprint, crash = report.fingerprint, _crash_id(report)
             if not prompt_parts.is_part(fingerprint):
-                self._add_crashes(fingerprint, crash_ids, now)
+                self._add_crash(fingerprint, crash, now)
             elif self.part_crashes.is_proved(fingerprint, now):
                 self._proved[fingerprint] = None
             else:
-                self.part_crashes.add_crashes(fingerprint, crash_ids, now)
+                self.part_crashes.add_crash(
+                    fingerprint, crash, now - report.age_s
+                )
 
-    def _add_crashes(self, fingerprint, crash_ids, now):
+    def _add_crash(self, fingerprint, crash, now):
         known = self.crashes.crashes_of(fingerprint, now)
-        if not crash_ids <= known:
-            self.crashes.replace_crashes(
-                fingerprint, frozenset(crash_ids | known), now
-            )
+        if crash not in known:
+            self.crashes.replace_crashes(fingerprint, known | {crash}, now)
+
+
+def _crash_id(report):
+    return crashes.CrashId(report.server, report.boot_id)
