gateway: Heed servers that state that they leave or pause

What callers would see: a server that says in its responses that it is leaving goes on getting requests until its entry says so, and they are lost when it ends; one that asks for a pause with its 503 gets more requests. Cause: both statements were not read. Why this works: one place reads what a server states, its state keeps it and ends with the process, and the choice of a server, retries and resumed streams all go by it.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -228,8 +228,18 @@
         if report.adapters:
             self._adapter_requested.set()
         self._receive_crashes(report, now)
+        self._receive_leaving(report)
         return self._make_update(report, now)
 
+    def _receive_leaving(self, report):
+        for server_id, process_start_ms in report.leaving.items():
+            state = self._servers.states.get(server_id)
+            if (
+                state is not None
+                and state.server.residency.process_start_ms == process_start_ms
+            ):
+                state.note_leaving(report.instance)
+
     def _receive_crashes(self, report, now):
         for fingerprint in report.proved:
             self._proved[fingerprint] = now
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -120,6 +120,8 @@
             has heard of, 0 if there is none.
         proved: Fingerprints of suspect requests and parts that have proved to
             crash no servers.
+        leaving: Unix time in milliseconds at which the process started, by id,
+            of the servers that have stated to it that they are leaving.
     """
 
     instance: str
@@ -145,6 +147,7 @@
     wanted_origins: tuple[int, ...]
     seen_origin_number: int
     proved: tuple[str, ...]
+    leaving: Mapping[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -251,13 +254,14 @@
             list(report.wanted_origins),
             report.seen_origin_number,
             list(report.proved),
+            dict(report.leaving),
         ]
     )
 
 
 def decode_report(data):
     """Return the Report in a message; raise BadMessage if it is invalid."""
-    fields = _fields(data, 24)
+    fields = _fields(data, 25)
     try:
         return Report(
             str(fields[1]),
@@ -286,6 +290,7 @@
             tuple(int(key) for key in fields[21]),
             int(fields[22]),
             tuple(str(fingerprint) for fingerprint in fields[23]),
+            {str(k): int(v) for k, v in fields[24].items()},
         )
     except (TypeError, ValueError, AttributeError) as exc:
         raise BadMessage(f'expected the fields of a report: {exc}') from exc
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -24,6 +24,10 @@
 # the longest time for which a stream that it began may be resumed.
 VERSION_TTL_S = stream_origins.ORIGIN_TTL_S
 
+# Longest pause that a server can ask for, in seconds. A longer one is taken
+# for a mistake.
+MAX_PAUSE_S = 3_600.0
+
 # Weight of the latest request in the mean service time.
 SERVICE_TIME_SMOOTHING = 0.05
 
@@ -45,6 +49,10 @@
         unavailable_until: Time in seconds until which the server is taken to
             lack a model or adapter, by model and adapter.
         limit: ServerLimit that the server states.
+        states_leaving: Whether the server has stated, in a response to this
+            instance or, on the leader, to any, that it is leaving.
+        paused_until: Time in seconds until which the server wants no requests
+            from this instance.
     """
 
     server: backend.BackendServer
@@ -57,6 +65,8 @@
     limit: server_limits.ServerLimit = dataclasses.field(
         default_factory=server_limits.ServerLimit
     )
+    states_leaving: bool = False
+    paused_until: float = float('-inf')
 
     @property
     def load(self):
@@ -66,7 +76,9 @@
     @property
     def leaves(self):
         """Whether the server is known to be leaving."""
-        return self.server.leaving or self.reported_leaving
+        return (
+            self.server.leaving or self.reported_leaving or self.states_leaving
+        )
 
     @property
     def accepts_requests(self):
@@ -90,6 +102,45 @@
         """Record that the server lacks the model or adapter of a request."""
         self.unavailable_until[(model, adapter)] = now + UNAVAILABLE_TTL_S
 
+    def note_leaving(self, source):
+        """Record that the server has stated that it is leaving.
+
+        A new process of the server has a state of its own.
+
+        Args:
+            source: Id of the request whose response stated it, or the name of
+                the instance that reported it.
+        """
+        if not self.states_leaving:
+            self.states_leaving = True
+            LOG.info(
+                'server states that it leaves',
+                extra={
+                    'server': self.server.id,
+                    'source': source,
+                    'load': self.load,
+                },
+            )
+
+    def note_pause(self, pause_s, source, now):
+        """Record that the server wants no requests for some time.
+
+        Args:
+            pause_s: The time in seconds; at most MAX_PAUSE_S count.
+            source: Id of the request whose response stated it.
+            now: Time in seconds.
+        """
+        self.paused_until = now + min(pause_s, MAX_PAUSE_S)
+        LOG.info(
+            'server pauses',
+            extra={
+                'server': self.server.id,
+                'pause_s': pause_s,
+                'source': source,
+                'load': self.load,
+            },
+        )
+
     def can_serve(self, model, adapter, now):
         """Return whether the server can run requests for a model now.
 
--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -29,6 +29,9 @@
         weights_version: Version of the weights, or None.
         stated_limit_per_s: Requests a second that the server takes from all
             instances together, or None if it states no limit.
+        states_leaving: Whether the server states that it is leaving.
+        stated_pause_s: Seconds for which the server wants no requests from
+            this instance, or None if it states no pause.
         headers: Headers to forward to the caller.
     """
 
@@ -39,6 +42,8 @@
     signed: bool
     weights_version: str | None
     stated_limit_per_s: float | None
+    states_leaving: bool
+    stated_pause_s: float | None
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -160,9 +160,25 @@
                 head.status, head.headers
             )
         self.framing = head.framing
-        self._record_limit(response)
+        self._record_statements(response)
         return await self._classify(response)
 
+    def _record_statements(self, response):
+        """Record what the server states of itself.
+
+        A misdirected response may be that of another server.
+        """
+        if response.misdirected:
+            return
+        attempt_id = self._job.req.attempt_id
+        if response.states_leaving:
+            self._state.note_leaving(attempt_id)
+        if response.stated_pause_s is not None:
+            self._state.note_pause(
+                response.stated_pause_s, attempt_id, anyio.current_time()
+            )
+        self._record_limit(response)
+
     def _record_limit(self, response):
         """Record the limit that the server states for all instances.
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -54,6 +54,28 @@
 
         It need not hold the request's model.
         """
+        return [s for s in self._known(job, now) if now >= s.paused_until]
+
+    def pause_s(self, job, now):
+        """Return the seconds until a paused server can run the request.
+
+        None if no server that could run it has asked for a pause.
+        """
+        return min(
+            (
+                state.paused_until - now
+                for state in self._known(job, now)
+                if now < state.paused_until
+                and (
+                    job.is_plain
+                    or state.can_serve(job.req.model, job.req.adapter, now)
+                )
+            ),
+            default=None,
+        )
+
+    def _known(self, job, now):
+        """Return the servers that the request may use, paused ones too."""
         if self._is_list_outdated(now):
             return []
         health = self._servers.health
@@ -163,9 +185,10 @@
         )
 
     def other_server_in_s(self, job):
-        """Return the seconds until a server without a limit can run a request.
+        """Return the seconds until a further server can run a request.
 
-        Infinity if none is about to.
+        One without a limit that lacks only its adapter, or loads its model;
+        infinity if there is none.
         """
         if self.needs_adapter(job):
             return ADAPTER_FETCH_S
@@ -179,6 +202,13 @@
         """
         if self._is_list_outdated(now):
             return LIST_REFRESH_S
+        pause_s = self.pause_s(job, now)
+        if pause_s is None:
+            return self._recovery_s(job, now)
+        return min(pause_s, self.other_server_in_s(job))
+
+    def _recovery_s(self, job, now):
+        """Return the seconds until a server that does not pause can run it."""
         usable = self.usable(job, now)
         if job.is_plain:
             return UNREACHABLE_RECOVERY_S
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -196,7 +196,9 @@
         now = anyio.current_time()
         usable = self._availability.usable(job, now)
         unlimited, limited = self._availability.capable_by_limit(job, now)
-        if not usable:
+        if self._availability.pause_s(job, now) is not None:
+            kind = kinds.ErrorKind.OVERLOADED
+        elif not usable:
             kind = kinds.ErrorKind.NO_BACKEND_SERVER
         elif not unlimited and not limited:
             kind = kinds.ErrorKind.MODEL_LOADING
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -398,6 +398,9 @@
             self._record_unreachable(state, now)
         elif failure.misdirected:
             self._record_misdirected(job, state, now)
+        elif failure.not_run and now < state.paused_until:
+            # It may be tried again after the pause.
+            job.tried.remove(server_id)
         elif failure.reason != 'caller disconnected or deadline passed':
             self._shared_state.servers.health.record_outcome(
                 server_id, True, now
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -181,6 +181,11 @@
             wanted_origins=self.stream_origins.wanted,
             seen_origin_number=seen[2],
             proved=tuple(proved),
+            leaving={
+                server_id: state.server.residency.process_start_ms
+                for server_id, state in self.servers.states.items()
+                if state.states_leaving
+            },
         )
 
     def _known_residencies(self):
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -189,5 +189,6 @@
         'wanted_origins': (),
         'seen_origin_number': 0,
         'proved': (),
+        'leaving': {},
     }
     return messages.Report(**fields | changes)
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -5,6 +5,7 @@
 import anyio
 from wagtailtide_gateway.control import cluster_state
 from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.control import servers
 from wagtailtide_testing import virtual_time
 
 from tests import builders
@@ -184,6 +185,20 @@
             ((crash,), (), (older,)),
         )
 
+    @virtual_time.run_without_io
+    async def test_server_that_told_one_instance_that_it_leaves_is_left(self):
+        cluster = make_cluster()
+        server = builders.make_server('s1')
+        state = servers.ServerState(server)
+        cluster._servers.states['s1'] = state
+        started_ms = server.residency.process_start_ms
+        earlier = {'leaving': {'s1': started_ms - 1, 's9': 1}}
+        update = cluster.handle_report(builders.make_report(**earlier))
+        self.assertEqual(update.leaving, ())
+        now = {'leaving': {'s1': started_ms}}
+        update = cluster.handle_report(builders.make_report(**now))
+        self.assertEqual(update.leaving, ('s1',))
+
     @virtual_time.run_without_io
     async def test_what_was_proved_is_no_longer_suspect_anywhere(self):
         cluster = make_cluster()
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -34,6 +34,7 @@
     (4, 5),
     6,
     ('part:01',),
+    {'s1': 1_700_000_000_000},
 )
 UPDATE = messages.LeaderUpdate(
     3,
