gateway: Keep the latest end of the pauses that a server asked for

A response that was sent earlier and arrives later would end a longer pause. Found by reading; the new test fails without the change (11.1 in place of 15).

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -125,12 +125,15 @@
     def note_pause(self, pause_s, source, now):
         """Record that the server wants no requests for some time.
 
+        Responses may arrive out of order, so the latest end of a pause counts.
+
         Args:
             pause_s: The time in seconds; at most MAX_PAUSE_S count.
             source: Id of the request whose response stated it.
             now: Time in seconds.
         """
-        self.paused_until = now + min(pause_s, MAX_PAUSE_S)
+        end = now + min(pause_s, MAX_PAUSE_S)
+        self.paused_until = max(self.paused_until, end)
         LOG.info(
             'server pauses',
             extra={
