--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -75,9 +75,12 @@
     )
     output = process.stdout + process.stderr
     ran = RAN_SUMMARY.search(output)
+    # A test with several failed subtests is listed for each of them.
     failed = tuple(
-        f'{package.name}:{failed_test_id(match)}'
-        for match in FAILED_HEADING.findall(output)
+        dict.fromkeys(
+            f'{package.name}:{failed_test_id(match)}'
+            for match in FAILED_HEADING.findall(output)
+        )
     )
     test_count = int(ran.group(1)) if ran else 0
     if not failed and (process.returncode or not test_count):
