gateway: Refuse requests for services that take no measurable time

Callers got 500 in place of 503 with Retry-After if all requests of a service had completed within the resolution of the clock: the return rate divided by a mean service time of zero. Seen in tests.test_partitioned_instances, whose plain servers answer at once in virtual time; on the platform services take milliseconds. The mean is at least a millisecond now, as in admission. The new test failed before.

--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -233,7 +233,8 @@
             if job.is_plain
             else DEFAULT_ENGINE_SERVICE_S
         )
-        return self._servers.service_time_s(job.service.name, default_s)
+        service_s = self._servers.service_time_s(job.service.name, default_s)
+        return max(service_s, admission.MIN_SERVICE_S)
 
     def _is_list_outdated(self, now):
         max_age_s = self._cfg.server_drain_s * MAX_LIST_AGE_SHARE
--- a/packages/gateway/tests/serving/test_availability.py
+++ b/packages/gateway/tests/serving/test_availability.py
@@ -15,14 +15,14 @@
 LIMIT_PER_S = 2.0
 
 
-def make_availability(*states, leaderless=False):
+def make_availability(*states, leaderless=False, service_s=1.5):
     view = types.SimpleNamespace(
         health=types.SimpleNamespace(
             is_unreachable=lambda server_id, now: False
         ),
         is_outdated=lambda max_age_s, now: False,
         of_service=lambda service: states,
-        service_time_s=lambda service, default_s: 1.5,
+        service_time_s=lambda service, default_s: service_s,
     )
     exchange = types.SimpleNamespace(
         instances=INSTANCES,
@@ -54,6 +54,10 @@
 
 
 class RetriesTest(unittest.TestCase):
+    def test_callers_of_a_service_that_takes_no_time_may_return(self):
+        found = make_availability(make_state('s1'), service_s=0.0)
+        self.assertGreater(found.retries_per_s(make_job(), 0.0), 0.0)
+
     def test_callers_return_at_the_rate_that_the_servers_take(self):
         slots = builders.make_server().slots
         limited = make_state('s1', LIMIT_PER_S)
