gateway: Tell lost paths to backend servers from crashes

Cause: each refused connection counted as a crash of the server, whatever ran there was a suspect, and after a second the server was tried again with a caller's request.

A failed connection is now followed by new connections to a few other servers. Only if one of them is accepted has the server crashed; else all are probed, and the instance knows that it is cut off. The same happens if no server has sent anything for half a second while requests are open. Unreachable servers are probed each half second and used again once they accept. Probes cost one to three connections a crash and instance.

Ruled out: that the requests crashed servers (none did).

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -7,6 +7,7 @@
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import health
+from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.model import backend
 
@@ -166,6 +167,7 @@
     Attributes:
         states: ServerState by server id.
         health: Failure rates of the servers.
+        reachability: Which of them this instance can connect to.
         has_list: Whether a whole list has been received.
         own_list_count: Number of whole lists that this instance has read.
         new_state_count: Number of servers, and of their restarts, that this
@@ -190,6 +192,7 @@
         self._versions_left_at = {}
         self.states = {}
         self.health = health.Health()
+        self.reachability = reachability.Reachability()
         self.has_list = False
         self.own_list_count = 0
         self.new_state_count = 0
@@ -361,6 +364,7 @@
             # The previous process's residency, loads and refusals do not apply
             # to a restarted server.
             state = self.states[server.id] = ServerState(server)
+            self.reachability.forget(server.id)
             self.new_state_count += 1
             LOG.info(
                 'server listed',
@@ -408,6 +412,7 @@
         self._note_version_left(self.states.pop(server_id), now)
         self._number_entry(server_id, None)
         self.health.retain(self.states.keys())
+        self.reachability.forget(server_id)
         LOG.info('server gone', extra={'server': server_id, 'reason': reason})
         self._on_change()
 
--- a/packages/gateway/src/wagtailtide_gateway/decisions/health.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/health.py
@@ -9,15 +9,11 @@
 # brings a server that was avoided back into use.
 DECAY_TO_THIRD_S = 4.0
 
-# Seconds for which a server gets no requests after a failed connection.
-UNREACHABLE_TTL_S = 1.0
-
 
 @dataclasses.dataclass
 class _ServerRecord:
     failure_rate: float
     updated_at: float
-    unreachable_until: float = 0.0
 
 
 class Health:
@@ -32,25 +28,6 @@
         rate += SMOOTHING_WEIGHT * ((1.0 if failed else 0.0) - rate)
         self._records[server_id] = _ServerRecord(rate, now)
 
-    def record_unreachable(self, server_id, now):
-        """Record that a server accepted no connection."""
-        rate = self.failure_rate(server_id, now)
-        until = now + UNREACHABLE_TTL_S
-        self._records[server_id] = _ServerRecord(rate, now, until)
-
-    def is_unreachable(self, server_id, now):
-        """Return whether a recent connection to a server failed."""
-        record = self._records.get(server_id)
-        return record is not None and now < record.unreachable_until
-
-    def unreachable_servers(self, now):
-        """Return the ids of servers to which a recent connection failed."""
-        return [
-            server_id
-            for server_id, record in self._records.items()
-            if now < record.unreachable_until
-        ]
-
     def failure_rate(self, server_id, now):
         """Return the recent share of failed requests, 0 to 1."""
         record = self._records.get(server_id)
--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -331,6 +331,19 @@
         self.opened_count += 1
         return Connection(stream, address, anyio.current_time())
 
+    async def open_idle(self, address):
+        """Open a connection and keep it for the next request.
+
+        Raises:
+            ConnectionBroken: No connection could be established.
+        """
+        conn = await self._open(address)
+        idle = self._idle[address]
+        if len(idle) < MAX_IDLE_PER_ADDRESS:
+            idle.append(conn)
+        else:
+            await conn.close()
+
     async def is_refused(self, address):
         """Return whether an address refuses a new connection.
 
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -12,6 +12,7 @@
 from wagtailtide_gateway.control import engine_controller
 from wagtailtide_gateway.control import exchange as exchanges
 from wagtailtide_gateway.control import leadership as leadership_
+from wagtailtide_gateway.control import prober as probers
 from wagtailtide_gateway.control import store
 from wagtailtide_gateway.control import sync
 from wagtailtide_gateway.decisions import trust
@@ -99,6 +100,11 @@
             self._pool,
             self.metrics,
         )
+        self.prober = probers.ServerProber(
+            self.shared_state.servers,
+            self._pool,
+            self.shared_state.wait_queues.wake,
+        )
         self.gateway = gateway.Gateway(
             cfg,
             caller_port,
@@ -106,6 +112,7 @@
             self.shared_state,
             self._pool,
             self.exchange,
+            self.prober,
             self.metrics,
         )
         self._callers = incoming.Listener(
@@ -180,6 +187,7 @@
                 self._sync.run,
                 self.leadership.run,
                 self.exchange.run,
+                self.prober.run,
                 self._engine_controller.run,
             ):
                 tg.start_soon(_restart_on_error, task)
--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -79,17 +79,19 @@
         job: The Job of the request.
         state: ServerState of the server.
         dispatch: The Dispatch.
+        reachability: Reachability of the servers.
 
     Attributes:
         framing: Framing of the server's response, None without one.
     """
 
-    def __init__(self, backend_port, pool, job, state, dispatch):
+    def __init__(self, backend_port, pool, job, state, dispatch, reachability):
         self._backend_port = backend_port
         self._pool = pool
         self._job = job
         self._state = state
         self._dispatch = dispatch
+        self._reachability = reachability
         self._conn = None
         self.framing = None
 
@@ -145,6 +147,7 @@
         head = await self._conn.request(
             req.method, req.target, headers, req.body
         )
+        self._reachability.record_bytes(anyio.current_time())
         response = self._backend_port.decode_response_head(
             head.status, head.headers
         )
@@ -249,7 +252,9 @@
             TimeoutError: It paused too long. It may be read on.
         """
         with anyio.fail_after(timeout_s):
-            return await self._conn.read_data()
+            data = await self._conn.read_data()
+        self._reachability.record_bytes(anyio.current_time())
+        return data
 
     async def was_cut_by_crash(self):
         """Return whether a received response may lack its end.
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -78,14 +78,13 @@
         """Return the servers that the request may use, paused ones too."""
         if self._is_list_outdated(now):
             return []
-        health = self._servers.health
         return [
             state
             for state in self._servers.of_service(job.service.name)
             if state.accepts_requests
             and job.software_version in (None, state.server.software_version)
             and state.server.id not in job.tried
-            and not health.is_unreachable(state.server.id, now)
+            and not self._servers.reachability.is_unreachable(state.server.id)
         ]
 
     def capable(self, job, now):
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -43,6 +43,7 @@
         shared_state: The SharedState of the instance.
         pool: ConnectionPool of the backend servers.
         exchange: Exchange with the leader.
+        prober: ServerProber of the instance.
         metrics: The Metrics.
     """
 
@@ -54,6 +55,7 @@
         shared_state,
         pool,
         exchange,
+        prober,
         metrics,
     ):
         self._caller_port = caller_port
@@ -61,6 +63,7 @@
         self._shared_state = shared_state
         self._pool = pool
         self._exchange = exchange
+        self._prober = prober
         self._metrics = metrics
         self._access = access.Access(cfg, shared_state, exchange)
         self._quarantine = quarantine.Quarantine(
@@ -225,23 +228,29 @@
             failure = await self._attempt(job, state, relay, out)
             if failure is None:
                 return
-            if failure.broken:
-                await self._probe_server(state)
+            if failure.broken or failure.unreachable:
+                await self._check_server(state, failure)
             if failure.head is not None and not self._may_retry(
                 job, failure, relay
             ):
                 await self._forward_failure(job, failure, relay, out)
                 return
 
-    async def _probe_server(self, state):
-        """Check whether a server whose connection broke has crashed.
+    async def _check_server(self, state, failure):
+        """Check whether a server whose connection failed has crashed.
 
         A failing server is chosen less often, so a later request might never
         find out that it crashed. The crash has to be attributed to the
-        requests that were running in it.
+        requests that were running in it. If no other server accepts
+        connections either, the path to the servers is lost.
         """
-        if await self._pool.is_refused(state.server.address):
-            self._record_unreachable(state, anyio.current_time())
+        if failure.broken and not await self._pool.is_refused(
+            state.server.address
+        ):
+            return
+        await self._prober.record_failed(state, failure.reason)
+        if await self._prober.finds_path():
+            self._attribute_crash(state)
 
     def _may_retry(self, job, failure, relay):
         if failure.not_run:
@@ -315,7 +324,12 @@
         """
         dispatch = self._make_dispatch(job, state, relay)
         attempt = attempts.Attempt(
-            self._backend_port, self._pool, job, state, dispatch
+            self._backend_port,
+            self._pool,
+            job,
+            state,
+            dispatch,
+            self._shared_state.servers.reachability,
         )
         started_at = anyio.current_time()
         self._record_start(job, state)
@@ -363,6 +377,9 @@
         # Until the outcome is known, the request may have run.
         job.possible_runs += 1
         state.own_load += 1
+        self._shared_state.servers.reachability.record_request_start(
+            anyio.current_time()
+        )
         self._quarantine.record_started(job, state.server.id)
         if job.req.model is not None:
             self._shared_state.demand.record_start(*job.demand_key)
@@ -375,6 +392,7 @@
         now = anyio.current_time()
         server_id = state.server.id
         state.own_load -= 1
+        self._shared_state.servers.reachability.record_request_end()
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
         broken = bool(failure) and failure.broken
@@ -394,14 +412,14 @@
         server_id = state.server.id
         if failure.not_run:
             job.possible_runs -= 1
-        if failure.unreachable:
-            self._record_unreachable(state, now)
-        elif failure.misdirected:
+        if failure.misdirected:
             self._record_misdirected(job, state, now)
         elif failure.not_run and now < state.paused_until:
             # It may be tried again after the pause.
             job.tried.remove(server_id)
-        elif failure.reason != 'caller disconnected or deadline passed':
+        elif not failure.unreachable and (
+            failure.reason != 'caller disconnected or deadline passed'
+        ):
             self._shared_state.servers.health.record_outcome(
                 server_id, True, now
             )
@@ -417,16 +435,16 @@
             },
         )
 
-    def _record_unreachable(self, state, now):
+    def _attribute_crash(self, state):
         server_id = state.server.id
-        self._shared_state.servers.health.record_unreachable(server_id, now)
         count = self._shared_state.attribute_crash(
             server_id, state.server.residency.process_start_ms
         )
-        LOG.info(
-            'server unreachable',
-            extra={'server': server_id, 'suspects': count},
-        )
+        if count:
+            LOG.info(
+                'server crashed',
+                extra={'server': server_id, 'suspects': count},
+            )
 
     def _record_misdirected(self, job, state, now):
         """Record that a server does not have the model or adapter.
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -169,7 +169,7 @@
             demand=rows,
             adapters=tuple(adapter_requests),
             crashes=self._take_crash_reports(now),
-            unreachable=tuple(self.servers.health.unreachable_servers(now)),
+            unreachable=self.servers.reachability.unreachable,
             capacity=capacity,
             known_residencies={} if seen[0] else self._known_residencies(),
             known_entries={} if seen[1] else self.servers.entry_digests(),
--- /dev/null
+++ b/packages/gateway/tests/control/test_prober.py
@@ -0,0 +1,114 @@
+import unittest
+
+import anyio
+from wagtailtide_core.retries import fate
+from wagtailtide_gateway.control import prober
+from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.decisions import reachability
+from wagtailtide_gateway.http import outgoing
+from wagtailtide_testing import virtual_time
+
+from tests import builders
+
+SERVERS = 12
+
+
+class FakePool:
+    """Opens connections to all addresses but the refused and silent ones."""
+
+    def __init__(self):
+        self.refused = set()
+        self.silent = set()
+        self.opened = []
+
+    async def open_idle(self, address):
+        self.opened.append(address.port)
+        await anyio.sleep(0.001)
+        if address.port in self.silent:
+            await anyio.sleep_forever()
+        if address.port in self.refused:
+            raise outgoing.ConnectionBroken('x', fate.Progress.CONNECTING)
+
+    async def close_idle_to(self, address):
+        pass
+
+
+class FakeServers:
+    def __init__(self):
+        self.reachability = reachability.Reachability()
+        self.states = {
+            f's{port}': servers.ServerState(
+                builders.make_server(
+                    f's{port}',
+                    address=builders.backend.Address('127.0.0.1', port),
+                )
+            )
+            for port in range(SERVERS)
+        }
+
+
+def make_prober():
+    view, pool = FakeServers(), FakePool()
+    return prober.ServerProber(view, pool, lambda service: None), view, pool
+
+
+class FindsPathTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_few_servers_are_probed_if_one_crashed(self):
+        found, view, pool = make_prober()
+        pool.refused = {0}
+        await found.record_failed(view.states['s0'], 'refused')
+        self.assertTrue(await found.finds_path())
+        self.assertEqual(len(pool.opened), prober.FIRST_PROBES)
+
+    @virtual_time.run_without_io
+    async def test_calls_at_the_same_time_share_the_probes(self):
+        found, view, pool = make_prober()
+        await found.record_failed(view.states['s0'], 'refused')
+        async with anyio.create_task_group() as tg:
+            for _ in range(20):
+                tg.start_soon(found.finds_path)
+        self.assertEqual(len(pool.opened), prober.FIRST_PROBES)
+
+    @virtual_time.run_without_io
+    async def test_lost_path_is_noticed_at_once(self):
+        for name in ('refused', 'silent'):
+            with self.subTest(name):
+                found, view, pool = make_prober()
+                setattr(pool, name, set(range(SERVERS)))
+                await found.record_failed(view.states['s0'], 'refused')
+                started_at = anyio.current_time()
+                self.assertFalse(await found.finds_path())
+                self.assertTrue(found.is_cut_off)
+                elapsed_s = anyio.current_time() - started_at
+                self.assertLessEqual(elapsed_s, 2 * prober.PROBE_TIMEOUT_S)
+
+
+class RunTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_silence_of_all_servers_is_checked(self):
+        found, view, pool = make_prober()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(found.run)
+            await anyio.sleep(1.0)
+            self.assertEqual(pool.opened, [])
+            pool.silent = set(range(SERVERS))
+            view.reachability.record_request_start(anyio.current_time())
+            await anyio.sleep(2.0)
+            self.assertTrue(found.is_cut_off)
+            tg.cancel_scope.cancel()
+
+    @virtual_time.run_without_io
+    async def test_servers_that_accept_again_are_reachable(self):
+        found, view, pool = make_prober()
+        pool.refused = set(range(SERVERS))
+        await found.record_failed(view.states['s0'], 'refused')
+        await found.finds_path()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(found.run)
+            await anyio.sleep(2.0)
+            self.assertTrue(found.is_cut_off)
+            pool.refused = set()
+            await anyio.sleep(1.0)
+            self.assertEqual(view.reachability.unreachable, ())
+            tg.cancel_scope.cancel()
--- a/packages/gateway/tests/decisions/test_health.py
+++ b/packages/gateway/tests/decisions/test_health.py
@@ -13,12 +13,6 @@
         self.assertGreater(found.failure_rate('s1', 0.0), 0.7)
         self.assertLess(found.failure_rate('s1', 12.0), 0.2)
 
-    def test_unreachable_server_is_tried_again(self):
-        found = health.Health()
-        found.record_unreachable('s1', 10.0)
-        self.assertTrue(found.is_unreachable('s1', 10.5))
-        self.assertFalse(found.is_unreachable('s1', 11.5))
-
     def test_removed_servers_are_forgotten(self):
         found = health.Health()
         found.record_outcome('s1', True, 0.0)
--- a/packages/gateway/tests/serving/test_availability.py
+++ b/packages/gateway/tests/serving/test_availability.py
@@ -4,6 +4,7 @@
 import unittest
 
 from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.model import backend
 from wagtailtide_gateway.serving import availability
@@ -17,9 +18,7 @@
 
 def make_availability(*states, leaderless=False, service_s=1.5):
     view = types.SimpleNamespace(
-        health=types.SimpleNamespace(
-            is_unreachable=lambda server_id, now: False
-        ),
+        reachability=reachability.Reachability(),
         is_outdated=lambda max_age_s, now: False,
         of_service=lambda service: states,
         service_time_s=lambda service, default_s: service_s,
