gateway: Plan by the reports of instances that reach servers

Callers of sound instances got 503 (model_loading) for models that had to be loaded while most instances were cut off from the servers: the leader leaves out each server that two instances report as unreachable, so it had none left to load on.

The leader now ignores what instances report that reach no listed server at all: they tell of their own path. Servers that only some instances cannot reach are left out as before.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -361,14 +361,24 @@
 
         One instance may be cut off from a server that the others reach. A
         report of one instance is therefore ignored while any instance has
-        requests in the server.
+        requests in the server. The reports of instances that reach no server
+        at all are always ignored.
         """
-        reports = [received.report for received in self._reports.values()]
+        reports = [
+            received.report
+            for received in self._reports.values()
+            if not self._is_cut_off(received.report)
+        ]
         reported = sum(server_id in report.unreachable for report in reports)
         if not reported:
             return False
         return reported > 1 or not self.load_of(server_id)
 
+    def _is_cut_off(self, report):
+        """Return whether the sender of a report reaches no listed server."""
+        listed = self._servers.states.keys()
+        return bool(listed) and listed <= frozenset(report.unreachable)
+
     def usage_by_model(self, service, now):
         """Return the ModelUse of each model of a service, by model name."""
         counts = collections.defaultdict(lambda: [0, 0])
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -103,6 +103,21 @@
         )
         self.assertTrue(cluster.is_unreachable('s1'))
 
+    @virtual_time.run_without_io
+    async def test_servers_stay_in_use_if_many_instances_are_cut_off(self):
+        # Incident 009: two of three instances reach no server.
+        cluster = make_cluster()
+        cluster._servers.states = {
+            name: servers.ServerState(builders.make_server(name))
+            for name in ('s1', 's2')
+        }
+        for name in ('front-1', 'front-2'):
+            cluster.handle_report(
+                builders.make_report(name, unreachable=('s1', 's2'))
+            )
+        cluster.handle_report(builders.make_report('front-3'))
+        self.assertFalse(cluster.is_unreachable('s1'))
+
     @virtual_time.run_without_io
     async def test_demand_includes_refused_requests(self):
         # Guards against a model that is never loaded because its requests are
