gateway: Hand over the leadership when cut off from the servers

Models that had to be loaded stayed away (503, model_loading) for as long as the leader was cut off from the servers: it kept its lease by the store, which it still reached, and its orders to the engines were lost.

An instance that reaches no server now has no capacity to lead; by the rule that exists for small instances it hands over, unless none does better. An idle leader checks its path as well.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -6,7 +6,6 @@
 from wagtailtide_core.retries import fate
 
 from wagtailtide_gateway.control import messages
-from wagtailtide_gateway.decisions import lease
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import backend
 
@@ -252,7 +251,7 @@
         self._last_draw_at = now
         return self._shared_state.make_report(
             self._cfg.instance,
-            lease.leading_capacity(self._cfg.cpu_cores, self._cfg.link_mbps),
+            self._leadership.capacity,
             (self._residency_number, self._entry_number, self._origin_number),
             elapsed_s,
             urgent,
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -48,14 +48,14 @@
             one of this instance.
     """
 
-    def __init__(self, client, port, cfg, clock, cluster_summary):
+    def __init__(self, client, port, cfg, clock, cluster_summary, is_cut_off):
         self._client = client
         self._kind = port.lease_kind
         self._decode = _decode
         self._cfg = cfg
         self._clock = clock
         self._cluster_summary = cluster_summary
-        self._capacity = lease.leading_capacity(cfg.cpu_cores, cfg.link_mbps)
+        self._is_cut_off = is_cut_off
         self._observer = lease.LeaseObserver()
         self._term_started_at = float('-inf')
         self._revision = None
@@ -80,6 +80,17 @@
             self._clock(), self._renewal_sent_at, self._cfg.lease_s
         )
 
+    @property
+    def capacity(self):
+        """Capacity of this instance to lead, in cores.
+
+        It is 0 while the instance reaches no server, so it could give no
+        orders.
+        """
+        if self._is_cut_off():
+            return 0.0
+        return lease.leading_capacity(self._cfg.cpu_cores, self._cfg.link_mbps)
+
     def note_response(self):
         """Record that the leader answered."""
         self._last_response_at = self._clock()
@@ -151,7 +162,7 @@
 
     def _should_hand_over(self):
         return (
-            self._capacity < self.record.min_capacity
+            self.capacity < self.record.min_capacity
             and self._clock() - self._term_started_at >= lease.MIN_TERM_S
         )
 
@@ -174,6 +185,7 @@
                 extra={
                     'fence': fence,
                     'stopping': self._stopping,
+                    'capacity': self.capacity,
                     'min_capacity': released.min_capacity,
                 },
             )
@@ -186,7 +198,7 @@
             renewals=self.record.renewals + 1,
             instances=summary.instances,
             min_capacity=lease.min_capacity(
-                (self._capacity, summary.largest_capacity)
+                (self.capacity, summary.largest_capacity)
             ),
             software_versions=summary.software_versions,
             crashes=tuple(
@@ -265,7 +277,7 @@
         reason = self._observer.takeover_reason(
             self._cfg.lease_s,
             self._cfg.instance,
-            capacity=self._capacity,
+            capacity=self.capacity,
             refused=self._connection_refused,
             resigned=resigned,
         )
--- a/packages/gateway/src/wagtailtide_gateway/control/prober.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/prober.py
@@ -33,30 +33,28 @@
         servers: ServerView of the instance.
         pool: ConnectionPool of the backend servers.
         wake: Function that makes waiting requests check again for a server.
+        is_leader: Function that returns whether this instance leads, so that
+            it may have to give orders at any time.
     """
 
-    def __init__(self, servers, pool, wake):
+    def __init__(self, servers, pool, wake, is_leader):
         self._servers = servers
         self._reachability = servers.reachability
         self._pool = pool
         self._wake = wake
+        self._is_leader = is_leader
         self._round_ended = None
         self._silence_checked_at = float('-inf')
         self._probed_at = float('-inf')
         self._was_cut_off = False
 
-    @property
-    def is_cut_off(self):
-        """Whether this instance reaches none of the listed servers."""
-        return self._reachability.is_cut_off(self._servers.states)
-
     async def run(self):
         """Probe until cancelled."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             now = anyio.current_time()
             if (
-                self._reachability.is_silent(now)
+                self._reachability.is_silent(now, self._is_leader())
                 and now - self._silence_checked_at >= SILENCE_CHECK_INTERVAL_S
             ):
                 self._silence_checked_at = now
@@ -84,7 +82,7 @@
         while self._reachability.connected_at < started_at:
             if self._round_ended is not None:
                 await self._round_ended.wait()
-            elif self.is_cut_off:
+            elif self._servers.is_cut_off:
                 break
             else:
                 await self._run_round()
@@ -153,9 +151,9 @@
             await self._pool.close_idle_to(state.server.address)
 
     def _log_change(self):
-        if self.is_cut_off == self._was_cut_off:
+        if self._servers.is_cut_off == self._was_cut_off:
             return
-        self._was_cut_off = self.is_cut_off
+        self._was_cut_off = self._servers.is_cut_off
         LOG.warning(
             'backend servers lost'
             if self._was_cut_off
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -198,6 +198,11 @@
         self.new_state_count = 0
         self.entry_number = 0
 
+    @property
+    def is_cut_off(self):
+        """Whether this instance reaches none of the listed servers."""
+        return self.reachability.is_cut_off(self.states)
+
     def apply_list(self, objects, revision, now):
         """Apply a whole list of entries and handle the missing ones.
 
--- a/packages/gateway/src/wagtailtide_gateway/decisions/reachability.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/reachability.py
@@ -84,9 +84,16 @@
             server_id in self._unreachable for server_id in server_ids
         )
 
-    def is_silent(self, now):
-        """Return whether requests are open and no server was heard lately."""
-        return self._open_requests > 0 and now - self._heard_at >= SILENCE_S
+    def is_silent(self, now, gives_orders=False):
+        """Return whether no server was heard lately though one is needed.
+
+        Args:
+            now: Time in seconds.
+            gives_orders: Whether this instance needs servers also while none
+                has a request of it.
+        """
+        is_needed = gives_orders or self._open_requests > 0
+        return is_needed and now - self._heard_at >= SILENCE_S
 
     def forget(self, server_id):
         """Forget a server whose process ended or that is not listed."""
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -68,7 +68,12 @@
             store_port, cfg.store, outgoing.ConnectionPool(), self.metrics
         )
         self.leadership = leadership_.Leadership(
-            client, store_port, cfg, clock, self._summarise_cluster
+            client,
+            store_port,
+            cfg,
+            clock,
+            self._summarise_cluster,
+            lambda: self.shared_state.servers.is_cut_off,
         )
         self.cluster = cluster_state_.ClusterState(
             self.shared_state.config,
@@ -104,6 +109,7 @@
             self.shared_state.servers,
             self._pool,
             self.shared_state.wait_queues.wake,
+            lambda: self.leadership.is_leader,
         )
         self.gateway = gateway.Gateway(
             cfg,
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -199,6 +199,7 @@
             cfg,
             clock,
             self._summarise_cluster,
+            lambda: self.shared_state.servers.is_cut_off,
         )
         self.cluster = cluster_state.ClusterState(
             self.shared_state.config,
--- a/packages/gateway/tests/control/test_leadership.py
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -3,6 +3,7 @@
 import anyio
 from wagtailtide_gateway.control import exchange
 from wagtailtide_gateway.control import leadership
+from wagtailtide_gateway.decisions import lease
 from wagtailtide_testing import virtual_time
 
 from tests.control import election_fixture
@@ -208,6 +209,47 @@
             tg.cancel_scope.cancel()
 
 
+def cut_off(member):
+    """Let a member reach none of its servers."""
+    view = member.shared_state.servers
+    for server_id in view.states:
+        view.reachability.record_failed(server_id, anyio.current_time())
+
+
+class CutOffTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_leader_that_reaches_no_server_hands_over(self):
+        # Incident 009: a leader that cannot give orders leads no longer.
+        _, _, members = make_members('first', 'second')
+        first, second = members
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(first.run)
+            await wait_until(lambda: first.leadership.is_leader)
+            first.list_servers(2)
+            tg.start_soon(second.run)
+            await anyio.sleep(lease.MIN_TERM_S)
+            cut_off(first)
+            await wait_until(lambda: second.leadership.is_leader, 3.0)
+            await anyio.sleep(2 * lease.MIN_TERM_S)
+            self.assertEqual(leaders_of(members), ['second'])
+            tg.cancel_scope.cancel()
+
+    @virtual_time.run_without_io
+    async def test_leader_stays_if_no_instance_reaches_a_server(self):
+        _, _, members = make_members('first', 'second')
+        first, second = members
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(first.run)
+            await wait_until(lambda: first.leadership.is_leader)
+            tg.start_soon(second.run)
+            for member in members:
+                member.list_servers(2)
+                cut_off(member)
+            await anyio.sleep(3 * lease.MIN_TERM_S)
+            self.assertEqual(leaders_of(members), ['first'])
+            tg.cancel_scope.cancel()
+
+
 class RenewalTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_lost_answer_to_a_renewal_does_not_end_the_leadership(self):
--- a/packages/gateway/tests/control/test_prober.py
+++ b/packages/gateway/tests/control/test_prober.py
@@ -34,6 +34,10 @@
 
 
 class FakeServers:
+    @property
+    def is_cut_off(self):
+        return self.reachability.is_cut_off(self.states)
+
     def __init__(self):
         self.reachability = reachability.Reachability()
         self.states = {
@@ -47,9 +51,12 @@
         }
 
 
-def make_prober():
+def make_prober(is_leader=False):
     view, pool = FakeServers(), FakePool()
-    return prober.ServerProber(view, pool, lambda service: None), view, pool
+    found = prober.ServerProber(
+        view, pool, lambda service: None, lambda: is_leader
+    )
+    return found, view, pool
 
 
 class FindsPathTest(unittest.TestCase):
@@ -79,7 +86,7 @@
                 await found.record_failed(view.states['s0'], 'refused')
                 started_at = anyio.current_time()
                 self.assertFalse(await found.finds_path())
-                self.assertTrue(found.is_cut_off)
+                self.assertTrue(view.is_cut_off)
                 elapsed_s = anyio.current_time() - started_at
                 self.assertLessEqual(elapsed_s, 2 * prober.PROBE_TIMEOUT_S)
 
@@ -95,7 +102,17 @@
             pool.silent = set(range(SERVERS))
             view.reachability.record_request_start(anyio.current_time())
             await anyio.sleep(2.0)
-            self.assertTrue(found.is_cut_off)
+            self.assertTrue(view.is_cut_off)
+            tg.cancel_scope.cancel()
+
+    @virtual_time.run_without_io
+    async def test_idle_leader_notices_that_it_is_cut_off(self):
+        found, view, pool = make_prober(is_leader=True)
+        pool.silent = set(range(SERVERS))
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(found.run)
+            await anyio.sleep(2.0)
+            self.assertTrue(view.is_cut_off)
             tg.cancel_scope.cancel()
 
     @virtual_time.run_without_io
@@ -107,7 +124,7 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(found.run)
             await anyio.sleep(2.0)
-            self.assertTrue(found.is_cut_off)
+            self.assertTrue(view.is_cut_off)
             pool.refused = set()
             await anyio.sleep(1.0)
             self.assertEqual(view.reachability.unreachable, ())
