gateway: Separate the call to a server from the attempt of a request

No change of behaviour: serving/server_call.py has the connection, late responses and statements of one call; serving/attempt.py has what the request makes of it.

--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -6,10 +6,9 @@
 from wagtailtide_core.retries import fate
 
 from wagtailtide_gateway import ports
-from wagtailtide_gateway.control import server_limits as limits
-from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import deployment
+from wagtailtide_gateway.serving import server_call
 
 # Longest idle time of a connection that is reused for a request that is not
 # idempotent. If the server closes the connection as the request is sent, it is
@@ -75,49 +74,41 @@
 
     Args:
         backend_port: The BackendPort.
-        pool: ConnectionPool of the backend servers.
+        call: The ServerCall, or ForwardedCall through another instance.
         job: The Job of the request.
         state: ServerState of the server.
         dispatch: The Dispatch.
-        reachability: Reachability of the servers.
-
-    Attributes:
-        framing: Framing of the server's response, None without one.
     """
 
-    def __init__(self, backend_port, pool, job, state, dispatch, reachability):
+    def __init__(self, backend_port, call, job, state, dispatch):
         self._backend_port = backend_port
-        self._pool = pool
+        self._call = call
         self._job = job
         self._state = state
         self._dispatch = dispatch
-        self._reachability = reachability
-        self._conn = None
-        self.framing = None
 
     @property
     def software_version(self):
         """Software version of the server."""
         return self._state.server.software_version
 
+    @property
+    def framing(self):
+        """Framing of the server's response, None without one."""
+        return self._call.framing
+
     async def open(self):
         """Send the request and return its ResponseHead or a Failure.
 
         After a ResponseHead the body has to be read. Call `close` at the end
         in either case.
         """
-        is_idempotent = self._job.route.kind is deployment.RouteKind.IDEMPOTENT
-        max_idle_s = (
-            outgoing.DEFAULT_IDLE_S
-            if is_idempotent
-            else NON_IDEMPOTENT_MAX_IDLE_S
-        )
+        request = self._make_request()
         try:
-            self._conn = await self._pool.acquire(
-                self._state.server.address, max_idle_s
-            )
+            await self._call.connect(request.max_idle_s)
             with anyio.move_on_after(self._response_timeout_s()) as scope:
-                return await self._send_request()
+                _, response = await self._call.send(request)
+                return await self._classify(response)
         except outgoing.ConnectionBroken as exc:
             run_fate = fate.fate_of_failure(exc.progress)
             return Failure(
@@ -130,6 +121,24 @@
             return Failure(not_run=False, reason='response timed out')
         return None
 
+    def _make_request(self):
+        req = self._job.req
+        is_idempotent = self._job.route.kind is deployment.RouteKind.IDEMPOTENT
+        return server_call.ServerRequest(
+            attempt_id=req.attempt_id,
+            method=req.method,
+            target=req.target,
+            headers=tuple(
+                self._backend_port.request_headers(req, self._dispatch)
+            ),
+            body=req.body,
+            max_idle_s=(
+                outgoing.DEFAULT_IDLE_S
+                if is_idempotent
+                else NON_IDEMPOTENT_MAX_IDLE_S
+            ),
+        )
+
     def _response_timeout_s(self):
         route = self._job.route
         if not self._job.may_retry():
@@ -141,64 +150,6 @@
             RESPONSE_TIMEOUT_TARGET_FACTOR * route.latency_target_s,
         )
 
-    async def _send_request(self):
-        req = self._job.req
-        headers = self._backend_port.request_headers(req, self._dispatch)
-        head = await self._conn.request(
-            req.method, req.target, headers, req.body
-        )
-        self._reachability.record_bytes(anyio.current_time())
-        response = self._backend_port.decode_response_head(
-            head.status, head.headers
-        )
-        for _ in range(outgoing.MAX_STRAY_RESPONSES):
-            if response.attempt_id in (None, req.attempt_id):
-                break
-            # A late response to an earlier request; this request's response
-            # follows it.
-            await self._conn.read_body()
-            self._conn.expect_another_response()
-            head = await self._conn.read_head()
-            response = self._backend_port.decode_response_head(
-                head.status, head.headers
-            )
-        self.framing = head.framing
-        self._record_statements(response)
-        return await self._classify(response)
-
-    def _record_statements(self, response):
-        """Record what the server states of itself.
-
-        A misdirected response may be that of another server.
-        """
-        if response.misdirected:
-            return
-        attempt_id = self._job.req.attempt_id
-        if response.states_leaving:
-            self._state.note_leaving(attempt_id)
-        if response.stated_pause_s is not None:
-            self._state.note_pause(
-                response.stated_pause_s, attempt_id, anyio.current_time()
-            )
-        self._record_limit(response)
-
-    def _record_limit(self, response):
-        """Record the limit that the server states for all instances.
-
-        Only a signed response shows that a server has lifted its limit; other
-        responses may lack the statement for another reason.
-        """
-        if response.attempt_id != self._job.req.attempt_id:
-            return
-        if response.stated_limit_per_s is None and not response.signed:
-            return
-        statement = server_limits.Statement(
-            response.stated_limit_per_s, anyio.current_time()
-        )
-        limits.record_statement(
-            self._state, statement, self._job.req.attempt_id
-        )
-
     async def _classify(self, response):
         is_success = 200 <= response.status < 300
         if (
@@ -212,7 +163,7 @@
             self._job.req.attempt_id,
         ):
             return Failure(False, 'response to another request', broken=True)
-        body = await self._conn.read_body()
+        body = await self._call.read_body()
         await self.keep_connection()
         may_forward = response.signed and response.attempt_id is not None
         return Failure(
@@ -233,7 +184,7 @@
             The Response, or a Failure if the connection broke.
         """
         try:
-            body = await self._conn.read_body()
+            body = await self._call.read_body()
         except outgoing.ConnectionBroken as exc:
             return Failure(False, str(exc), broken=True)
         if await self.was_cut_by_crash():
@@ -252,32 +203,16 @@
             TimeoutError: It paused too long. It may be read on.
         """
         with anyio.fail_after(timeout_s):
-            data = await self._conn.read_data()
-        self._reachability.record_bytes(anyio.current_time())
-        return data
+            return await self._call.read_data()
 
     async def was_cut_by_crash(self):
-        """Return whether a received response may lack its end.
-
-        A response without a length or chunks ends with its connection, and
-        the connections of a server that crashed end as well.
-        """
-        return (
-            self.framing is outgoing.Framing.CLOSE
-            and await self._pool.is_refused(self._state.server.address)
-        )
+        """Return whether a received response may lack its end."""
+        return await self._call.was_cut_by_crash()
 
     async def keep_connection(self):
-        """Return the connection to the pool after a complete response."""
-        conn, self._conn = self._conn, None
-        if conn is not None:
-            await self._pool.release(conn)
+        """Keep the connection for reuse after a complete response."""
+        await self._call.keep_connection()
 
     async def close(self):
-        """Close the connection unless it was returned to the pool.
-
-        A server cancels a request whose connection is closed.
-        """
-        conn, self._conn = self._conn, None
-        if conn is not None:
-            await conn.close()
+        """Close the connection unless it was kept for reuse."""
+        await self._call.close()
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -16,6 +16,7 @@
 from wagtailtide_gateway.serving import quarantine
 from wagtailtide_gateway.serving import relay as relays
 from wagtailtide_gateway.serving import resumption
+from wagtailtide_gateway.serving import server_call
 
 LOG = logging.getLogger(__name__)
 
@@ -323,14 +324,15 @@
             A Failure, or None if the caller has its response.
         """
         dispatch = self._make_dispatch(job, state, relay)
-        attempt = attempts.Attempt(
+        call = server_call.ServerCall(
             self._backend_port,
             self._pool,
-            job,
             state,
-            dispatch,
             self._shared_state.servers.reachability,
         )
+        attempt = attempts.Attempt(
+            self._backend_port, call, job, state, dispatch
+        )
         started_at = anyio.current_time()
         self._record_start(job, state)
         failure = attempts.Failure(
@@ -377,9 +379,6 @@
         # Until the outcome is known, the request may have run.
         job.possible_runs += 1
         state.own_load += 1
-        self._shared_state.servers.reachability.record_request_start(
-            anyio.current_time()
-        )
         self._quarantine.record_started(job, state.server.id)
         if job.req.model is not None:
             self._shared_state.demand.record_start(*job.demand_key)
@@ -392,7 +391,6 @@
         now = anyio.current_time()
         server_id = state.server.id
         state.own_load -= 1
-        self._shared_state.servers.reachability.record_request_end()
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
         broken = bool(failure) and failure.broken
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -0,0 +1,181 @@
+"""One request on a connection of this instance to a backend server."""
+
+import dataclasses
+
+import anyio
+
+from wagtailtide_gateway.control import server_limits as limits
+from wagtailtide_gateway.decisions import server_limits
+from wagtailtide_gateway.http import outgoing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """A request as it is sent to a server.
+
+    Attributes:
+        attempt_id: Id of the caller's attempt.
+        method: HTTP method.
+        target: Path and query.
+        headers: Raw names and values.
+        body: The whole body.
+        max_idle_s: Longest idle time in seconds of a connection that it may
+            be sent on.
+    """
+
+    attempt_id: str
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    max_idle_s: float
+
+
+class ServerCall:
+    """A request to a server and its response.
+
+    Args:
+        backend_port: The BackendPort.
+        pool: ConnectionPool of the backend servers.
+        state: ServerState of the server.
+        reachability: Reachability of the servers.
+
+    Attributes:
+        framing: Framing of the server's response, None without one.
+        peer: Name of the instance that forwards the request, here None.
+    """
+
+    peer = None
+
+    def __init__(self, backend_port, pool, state, reachability):
+        self._backend_port = backend_port
+        self._pool = pool
+        self._state = state
+        self._reachability = reachability
+        self._conn = None
+        self._is_open = False
+        self.framing = None
+
+    async def connect(self, max_idle_s):
+        """Acquire a connection; raises ConnectionBroken.
+
+        Args:
+            max_idle_s: Longest idle time in seconds of a reused connection.
+        """
+        self._reachability.record_request_start(anyio.current_time())
+        self._is_open = True
+        self._conn = await self._pool.acquire(
+            self._state.server.address, max_idle_s
+        )
+
+    async def send(self, request):
+        """Send a ServerRequest and return the head of its response.
+
+        Returns:
+            The raw Head and the ResponseHead that it decodes to.
+
+        Raises:
+            ConnectionBroken: No response head was received.
+        """
+        head = await self._conn.request(
+            request.method, request.target, request.headers, request.body
+        )
+        self._reachability.record_bytes(anyio.current_time())
+        response = self._decode(head)
+        for _ in range(outgoing.MAX_STRAY_RESPONSES):
+            if response.attempt_id in (None, request.attempt_id):
+                break
+            # A late response to an earlier request; this request's response
+            # follows it.
+            await self._conn.read_body()
+            self._conn.expect_another_response()
+            head = await self._conn.read_head()
+            response = self._decode(head)
+        self.framing = head.framing
+        record_statements(self._state, response, request.attempt_id)
+        return head, response
+
+    def _decode(self, head):
+        return self._backend_port.decode_response_head(
+            head.status, head.headers
+        )
+
+    async def read_data(self):
+        """Return the next bytes of the body, None after the last.
+
+        Raises:
+            ConnectionBroken: The connection failed before the body's end.
+        """
+        data = await self._conn.read_data()
+        self._reachability.record_bytes(anyio.current_time())
+        return data
+
+    async def read_body(self):
+        """Return the complete body; raises ConnectionBroken."""
+        return await self._conn.read_body()
+
+    async def was_cut_by_crash(self):
+        """Return whether a received response may lack its end.
+
+        A response without a length or chunks ends with its connection, and
+        the connections of a server that crashed end as well.
+        """
+        return (
+            self.framing is outgoing.Framing.CLOSE
+            and await self._pool.is_refused(self._state.server.address)
+        )
+
+    async def keep_connection(self):
+        """Return the connection to the pool after a complete response."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            await self._pool.release(conn)
+
+    async def close(self):
+        """Close the connection unless it was returned to the pool.
+
+        A server cancels a request whose connection is closed.
+        """
+        if self._is_open:
+            self._is_open = False
+            self._reachability.record_request_end()
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            await conn.close()
+
+
+def record_statements(state, response, attempt_id):
+    """Record what a server states of itself.
+
+    A misdirected response may be that of another server.
+
+    Args:
+        state: ServerState of the server.
+        response: Its ResponseHead.
+        attempt_id: Id of the attempt that it responds to.
+    """
+    if response.misdirected:
+        return
+    if response.states_leaving:
+        state.note_leaving(attempt_id)
+    if response.stated_pause_s is not None:
+        state.note_pause(
+            response.stated_pause_s, attempt_id, anyio.current_time()
+        )
+    _record_limit(state, response, attempt_id)
+
+
+def _record_limit(state, response, attempt_id):
+    """Record the limit that a server states for all instances.
+
+    Only a signed response shows that a server has lifted its limit; other
+    responses may lack the statement for another reason.
+    """
+    if response.attempt_id != attempt_id:
+        return
+    if response.stated_limit_per_s is None and not response.signed:
+        return
+    statement = server_limits.Statement(
+        response.stated_limit_per_s, anyio.current_time()
+    )
+    limits.record_statement(state, statement, attempt_id)
