--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -123,7 +123,7 @@
                 },
             )
 
-    def note_pause(self, pause_s, source, now):
+    def note_pause(self, pause_s, source, sent_at, now):
         """Record that the server wants no requests for some time.
 
         Responses may arrive out of order, so the latest end of a pause counts.
@@ -131,8 +131,10 @@
         Args:
             pause_s: The time in seconds; at most MAX_PAUSE_S count.
             source: Id of the request whose response stated it.
+            sent_at: Time in seconds at which that request was sent.
             now: Time in seconds.
         """
+        known_left_s = max(0.0, self.paused_until - sent_at)
         end = now + min(pause_s, MAX_PAUSE_S)
         self.paused_until = max(self.paused_until, end)
         LOG.info(
@@ -141,6 +143,8 @@
                 'server': self.server.id,
                 'pause_s': pause_s,
                 'source': source,
+                'sent_s': round(now - sent_at, 3),
+                'known_left_s': round(known_left_s, 3),
                 'load': self.load,
             },
         )
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
@@ -83,6 +83,7 @@
         )
         headers = [(b'Host', str(self._peer.address).encode())]
         is_answered = False
+        sent_at = anyio.current_time()
         try:
             head = await self._conn.request(
                 b'POST', forward_messages.FORWARD_TARGET, headers, body
@@ -109,7 +110,7 @@
             head.status, head.headers
         )
         server_call.record_statements(
-            self._state, response, request.attempt_id
+            self._state, response, request.attempt_id, sent_at
         )
         return head, response
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -77,6 +77,7 @@
         Raises:
             ConnectionBroken: No response head was received.
         """
+        sent_at = anyio.current_time()
         head = await self._conn.request(
             request.method, request.target, request.headers, request.body
         )
@@ -92,7 +93,7 @@
             head = await self._conn.read_head()
             response = self._decode(head)
         self.framing = head.framing
-        record_statements(self._state, response, request.attempt_id)
+        record_statements(self._state, response, request.attempt_id, sent_at)
         return head, response
 
     def _decode(self, head):
@@ -144,7 +145,7 @@
             await conn.close()
 
 
-def record_statements(state, response, attempt_id):
+def record_statements(state, response, attempt_id, sent_at):
     """Record what a server states of itself.
 
     A misdirected response may be that of another server.
@@ -153,6 +154,7 @@
         state: ServerState of the server.
         response: Its ResponseHead.
         attempt_id: Id of the attempt that it responds to.
+        sent_at: Time in seconds at which the request was sent.
     """
     if response.misdirected:
         return
@@ -160,7 +162,10 @@
         state.note_leaving(attempt_id)
     if response.stated_pause_s is not None:
         state.note_pause(
-            response.stated_pause_s, attempt_id, anyio.current_time()
+            response.stated_pause_s,
+            attempt_id,
+            sent_at,
+            anyio.current_time(),
         )
     _record_limit(state, response, attempt_id)
 
