--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -32,13 +32,13 @@
 class StatementTest(unittest.TestCase):
     def test_shorter_pause_does_not_end_a_longer_one(self):
         state = servers.ServerState(builders.make_server())
-        state.note_pause(5.0, 'r1', 10.0)
-        state.note_pause(1.0, 'r2', 10.1)
+        state.note_pause(5.0, 'r1', 10.0, 10.0)
+        state.note_pause(1.0, 'r2', 10.1, 10.1)
         self.assertEqual(state.paused_until, 15.0)
 
     def test_pause_is_bounded(self):
         state = servers.ServerState(builders.make_server())
-        state.note_pause(1e9, 'r1', 0.0)
+        state.note_pause(1e9, 'r1', 0.0, 0.0)
         self.assertEqual(state.paused_until, servers.MAX_PAUSE_S)
 
 
