gateway: Keep what a server stated while its entry is away

A server got 14 requests within a pause of 3 s, two allowed (BUDGET), and one that had stated that it leaves got another (DRAIN), if its entry was removed and written again in between.

Cause: pauses, limits and leaving were kept with the state of the server, and that ended with the entry. Entries of running processes lapse, for example while the store is away. Class: what a process stated was tied to the life of something else.

The state of a removed server is kept for a minute, and used again if the same process (by its start) is listed. A limit is kept by this too; the leader kept it before.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -25,6 +25,10 @@
 # the longest time for which a stream that it began may be resumed.
 VERSION_TTL_S = stream_origins.ORIGIN_TTL_S
 
+# Seconds for which a server whose entry was removed is remembered: the entry
+# of a running process may lapse and come back.
+REMOVED_TTL_S = 60.0
+
 # Longest pause that a server can ask for, in seconds. A longer one is taken
 # for a mistake.
 MAX_PAUSE_S = 3_600.0
@@ -99,6 +103,12 @@
             else self.leader_residency
         )
 
+    def reset_shared_data(self):
+        """Drop what the leader said, as the entry was away meanwhile."""
+        self.others_load = 0
+        self.leader_residency = None
+        self.reported_leaving = False
+
     def note_unavailable(self, model, adapter, now):
         """Record that the server lacks the model or adapter of a request."""
         self.unavailable_until[(model, adapter)] = now + UNAVAILABLE_TTL_S
@@ -194,6 +204,7 @@
         self._listed_since = None
         self._has_earlier_versions = False
         self._versions_left_at = {}
+        self._removed = {}
         self.states = {}
         self.health = health.Health()
         self.reachability = reachability.Reachability()
@@ -372,7 +383,8 @@
                 self._note_version_left(state, now)
             # The previous process's residency, loads and refusals do not apply
             # to a restarted server.
-            state = self.states[server.id] = ServerState(server)
+            state = self._take_removed(server, now) or ServerState(server)
+            self.states[server.id] = state
             self.reachability.forget(server.id)
             self.new_state_count += 1
             LOG.info(
@@ -418,13 +430,34 @@
         self._delete(server_id, 'entry removed', now)
 
     def _delete(self, server_id, reason, now):
-        self._note_version_left(self.states.pop(server_id), now)
+        state = self.states.pop(server_id)
+        self._note_version_left(state, now)
+        self._removed[server_id] = (state, now)
         self._number_entry(server_id, None)
         self.health.retain(self.states.keys())
         self.reachability.forget(server_id)
         LOG.info('server gone', extra={'server': server_id, 'reason': reason})
         self._on_change()
 
+    def _take_removed(self, server, now):
+        """Return the state of a process whose entry was away, or None.
+
+        The process still wants what it has stated: a pause, its limit, or to
+        leave.
+        """
+        self._removed = {
+            server_id: (state, removed_at)
+            for server_id, (state, removed_at) in self._removed.items()
+            if now - removed_at <= REMOVED_TTL_S
+        }
+        state, _ = self._removed.pop(server.id, (None, None))
+        if state is None or state.server.residency.process_start_ms != (
+            server.residency.process_start_ms
+        ):
+            return None
+        state.reset_shared_data()
+        return state
+
     def _note_version_left(self, state, now):
         server = state.server
         self._versions_left_at[(server.service, server.software_version)] = now
