gateway: Check for a pause once the connection stands

Cause: the pause was checked when the server was chosen, and a connection may take up to a second after that. Class: a check at one time, the act at another. The request is now not sent and goes to another server, or waits for the end of the pause, without a run to its count. The same holds for requests that are forwarded for other instances.

--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -111,6 +111,8 @@
             with anyio.move_on_after(self._response_timeout_s()) as scope:
                 _, response = await self._call.send(request)
                 return await self._classify(response)
+        except server_call.NotSent as exc:
+            return Failure(not_run=True, reason=str(exc))
         except outgoing.ConnectionBroken as exc:
             run_fate = fate.fate_of_failure(exc.progress)
             return Failure(
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -171,6 +171,10 @@
         self._quarantine.record_started(job, state.server.id)
         try:
             await self._exchange(forward.request, job, call, state, out)
+        except server_call.NotSent as exc:
+            raise _NotForwarded(
+                forward_messages.Refusal.NOT_SENT, str(exc)
+            ) from exc
         except outgoing.ConnectionBroken as exc:
             if exc.progress is not fate.Progress.CONNECTING:
                 broken_at = anyio.current_time()
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -31,6 +31,10 @@
     max_idle_s: float
 
 
+class NotSent(Exception):
+    """The server wants no requests any more; nothing was sent."""
+
+
 class ServerCall:
     """A request to a server and its response.
 
@@ -57,16 +61,23 @@
         self.framing = None
 
     async def connect(self, max_idle_s):
-        """Acquire a connection; raises ConnectionBroken.
+        """Acquire a connection.
 
         Args:
             max_idle_s: Longest idle time in seconds of a reused connection.
+
+        Raises:
+            ConnectionBroken: No connection could be established.
+            NotSent: The server asked for a pause in the meantime.
         """
         self._reachability.record_request_start(anyio.current_time())
         self._is_open = True
         self._conn = await self._pool.acquire(
             self._state.server.address, max_idle_s
         )
+        if anyio.current_time() < self._state.paused_until:
+            await self.keep_connection()
+            raise NotSent('the server asked for a pause')
 
     async def send(self, request):
         """Send a ServerRequest and return the head of its response.
