gateway: Give no orders to servers that pause

The users' pages do not say whether orders count; a server that wants nothing means these too.

Cause: only the path of callers' requests looked at pauses. Class: one of several ways to a server that does not share the check. The others, looked at one by one: first send, retry, resumed stream, waiting request and forwarded request go through serving/server_call.py; probes only connect.

Engines that pause are left out of plans and get neither orders nor calls for reports.

--- a/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
@@ -55,7 +55,9 @@
             service, request.software_version
         ):
             resident = engine.residency.models.get(request.model)
-            if resident is None or engine.busy or now < engine.not_before:
+            if resident is None or not self._fleet.takes_orders(
+                server_id, engine, now
+            ):
                 continue
             if request.adapter in resident.adapters:
                 self._cluster.publish(server_id, engine.residency)
--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -7,6 +7,7 @@
 
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import backend
+from wagtailtide_gateway.serving import server_call
 
 LOG = logging.getLogger(__name__)
 
@@ -51,6 +52,8 @@
         state = self._servers.states.get(server_id)
         if state is None or not self._leadership.is_leader:
             return None
+        if state.pauses(anyio.current_time()):
+            return None
         if order.fence != self._leadership.fence:
             return None
         if self._fleet.engines.get(server_id) is not engine:
@@ -86,7 +89,7 @@
             The EngineReport, or None if there is none that can be used.
         """
         state = self._servers.states.get(server_id)
-        if state is None:
+        if state is None or state.pauses(anyio.current_time()):
             return None
         head, body = await self._call(
             state, self._port.report_call, REPORT_TIMEOUT_S
@@ -137,8 +140,14 @@
             await anyio.sleep(REPORT_POLL_INTERVAL_S)
         return False
 
+    def _record_statements(self, state, call, head, sent_at):
+        response = self._port.decode_response_head(head.status, head.headers)
+        server_call.record_statements(
+            state, response, call.target.decode(), sent_at
+        )
+
     async def _call(self, state, call, timeout_s):
-        conn = None
+        conn, sent_at = None, anyio.current_time()
         try:
             with anyio.fail_after(timeout_s):
                 conn = await self._pool.acquire(state.server.address)
@@ -159,6 +168,7 @@
         else:
             await self._pool.release(conn)
             conn = None
+            self._record_statements(state, call, head, sent_at)
             return head, body
         finally:
             if conn is not None:
--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -126,6 +126,14 @@
             and not self._cluster.is_unreachable(server_id)
         ]
 
+    def takes_orders(self, server_id, engine, now):
+        """Return whether an engine may get an order now."""
+        return (
+            not engine.busy
+            and now >= engine.not_before
+            and not self._servers.states[server_id].pauses(now)
+        )
+
     def limit_per_s(self, server_id):
         """Return the requests a second that a server takes, None for any."""
         state = self._servers.states.get(server_id)
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -82,7 +82,7 @@
                 (serving, engine.serving_models),
             ):
                 counts.update(placement.within_limit(models, demand, per_s))
-            if not engine.busy and now >= engine.not_before:
+            if self._fleet.takes_orders(server_id, engine, now):
                 view = self._view(service, server_id, engine)
                 views.append(placement.with_limit(view, demand, per_s))
         self._cluster.note_serving(service.name, serving)
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -109,6 +109,10 @@
         self.leader_residency = None
         self.reported_leaving = False
 
+    def pauses(self, now):
+        """Return whether the server wants nothing from this instance."""
+        return now < self.paused_until
+
     def note_unavailable(self, model, adapter, now):
         """Record that the server lacks the model or adapter of a request."""
         self.unavailable_until[(model, adapter)] = now + UNAVAILABLE_TTL_S
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -56,7 +56,7 @@
 
         It need not hold the request's model.
         """
-        return [s for s in self._known(job, now) if now >= s.paused_until]
+        return [s for s in self._known(job, now) if not s.pauses(now)]
 
     def pause_s(self, job, now):
         """Return the seconds until a paused server can run the request.
@@ -67,7 +67,7 @@
             (
                 state.paused_until - now
                 for state in self._known(job, now)
-                if now < state.paused_until
+                if state.pauses(now)
                 and (
                     job.is_plain
                     or state.can_serve(job.req.model, job.req.adapter, now)
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -145,7 +145,7 @@
             reason = 'another process of the server is listed, or none'
         elif not state.accepts_requests:
             reason = 'the server leaves'
-        elif anyio.current_time() < state.paused_until:
+        elif state.pauses(anyio.current_time()):
             reason = 'the server pauses'
         elif self._servers.is_cut_off:
             reason = 'no server is reachable'
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -431,7 +431,7 @@
             job.tried.remove(server_id)
         elif failure.misdirected:
             self._record_misdirected(job, state, now)
-        elif failure.not_run and now < state.paused_until:
+        elif failure.not_run and state.pauses(now):
             # It may be tried again after the pause.
             job.tried.remove(server_id)
         elif not failure.unreachable and (
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -75,7 +75,7 @@
         self._conn = await self._pool.acquire(
             self._state.server.address, max_idle_s
         )
-        if anyio.current_time() < self._state.paused_until:
+        if self._state.pauses(anyio.current_time()):
             await self.keep_connection()
             raise NotSent('the server asked for a pause')
 
