gateway: Decide once a report whether its sender is cut off

Plans ask for each engine several times in 0.1 s whether it is unreachable, and each time the sets of all reports were built again. No change of behaviour; the cost was read in the code, not measured.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -139,6 +139,8 @@
 class _ReceivedReport:
     report: messages.Report
     at: float
+    # Whether its sender reaches none of the listed servers.
+    is_cut_off: bool
 
 
 class ClusterState:
@@ -322,7 +324,9 @@
         if previous is not None:
             self._loads.subtract(previous.report.loads)
         self._loads.update(report.loads)
-        self._reports[report.instance] = _ReceivedReport(report, now)
+        self._reports[report.instance] = _ReceivedReport(
+            report, now, self._is_cut_off(report)
+        )
         self._drop_silent_instances(now)
         self._record_demand(report, now)
 
@@ -369,13 +373,21 @@
         reports = [
             received.report
             for received in self._reports.values()
-            if not self._is_cut_off(received.report)
+            if not received.is_cut_off
         ]
         reported = sum(server_id in report.unreachable for report in reports)
         if not reported:
             return False
         return reported > 1 or not self.load_of(server_id)
 
+    def _reports_with_path(self):
+        """Return the reports of the instances that reach a server, by name."""
+        return {
+            name: received.report
+            for name, received in self._reports.items()
+            if not received.is_cut_off
+        }
+
     def _is_cut_off(self, report):
         """Return whether the sender of a report reaches no listed server."""
         listed = self._servers.states.keys()
@@ -513,8 +525,7 @@
             fills=self._fills(now),
             peers=self._peers.peers_of(
                 report.instance,
-                lambda: {n: r.report for n, r in self._reports.items()},
-                self._is_cut_off,
+                self._reports_with_path,
                 now,
             ),
         )
--- a/packages/gateway/src/wagtailtide_gateway/control/peers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/peers.py
@@ -113,20 +113,18 @@
         self._chosen = {}
         self._refreshed_at = float('-inf')
 
-    def peers_of(self, instance, reports, is_cut_off, now):
+    def peers_of(self, instance, reports, now):
         """Return the Peer objects of an instance.
 
         Args:
             instance: Name of the instance.
             reports: Function that returns the last Report of each instance
-                by its name.
-            is_cut_off: Function that returns whether the sender of a report
-                reaches no server.
+                that reaches a server, by its name.
             now: Time in seconds.
         """
         if now - self._refreshed_at >= REFRESH_INTERVAL_S:
             self._refreshed_at = now
-            self._refresh(reports(), is_cut_off)
+            self._refresh(reports())
         if instance not in self._chosen:
             self._chosen[instance] = peer_choice.choose_peers(
                 instance, self._candidates
@@ -141,12 +139,12 @@
             for name in self._chosen[instance]
         )
 
-    def _refresh(self, reports, is_cut_off):
+    def _refresh(self, reports):
         self._reports = reports
         candidates = tuple(
             peer_choice.Candidate(name, report.capacity)
             for name, report in sorted(reports.items())
-            if report.peer_port and not is_cut_off(report)
+            if report.peer_port
         )
         if candidates != self._candidates:
             self._candidates = candidates
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -117,6 +117,11 @@
             )
         cluster.handle_report(builders.make_report('front-3'))
         self.assertFalse(cluster.is_unreachable('s1'))
+        await anyio.sleep(1.0)
+        update = cluster.handle_report(
+            builders.make_report('front-1', unreachable=('s1', 's2'))
+        )
+        self.assertEqual([p.instance for p in update.peers], ['front-3'])
 
     @virtual_time.run_without_io
     async def test_demand_includes_refused_requests(self):
--- a/packages/gateway/tests/control/test_peers.py
+++ b/packages/gateway/tests/control/test_peers.py
@@ -53,14 +53,13 @@
     def assign(self, *reports):
         by_name = {report.instance: report for report in reports}
         found = peers.PeerAssignment().peers_of(
-            'front-1', lambda: by_name, lambda r: len(r.unreachable) > 1, 0.0
+            'front-1', lambda: by_name, 0.0
         )
         return {peer.instance for peer in found}
 
-    def test_instances_that_reach_servers_and_do_not_stop_are_peers(self):
+    def test_instances_that_do_not_stop_are_peers(self):
         assigned = self.assign(
-            builders.make_report('front-1', unreachable=('s1', 's2')),
-            builders.make_report('front-2', unreachable=('s1', 's2')),
+            builders.make_report('front-1'),
             builders.make_report('front-3', unreachable=('s1',)),
             builders.make_report('front-4', peer_port=0),
         )
