quarantine: Name trials by the group that they try

Cause: trials were named by their number alone, so the first trials of two groups were one crash; what the first group explains is taken from the second, and its trials were gone. They are named by a part of the group now.

test_trials_of_two_blamed_parts_become_rarer failed before (started at 15, 16, 17 ... s).

--- a/packages/core/src/wagtailtide_core/quarantine/prompt_parts.py
+++ b/packages/core/src/wagtailtide_core/quarantine/prompt_parts.py
@@ -257,7 +257,10 @@
         Returns:
             The CrashId that stands for the trial.
         """
-        trial = crashes.CrashId(TRIAL, str(group.trials + 1))
+        # What one group explains is taken from the others, so their trials
+        # need other names.
+        name = f'{min(group.parts)}/{group.trials + 1}'
+        trial = crashes.CrashId(TRIAL, name)
         for part in group.parts:
             self.add_crash(part, trial, now)
         return trial
--- a/packages/core/tests/quarantine/test_prompt_parts.py
+++ b/packages/core/tests/quarantine/test_prompt_parts.py
@@ -58,7 +58,7 @@
     def blame(self, *parts, now=0.0):
         for number in range(prompt_parts.MOMENTS_TO_BLAME):
             at = now + number * prompt_parts.MOMENT_S
-            self.crash(f's{number}', at, *parts)
+            self.crash(f's{now}-{number}', at, *parts)
 
     def test_request_with_a_blamed_part_is_found(self):
         self.blame('bad')
@@ -102,6 +102,18 @@
         self.quarantine.record_proof('bad', 300.0)
         self.assertIsNone(self.quarantine.find_group(('bad',), 300.0))
 
+    def test_trials_of_two_blamed_parts_become_rarer(self):
+        self.blame('bad')
+        self.blame('worse', now=10.0)
+        started = {'bad': [], 'worse': []}
+        for now in range(14, 120):
+            for part, times in started.items():
+                group = self.quarantine.find_group((part,), now)
+                if group and self.quarantine.is_trial_due(group, now):
+                    self.quarantine.start_trial(group, now)
+                    times.append(now)
+        self.assertEqual(started, {'bad': [14, 46], 'worse': [15, 47]})
+
     def test_another_instance_learns_of_crashes_and_trials(self):
         self.blame('bad')
         self.quarantine.start_trial(
