--- a/packages/gateway/src/wagtailtide_gateway/serving/forward_messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forward_messages.py
@@ -23,21 +23,6 @@
 # with the Refusal.
 REFUSAL_HEADER = b'forward-refused'
 
-# Headers that apply to one connection only.
-HOP_BY_HOP = frozenset(
-    {
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'content-length',
-    }
-)
-
 
 class Refusal(enum.Enum):
     """Why an instance has no response of the server.
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -1,11 +1,13 @@
 """Forwards requests of instances that cannot reach a backend server."""
 
+import dataclasses
 import logging
 
 import anyio
 from wagtailtide_core.retries import fate
 
 from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.http import headers as http_headers
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.serving import attempt as attempts
@@ -29,6 +31,7 @@
         self.refusal = refusal
 
 
+@dataclasses.dataclass
 class ForwardedJob:
     """What the quarantine needs to know of a forwarded request.
 
@@ -38,10 +41,9 @@
         has_proved_parts: Whether its parts have proved to be sound.
     """
 
-    def __init__(self, forward):
-        self.fingerprint = forward.fingerprint
-        self.part_fingerprints = forward.part_fingerprints
-        self.has_proved_parts = False
+    fingerprint: str
+    part_fingerprints: tuple[str, ...]
+    has_proved_parts: bool = False
 
 
 class ForwardingService:
@@ -104,7 +106,7 @@
             state = self._find_server(forward)
             broken = await self._call(forward, state, out)
             if broken is not None:
-                self._check_response_unsent(broken, out)
+                self._report_broken(broken, out)
             outcome = out.state.value
         except _NotForwarded as exc:
             outcome = exc.refusal.value
@@ -166,7 +168,7 @@
             state,
             self._servers.reachability,
         )
-        job = ForwardedJob(forward)
+        job = ForwardedJob(forward.fingerprint, forward.part_fingerprints)
         broken_at = None
         self._quarantine.record_started(job, state.server.id)
         try:
@@ -194,7 +196,7 @@
         headers = [
             (name, value)
             for name, value in head.headers
-            if name.lower() not in forward_messages.HOP_BY_HOP
+            if name.lower() not in http_headers.HOP_BY_HOP
         ]
         out.start(head.status, [*headers, framing])
         await out.flush()
@@ -211,14 +213,14 @@
         await call.keep_connection()
         await out.finish()
 
-    def _check_response_unsent(self, broken, out):
-        """Abort a response that has begun, else tell why there is none.
+    def _report_broken(self, broken, out):
+        """Tell the other instance that the server broke the call off.
 
         Raises:
             _NotForwarded: The response has not begun.
         """
         if out.state is not incoming.ResponseState.UNSENT:
-            # The other instance sees that the response is incomplete.
+            # It sees that the response is incomplete.
             out.abort()
         elif broken.progress is fate.Progress.CONNECTING:
             raise _NotForwarded(
