gateway: Go on using a peer after a caller has left

A request at an instance that is cut off waited 0.95 s in place of some milliseconds if the caller of another one had just left: the peer that was forwarding that one was avoided for a second.

Cause: any end of the exchange without an answer counted against the peer, also our own. Only a broken connection does now. test_peer_is_used_on_after_a_caller_has_left failed before.

--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
@@ -82,16 +82,14 @@
             )
         )
         headers = [(b'Host', str(self._peer.address).encode())]
-        is_answered = False
         sent_at = anyio.current_time()
         try:
             head = await self._conn.request(
                 b'POST', forward_messages.FORWARD_TARGET, headers, body
             )
-            is_answered = True
-        finally:
-            if not is_answered:
-                self._note_failed_peer()
+        except outgoing.ConnectionBroken:
+            self._note_failed_peer()
+            raise
         own = dict(head.headers)
         if forward_messages.FRAMING_HEADER not in own:
             await self._raise_refusal(own)
