gateway: Do not try servers that a peer knows to be unreachable

A forwarded request waited up to a second for a connection that the peer knew would fail, while the origin could have asked another peer or refused it. Found by reading; the origin's list of what peers reach lags by an exchange. test_server_that_the_peer_does_not_reach_is_not_tried failed before; the other refusals of a peer have a test as well.

--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -151,6 +151,11 @@
             reason = 'the server pauses'
         elif self._servers.is_cut_off:
             reason = 'no server is reachable'
+        elif self._servers.reachability.is_unreachable(forward.server_id):
+            raise _NotForwarded(
+                forward_messages.Refusal.UNREACHABLE,
+                'the server is not reachable',
+            )
         else:
             return state
         raise _NotForwarded(forward_messages.Refusal.NOT_SENT, reason)
