gateway: Wait for the place of an adapter that is still in use

Cause: after an accepted unload the leader waited until the engine was not busy and took the place for free. An engine is not busy with an adapter that waits for its requests, and its report still has it; the report was applied and not looked at. The leader now counts again, and gives the order up for this time.

test_adapters_that_are_still_in_use_count_toward_the_limit failed before.

--- a/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/adapter_orders.py
@@ -89,16 +89,9 @@
             resident = engine.residency.models.get(request.model)
             if resident is None or request.adapter in resident.adapters:
                 return
-            held = [
-                (
-                    engine.adapter_used_at.get((m.name, a), float('-inf')),
-                    m.name,
-                    a,
-                )
-                for m in engine.residency.models.values()
-                for a in m.adapters
-            ]
-            if len(held) >= service.engine.adapter_slots:
+            slots = service.engine.adapter_slots
+            held = _held_adapters(engine)
+            if len(held) >= slots:
                 used_at, model, adapter = min(held)
                 if anyio.current_time() - used_at < MIN_ADAPTER_RESIDENCY_S:
                     return
@@ -106,6 +99,10 @@
                     server_id, engine, False, model, adapter
                 ):
                     return
+                if len(_held_adapters(engine)) >= slots:
+                    # Requests still use it, and it keeps its place until they
+                    # end; the engine is not busy meanwhile.
+                    return
             await self._order_adapter(
                 server_id, engine, True, request.model, request.adapter
             )
@@ -152,3 +149,16 @@
             await self._client.await_idle(server_id, engine)
         finally:
             engine.busy = False
+
+
+def _held_adapters(engine):
+    """Return time of the last request, model and name of each adapter."""
+    return [
+        (
+            engine.adapter_used_at.get((model.name, adapter), float('-inf')),
+            model.name,
+            adapter,
+        )
+        for model in engine.residency.models.values()
+        for adapter in model.adapters
+    ]
--- a/packages/gateway/tests/control/simulated_engine.py
+++ b/packages/gateway/tests/control/simulated_engine.py
@@ -23,6 +23,8 @@
         overcommitted: Orders for which there was no room.
         late_share: Share of the orders that get no answer and are carried out
             2 to 12 s later, if their order count then matches.
+        in_use_share: Share of the adapters to unload that requests still use.
+            The engine is not busy until they are unloaded.
     """
 
     def __init__(self, spec, rng, tg):
@@ -37,6 +39,7 @@
         self._snapshots = []
         self.overcommitted = []
         self.late_share = 0.0
+        self.in_use_share = 0.0
         self._take_snapshot()
 
     def report(self):
@@ -73,6 +76,8 @@
         elif order.load:
             self._incoming.append((order.model, order.adapter))
             self._tg.start_soon(self._fetch_adapter, order)
+        elif self._rng.random() < self.in_use_share:
+            self._tg.start_soon(self._drop_adapter, order)
         else:
             self._models[order.model].discard(order.adapter)
         self._order_count += 1
@@ -90,6 +95,13 @@
         self._busy = False
         self._take_snapshot()
 
+    async def _drop_adapter(self, order):
+        # The requests that use it run to their end first.
+        await anyio.sleep(self._rng.uniform(0.1, 4.0))
+        if order.model in self._models:
+            self._models[order.model].discard(order.adapter)
+        self._take_snapshot()
+
     async def _fetch_adapter(self, order):
         await anyio.sleep(self._rng.uniform(0.005, 0.3))
         self._incoming.remove((order.model, order.adapter))
--- a/packages/gateway/tests/control/test_order_safety.py
+++ b/packages/gateway/tests/control/test_order_safety.py
@@ -70,13 +70,22 @@
         late_share: Share of the orders that are carried out late.
         adapters_per_step: Adapters requested in each step.
         term_s: Range of the length of a term in seconds, None for one term.
+        in_use_share: Share of the adapters to unload that are still in use.
     """
 
-    def __init__(self, seed, late_share, adapters_per_step=0.0, term_s=None):
+    def __init__(
+        self,
+        seed,
+        late_share,
+        adapters_per_step=0.0,
+        term_s=None,
+        in_use_share=0.0,
+    ):
         self._rng = random.Random(seed)
         self._late_share = late_share
         self._adapters_per_step = adapters_per_step
         self._term_s = term_s
+        self._in_use_share = in_use_share
 
     async def run(self):
         """Return the orders for which the engine had no room."""
@@ -85,6 +94,7 @@
         async with anyio.create_task_group() as tg:
             engine = simulated_engine.SimulatedEngine(spec, self._rng, tg)
             engine.late_share = self._late_share
+            engine.in_use_share = self._in_use_share
             leaders = [Leader(spec, engine), Leader(spec, engine)]
             fence, term_ends_s = 0, 0.0
             for step in range(round(DURATION_S / STEP_S)):
@@ -158,3 +168,14 @@
                     seed, 0.0, adapters_per_step=0.5, term_s=(0.5, 6.0)
                 ).run()
                 self.assertEqual([], found)
+
+    @virtual_time.run_without_io
+    async def test_adapters_that_are_still_in_use_count_toward_the_limit(self):
+        # Guards against a load beside an adapter whose unload was accepted
+        # and waits for requests; the engine is not busy meanwhile.
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                found = await Simulation(
+                    seed, 0.1, 0.5, term_s=(2.0, 9.0), in_use_share=0.5
+                ).run()
+                self.assertEqual([], found)
