gateway: Call the instance that asks a peer the sender

Renaming only (origin already is the version that began a stream); the log event `request forwarded` has `sender`.

--- a/packages/gateway/src/wagtailtide_gateway/serving/forward_messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forward_messages.py
@@ -43,7 +43,7 @@
     """A request to forward.
 
     Attributes:
-        origin: Name of the instance that asks for it.
+        sender: Name of the instance that asks for it.
         server_id: Id of the server.
         process_start_ms: Unix time in milliseconds at which the server's
             process started.
@@ -53,7 +53,7 @@
             requests may share.
     """
 
-    origin: str
+    sender: str
     server_id: str
     process_start_ms: int
     request: server_call.ServerRequest
@@ -67,7 +67,7 @@
     return cbor2.dumps(
         [
             PROTOCOL_VERSION,
-            forward.origin,
+            forward.sender,
             forward.server_id,
             forward.process_start_ms,
             forward.fingerprint,
@@ -91,7 +91,7 @@
     fields = messages.decode_fields(data, 12, PROTOCOL_VERSION)
     try:
         return ForwardRequest(
-            origin=str(fields[1]),
+            sender=str(fields[1]),
             server_id=str(fields[2]),
             process_start_ms=int(fields[3]),
             fingerprint=str(fields[4]),
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
@@ -23,7 +23,7 @@
         state: ServerState of the server.
         directory: PeerDirectory of the instance.
         peer: The Peer that forwards.
-        origin: Name of this instance.
+        sender: Name of this instance.
         job: The Job of the request.
 
     Attributes:
@@ -32,14 +32,14 @@
     """
 
     def __init__(
-        self, backend_port, pool, state, directory, peer, origin, job
+        self, backend_port, pool, state, directory, peer, sender, job
     ):
         self._backend_port = backend_port
         self._pool = pool
         self._state = state
         self._directory = directory
         self._peer = peer
-        self._origin = origin
+        self._sender = sender
         self._job = job
         self._conn = None
         self._is_open = False
@@ -73,7 +73,7 @@
         """
         body = forward_messages.encode_request(
             forward_messages.ForwardRequest(
-                origin=self._origin,
+                sender=self._sender,
                 server_id=self._state.server.id,
                 process_start_ms=self._state.server.residency.process_start_ms,
                 request=request,
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -118,7 +118,7 @@
                 'request forwarded',
                 extra={
                     'request': forward.request.attempt_id,
-                    'origin': forward.origin,
+                    'sender': forward.sender,
                     'server': forward.server_id,
                     'outcome': outcome,
                 },
--- a/packages/gateway/tests/serving/test_forward_messages.py
+++ b/packages/gateway/tests/serving/test_forward_messages.py
@@ -7,7 +7,7 @@
 from wagtailtide_gateway.serving import server_call
 
 REQUEST = forward_messages.ForwardRequest(
-    origin='front-1',
+    sender='front-1',
     server_id='s1',
     process_start_ms=17,
     request=server_call.ServerRequest(
