gateway: Log a pause as known only to requests sent after it

`known_left_s` of `server pauses` was above 0 for requests that had been sent before the pause was stated, if another response had stated it meanwhile: it looked as if the pause was not kept. A log field only; found by reading. test_log_tells_what_was_known_as_the_request_was_sent failed before.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -58,6 +58,7 @@
             instance or, on the leader, to any, that it is leaving.
         paused_until: Time in seconds until which the server wants no requests
             from this instance.
+        pause_noted_at: Time in seconds at which this pause was first stated.
     """
 
     server: backend.BackendServer
@@ -72,6 +73,7 @@
     )
     states_leaving: bool = False
     paused_until: float = float('-inf')
+    pause_noted_at: float = float('-inf')
 
     @property
     def load(self):
@@ -148,7 +150,12 @@
             sent_at: Time in seconds at which that request was sent.
             now: Time in seconds.
         """
-        known_left_s = max(0.0, self.paused_until - sent_at)
+        if not self.pauses(now):
+            self.pause_noted_at = now
+        # What is left of a pause that was known as the request was sent.
+        known_left_s = 0.0
+        if self.pause_noted_at < sent_at:
+            known_left_s = self.paused_until - sent_at
         end = now + min(pause_s, MAX_PAUSE_S)
         self.paused_until = max(self.paused_until, end)
         LOG.info(
