gateway: Let features exchange sections with the leader

A feature that needs a field in reports and updates had to add it to the list of the message, which takes two releases and lengthens messages.py. The map after the list, which the build in production ignores (decisions/018), now holds a value by number for each feature. Messages without a section have the same bytes as before (OtherBuildTest).

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -9,6 +9,7 @@
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import peers
+from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.control import server_limits
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import quota
@@ -149,11 +150,18 @@
     A new leader starts without data and has all of it after the reports of
     about one exchange interval.
 
+    Args:
+        config: ConfigView of the instance.
+        servers: Its ServerView.
+        leadership: Its Leadership.
+        section_set: Sections of the instance, None without any.
+
     Attributes:
         adapter_requests: Requested adapters with the time of the request.
     """
 
-    def __init__(self, config, servers, leadership):
+    def __init__(self, config, servers, leadership, section_set=None):
+        self._sections = section_set or sections.Sections()
         self._servers = servers
         self._config = config
         self._leadership = leadership
@@ -183,7 +191,10 @@
         """Drop all data if this instance leads in a new term."""
         if self._fence == self._leadership.fence:
             return
-        self.__init__(self._config, self._servers, self._leadership)
+        self.__init__(
+            self._config, self._servers, self._leadership, self._sections
+        )
+        self._sections.start_term()
         self._fence = self._leadership.fence
         # What the previous leader published is what the instances have.
         for server_id, state in self._servers.states.items():
@@ -227,6 +238,7 @@
         self._origins.receive(report.begun_streams, now)
         if not report.urgent:
             self._store_report(report, now)
+            self._sections.receive(report.instance, report.sections, now)
         for request in report.adapters:
             self._record_adapter_request(request, now)
         if report.adapters:
@@ -528,6 +540,7 @@
                 self._reports_with_path,
                 now,
             ),
+            sections=self._sections.make_update(report.instance, now),
         )
 
     def _crashes_for(self, report, now):
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -1,5 +1,6 @@
 """Exchanges with the leader: reports to it, updates from it."""
 
+import dataclasses
 import logging
 
 import anyio
@@ -248,7 +249,7 @@
             self._last_draw_at or now - pace.EXCHANGE_INTERVAL_S
         )
         self._last_draw_at = now
-        return self._shared_state.make_report(
+        report = self._shared_state.make_report(
             self._cfg.instance,
             self._leadership.capacity,
             (self._residency_number, self._entry_number, self._origin_number),
@@ -257,6 +258,11 @@
             self.instances or self._recorded_instances(),
             self._forwarding_address(),
         )
+        if urgent:
+            return report
+        return dataclasses.replace(
+            report, sections=self._shared_state.sections.make_report()
+        )
 
     def _forwarding_address(self):
         """Return the address for requests to forward, None if stopping."""
@@ -345,5 +351,6 @@
         self._origin_number = update.origin_number
         self.loading_s = update.loading_s
         self._shared_state.peers.apply(update.peers)
+        self._shared_state.sections.apply(update.sections, now)
         if self._leadership.fence is not None:
             self._shared_state.apply_loads(update)
--- a/packages/gateway/src/wagtailtide_gateway/control/fields.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fields.py
@@ -20,7 +20,10 @@
 
 
 def decode(data, count, version):
-    """Return the fields of a message that every build knows.
+    """Return the fields of a message that every build knows, and the others.
+
+    The result has one value more than the fields: the map of fields that were
+    added since, by number, empty if the message has none.
 
     Args:
         data: The message.
@@ -48,7 +51,13 @@
         raise BadMessage(
             f'expected protocol version {version}, got {fields[0]!r}'
         )
-    return fields[:count]
+    return [*fields[:count], _added_fields(fields[count:])]
+
+
+def _added_fields(rest):
+    if not rest or not isinstance(rest[0], Mapping):
+        return {}
+    return {k: value for k, value in rest[0].items() if isinstance(k, int)}
 
 
 def text(value):
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -135,6 +135,7 @@
         peer_host: Host at which it accepts calls of other instances.
         peer_port: Port at which it accepts requests to forward, 0 if it
             accepts none.
+        sections: Value of each section by its number, see `sections`.
     """
 
     instance: str
@@ -163,6 +164,7 @@
     leaving: Mapping[str, int]
     peer_host: str
     peer_port: int
+    sections: Mapping[int, object] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -204,6 +206,7 @@
         proved: Fingerprints that any instance has reported as proved in the
             last seconds.
         peers: Peers of the instance.
+        sections: Value of each section by its number, see `sections`.
     """
 
     fence: int
@@ -230,6 +233,7 @@
     origins: Mapping[int, str]
     proved: tuple[str, ...]
     peers: tuple[peers.Peer, ...]
+    sections: Mapping[int, object] = dataclasses.field(default_factory=dict)
 
 
 def _pack(values):
@@ -239,6 +243,11 @@
     ]
 
 
+def _pack_sections(sections):
+    """Return the last field of a message; none without sections."""
+    return [dict(sections)] if sections else []
+
+
 def _pack_by_key(values):
     return dict(zip(values, _pack(values.values()), strict=True))
 
@@ -274,6 +283,7 @@
             dict(report.leaving),
             report.peer_host,
             report.peer_port,
+            *_pack_sections(report.sections),
         ]
     )
 
@@ -325,6 +335,7 @@
             stream_origins.group_by_version(update.origins),
             list(update.proved),
             _pack(update.peers),
+            *_pack_sections(update.sections),
         ]
     )
 
@@ -472,6 +483,7 @@
     _INTEGERS_BY_NAME,
     fields.text,
     fields.integer,
+    dict,
 )
 _UPDATE = fields.row(
     LeaderUpdate,
@@ -499,4 +511,5 @@
     _versions_by_key,
     _TEXTS,
     fields.sequence(_PEER),
+    dict,
 )
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -83,6 +83,7 @@
             self.shared_state.config,
             self.shared_state.servers,
             self.leadership,
+            self.shared_state.sections,
         )
         self.exchange = exchanges.Exchange(
             self.leadership,
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -12,6 +12,7 @@
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import peers
+from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.control import server_limits
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.control import stream_origins
@@ -43,6 +44,7 @@
         part_crashes: PartQuarantine, parts of prompts that crash servers.
         adapter_requests: Adapters that waiting requests need.
         stream_origins: StreamOrigins, versions that began streams.
+        sections: Sections, what single features exchange with the leader.
     """
 
     def __init__(self, port, clock):
@@ -58,6 +60,7 @@
         self.crashes = crashes.CrashTracker()
         self.adapter_requests = set()
         self.stream_origins = stream_origins.StreamOrigins()
+        self.sections = sections.Sections()
         self.peers = peers.PeerDirectory()
         self.part_crashes = prompt_parts.PartQuarantine()
         self._unreported_crashes = []
