gateway: Keep in the store which version began a stream

Cause: after the end of all instances no record was left, so every resumed stream was refused while a service had several versions.

Change: while a service may have several versions, the leader writes the records to objects of a kind of its own, at most every 0.2 s and only if there is something new. An instance without a record that gets none from the leader within 0.3 s reads them, with one read for all that wait. An attempt that was answered with two versions is bound to none. What a list says of the only version counts only if it is newer than the request. The lease never lacks versions of earlier records, and states none if some may be missing. The record of a stream whose first attempt brought no event (Last-Event-Id 0) is kept too.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -81,6 +81,7 @@
             cores.
         software_versions: Service and software version of the servers known
             lately.
+        knows_all_versions: Whether these are all that there were.
         crashes: CrashReport objects of the most suspect requests and parts.
     """
 
@@ -89,6 +90,7 @@
     response_bytes: int
     largest_capacity: float
     software_versions: tuple[tuple[str, str], ...]
+    knows_all_versions: bool
     crashes: tuple[messages.CrashReport, ...]
 
 
@@ -221,9 +223,17 @@
             software_versions=self._servers.software_versions(
                 anyio.current_time()
             ),
+            knows_all_versions=self._servers.knows_all_versions(
+                anyio.current_time()
+            ),
             crashes=self._most_suspect_crashes(),
         )
 
+    @property
+    def origins(self):
+        """OriginDirectory of this term."""
+        return self._origins
+
     @property
     def instance_count(self):
         """Number of instances that report, at least 1."""
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -200,9 +200,9 @@
                 for crash in self._leadership.first_crashes
             )
             self._leadership.first_crashes = ()
-        versions = self._leadership.first_versions
+        versions = self._leadership.earlier_versions
         if versions is not None:
-            self._leadership.first_versions = None
+            self._leadership.earlier_versions = None
             self._shared_state.servers.note_earlier_versions(versions, now)
 
     def _discard_old_residencies(self):
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -38,9 +38,11 @@
         fence: Fencing token if this instance is the leader, else None.
         resigned_fence: Last fencing token that this instance gave up, 0 if
             there is none.
-        first_versions: Service and software version of the servers that were
-            known when this instance first read the lease, None if the record
-            does not state them or was not read yet.
+        earlier_versions: Service and software version of the servers in the
+            records that this instance has read and not noted yet. None if it
+            has read none, or none that states them.
+        first_revision: Revision of the lease when this instance first read
+            it, 0 if there was none.
         first_crashes: Crashes in the record when this instance first read it.
         previous_term_s: Duration in seconds, at least, of the term before the
             one of this instance.
@@ -68,7 +70,8 @@
         self.record = None
         self.fence = None
         self.resigned_fence = 0
-        self.first_versions = None
+        self.earlier_versions = None
+        self.first_revision = 0
         self.first_crashes = ()
         self._has_read = False
         self.previous_term_s = 0.0
@@ -207,7 +210,7 @@
             min_capacity=lease.min_capacity(
                 (self.capacity, summary.largest_capacity)
             ),
-            software_versions=summary.software_versions,
+            software_versions=self._versions_to_record(summary),
             crashes=tuple(
                 (crash.fingerprint, crash.server, crash.boot_id, crash.age_s)
                 for crash in summary.crashes
@@ -243,6 +246,24 @@
             return True
         return False
 
+    def _versions_to_record(self, summary):
+        """Return the versions for the lease, None if some may be missing.
+
+        Instances that start later rely on them. What earlier records state
+        may not have been noted yet.
+        """
+        if self.earlier_versions is None and not summary.knows_all_versions:
+            return None
+        earlier = self.earlier_versions or ()
+        return tuple(sorted({*summary.software_versions, *earlier}))
+
+    def _add_earlier_versions(self, record):
+        if record.software_versions is not None:
+            earlier = self.earlier_versions or ()
+            self.earlier_versions = tuple(
+                sorted({*earlier, *record.software_versions})
+            )
+
     def _note_renewal(self, sent_at):
         self._renewal_sent_at = sent_at
         self._unconfirmed_since = None
@@ -352,12 +373,16 @@
         except (stores.StoreUnavailable, stores.Conflict) as exc:
             LOG.info('duty unknown', extra={'reason': str(exc)})
             return False
+        if self.record is not None:
+            # Its writer may know versions of a time in which this instance
+            # did not run, had no list yet or was cut off.
+            self._add_earlier_versions(self.record)
         if not self._has_read:
             self._has_read = True
-            # Without a record no instance has run before.
-            self.first_versions = (
-                self.record.software_versions if self.record else ()
-            )
+            self.first_revision = self._revision or 0
+            if self.record is None:
+                # No instance has run before.
+                self.earlier_versions = ()
             self.first_crashes = self.record.crashes if self.record else ()
         return True
 
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -417,6 +417,8 @@
                     'revision': obj.revision,
                 },
             )
+        if state.server.software_version != server.software_version:
+            self._note_version_left(state, now)
         if is_changed:
             self._number_entry(obj.name, obj)
         else:
@@ -484,6 +486,34 @@
         for row in versions:
             self._versions_left_at[row] = now
 
+    def note_versions(self, versions, now):
+        """Record what servers there were while this instance started.
+
+        Args:
+            versions: Service and software version of each.
+            now: Time in seconds.
+        """
+        if not self._is_settled(now):
+            for row in versions:
+                self._versions_left_at[row] = now
+
+    def _is_settled(self, now):
+        """Return whether this instance has listed servers for long enough."""
+        return (
+            self._listed_since is not None
+            and now - self._listed_since > VERSION_TTL_S
+        )
+
+    def knows_all_versions(self, now):
+        """Return whether `software_versions` lacks none.
+
+        It does if this instance has neither listed the servers for long enough
+        nor learned what there was before.
+        """
+        if self._listed_since is None:
+            return False
+        return self._has_earlier_versions or self._is_settled(now)
+
     def software_versions(self, now):
         """Return service and software version of the servers known lately."""
         listed = {
@@ -502,16 +532,18 @@
         versions = self.software_versions(now)
         return len(versions) > len({service for service, _ in versions})
 
+    def may_have_several_versions(self, now):
+        """Return whether a service may have had several versions lately."""
+        return not self.knows_all_versions(now) or self.has_several_versions(
+            now
+        )
+
     def only_version(self, service, now):
         """Return the only software version that a service has had lately.
 
-        None if it has had several, or if this instance has neither listed the
-        servers for long enough nor learned what there was before.
+        None if it has had several, or if not all of them are known.
         """
-        if self._listed_since is None:
-            return None
-        is_new = now - self._listed_since <= VERSION_TTL_S
-        if is_new and not self._has_earlier_versions:
+        if not self.knows_all_versions(now):
             return None
         versions = [v for s, v in self.software_versions(now) if s == service]
         return versions[0] if len(versions) == 1 else None
--- a/packages/gateway/src/wagtailtide_gateway/control/stream_origins.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/stream_origins.py
@@ -17,6 +17,10 @@
 
 KEY_BYTES = 8
 
+# Version of an attempt that was answered with several versions. Which of them
+# its caller has is not known, so no server may go on with the stream.
+AMBIGUOUS = ''
+
 
 def origin_key(attempt_id):
     """Return the key of an attempt, a hash that is shorter than most ids."""
@@ -32,6 +36,12 @@
     return keys
 
 
+def merge(versions, key, version):
+    """Add the version of a key; two different ones make it ambiguous."""
+    if versions.setdefault(key, version) != version:
+        versions[key] = AMBIGUOUS
+
+
 def _drop_expired(records, now):
     """Drop the expired records of an OrderedDict, which has the oldest first.
 
@@ -61,13 +71,17 @@
         self._unreported[key] = version
 
     def version_of(self, attempt_id, now):
-        """Return the version that began a stream, None if it is not known."""
+        """Return the version that began a stream.
+
+        None if it is not known, AMBIGUOUS if there were several.
+        """
         key = origin_key(attempt_id)
+        found = {}
         for records in (self._own, self._known):
             version, recorded_at = records.get(key, (None, now))
             if version is not None and now - recorded_at <= ORIGIN_TTL_S:
-                return version
-        return None
+                merge(found, key, version)
+        return found.get(key)
 
     def add_wanted(self, attempt_id):
         """Ask the leader for the version that began an attempt's stream."""
@@ -123,9 +137,15 @@
         """Add the version by key in a report of an instance."""
         _drop_expired(self._records, now)
         for key, version in versions.items():
-            if key not in self._records:
-                self.number += 1
-                self._records[key] = (version, now, self.number)
+            known = self._records.get(key, (None,))[0]
+            if known in (version, AMBIGUOUS):
+                continue
+            if known is not None:
+                # Two instances answered the same attempt.
+                del self._records[key]
+                version = AMBIGUOUS
+            self.number += 1
+            self._records[key] = (version, now, self.number)
 
     def answer(self, report, with_new):
         """Return the version by key for the sender of a report.
@@ -141,10 +161,11 @@
             if key in self._records
         }
         if with_new and report.seen_origin_number:
-            versions |= self._since(report.seen_origin_number)
+            versions |= self.since(report.seen_origin_number)
         return versions
 
-    def _since(self, number):
+    def since(self, number):
+        """Return the version by key of the records after a number."""
         versions = {}
         for key, (version, _, record_number) in reversed(
             self._records.items()
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -12,6 +12,7 @@
 from wagtailtide_gateway.control import engine_controller
 from wagtailtide_gateway.control import exchange as exchanges
 from wagtailtide_gateway.control import leadership as leadership_
+from wagtailtide_gateway.control import origin_store
 from wagtailtide_gateway.control import prober as probers
 from wagtailtide_gateway.control import store
 from wagtailtide_gateway.control import sync
@@ -132,6 +133,19 @@
             detector,
             lambda: self.gateway.is_stopping,
         )
+        self._origin_reader = origin_store.OriginReader(
+            client,
+            store_port,
+            self.shared_state,
+            lambda: self.leadership.first_revision,
+        )
+        self._origin_writer = origin_store.OriginWriter(
+            client,
+            store_port,
+            self.leadership,
+            self.cluster,
+            self.shared_state.servers,
+        )
         self.gateway = gateway.Gateway(
             cfg,
             caller_port,
@@ -142,6 +156,7 @@
             quarantine,
             detector,
             self.metrics,
+            self._origin_reader,
         )
         self._callers = incoming.Listener(
             cfg.callers,
@@ -217,6 +232,8 @@
                 self.exchange.run,
                 self.prober.run,
                 self._engine_controller.run,
+                self._origin_reader.run,
+                self._origin_writer.run,
             ):
                 tg.start_soon(_restart_on_error, task)
             tg.start_soon(self._watch_signals)
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -49,6 +49,7 @@
         quarantine: The Quarantine of the instance.
         crash_detector: CrashDetector of the instance.
         metrics: The Metrics.
+        origin_reader: OriginReader of the instance.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         quarantine,
         crash_detector,
         metrics,
+        origin_reader,
     ):
         self._caller_port = caller_port
         self._backend_port = backend_port
@@ -80,7 +82,9 @@
             self._quarantine,
             lambda: self.is_stopping,
         )
-        self._resumption = resumption.Resumption(cfg, shared_state, exchange)
+        self._resumption = resumption.Resumption(
+            cfg, shared_state, exchange, origin_reader
+        )
         self._budget = retries.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
--- a/packages/gateway/src/wagtailtide_gateway/serving/resumption.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/resumption.py
@@ -3,21 +3,23 @@
 import anyio
 from wagtailtide_core.errors import kinds
 
+from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import quota
 
-# Longest time in seconds to ask for the version that began a stream. The
-# instance that began it reports within an interval of the exchanges.
+# Longest time in seconds to find the version that began a stream. The instance
+# that began it reports within an interval of the exchanges.
 ORIGIN_TIMEOUT_S = 1.0
 
+# Longest wait in seconds for the leader before the store is read.
+LEADER_ANSWER_S = 0.3
+
 # Pause in seconds between questions, and Retry-After of a request whose
 # version was not found while a leader answers.
 ORIGIN_RETRY_S = 0.1
 RETRY_AFTER_S = 0.5
 
-
-# Largest age in seconds of the list of servers to tell by it alone that a
-# service has one version only.
-MAX_LIST_AGE_S = 1.5
+# Ids of the last event of a caller that has none. Servers number them from 1.
+_NO_EVENT = (None, '0')
 
 
 class Resumption:
@@ -27,13 +29,15 @@
         cfg: The Settings.
         shared_state: The SharedState of the instance.
         exchange: Exchange with the leader.
+        reader: OriginReader, which reads the store.
     """
 
-    def __init__(self, cfg, shared_state, exchange):
+    def __init__(self, cfg, shared_state, exchange, reader):
         self._cfg = cfg
         self._servers = shared_state.servers
         self._origins = shared_state.stream_origins
         self._exchange = exchange
+        self._reader = reader
 
     async def bind(self, job):
         """Set the software version of a job that resumes a stream.
@@ -41,19 +45,20 @@
         Raises:
             ServingError: It is not known which version began the stream.
         """
-        req = job.req
-        if req.resume_after is None or not job.route.may_resume:
+        if job.req.resume_after is None or not job.route.may_resume:
             return
-        version = self._find(job)
-        if version is None and req.resumes is not None:
-            version = await self._ask(job)
+        arrived_at = anyio.current_time()
+        version = self._recorded(job)
         if version is None:
+            with anyio.move_on_after(ORIGIN_TIMEOUT_S):
+                version = await self._look_up(job, arrived_at)
+        if version in (None, stream_origins.AMBIGUOUS):
             raise self._unconfirmed()
         job.software_version = version
 
     def record_begun(self, job):
         """Record the version that sent the first event of a job's stream."""
-        if job.req.resume_after is not None or not job.route.may_resume:
+        if job.req.resume_after not in _NO_EVENT or not job.route.may_resume:
             return
         now = anyio.current_time()
         self._origins.record_begun(
@@ -63,30 +68,53 @@
             # The caller may resume the stream before the next interval.
             self._exchange.start_now()
 
-    def _find(self, job):
+    def _recorded(self, job):
+        """Return the version in the records of this instance, or None."""
+        if job.req.resumes is None:
+            return None
         now = anyio.current_time()
-        version = None
-        if job.req.resumes is not None:
-            version = self._origins.version_of(job.req.resumes, now)
-        # A list that is older may lack the version that began the stream.
-        if version is None and self._servers.age_s(now) <= MAX_LIST_AGE_S:
-            version = self._servers.only_version(job.service.name, now)
-        return version
-
-    async def _ask(self, job):
-        """Ask the leader; return the version, None if it is not found."""
+        return self._origins.version_of(job.req.resumes, now)
+
+    async def _look_up(self, job, arrived_at):
+        """Ask the leader and the store; None if that cannot help."""
+        if job.req.resumes is None:
+            return await self._only_version(job, arrived_at)
         self._origins.add_wanted(job.req.resumes)
         try:
-            with anyio.move_on_after(ORIGIN_TIMEOUT_S):
-                while True:
-                    await self._exchange.wait_for_exchange(ORIGIN_TIMEOUT_S)
-                    version = self._find(job)
-                    if version is not None:
-                        return version
-                    await anyio.sleep(ORIGIN_RETRY_S)
+            while True:
+                await self._exchange.wait_for_exchange(LEADER_ANSWER_S)
+                version = self._recorded(job)
+                if version is None:
+                    await self._reader.read_records()
+                    version = self._recorded(job)
+                if version is None:
+                    version = await self._only_version(job, arrived_at)
+                if version is not None:
+                    return version
+                await anyio.sleep(ORIGIN_RETRY_S)
         finally:
             self._origins.remove_wanted(job.req.resumes)
-        return None
+
+    async def _only_version(self, job, arrived_at):
+        """Return the only version that the service has had, or None.
+
+        The list has to be newer than the request: another instance may have
+        begun the stream at a version that an older list lacks.
+        """
+        service = job.service.name
+        if self._servers.only_version(service, arrived_at) is None:
+            return None
+        if not self._reader.has_read:
+            await self._reader.read_records()
+        if self._is_older_than(arrived_at):
+            await self._reader.read_list()
+        if not self._reader.has_read or self._is_older_than(arrived_at):
+            return None
+        return self._servers.only_version(service, anyio.current_time())
+
+    def _is_older_than(self, at):
+        now = anyio.current_time()
+        return self._servers.age_s(now) > now - at
 
     def _unconfirmed(self):
         retry_after_s = RETRY_AFTER_S
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -27,6 +27,9 @@
     def software_versions(self, now):
         return ()
 
+    def knows_all_versions(self, now):
+        return True
+
     def has_several_versions(self, now):
         return False
 
