--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -298,6 +298,24 @@
             (('engines', 'v1'), ('engines', 'v1.1')),
         )
 
+    def test_version_that_changed_in_one_process_counts(self):
+        # An entry that was wrong at first, or that is written late.
+        view = make_view(builders.make_server('s1'))
+        changed = builders.make_server('s1', software_version='v1.1')
+        view.apply_changes(
+            [ports.Change(stored(changed, 2), False)], self.SETTLED_S
+        )
+        self.assertIsNone(view.only_version('engines', self.SETTLED_S))
+
+    def test_what_may_be_missing_counts_as_several_versions(self):
+        # Guards against streams whose version is kept nowhere, because the
+        # leader has just started and takes what it lists for all there was.
+        view = make_view(builders.make_server('s1'))
+        self.assertTrue(view.may_have_several_versions(1.0))
+        view.note_earlier_versions((('engines', 'v1'),), 1.0)
+        self.assertFalse(view.may_have_several_versions(1.0))
+        self.assertFalse(view.may_have_several_versions(self.SETTLED_S))
+
     def test_versions_of_other_services_do_not_count(self):
         view = make_view(
             builders.make_server('s1'),
--- a/packages/gateway/tests/control/test_stream_origins.py
+++ b/packages/gateway/tests/control/test_stream_origins.py
@@ -1,8 +1,11 @@
 import contextlib
+import dataclasses
 import unittest
 
 import anyio
+from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import stream_origins
+from wagtailtide_gateway.decisions import lease
 from wagtailtide_testing import virtual_time
 
 from tests import builders
@@ -42,8 +45,34 @@
         origins.remove_wanted('a1')
         self.assertEqual(origins.wanted, ())
 
+    def test_two_versions_of_one_attempt_make_it_ambiguous(self):
+        # Two instances answered the same attempt; the caller has the text of
+        # one of them.
+        origins = stream_origins.StreamOrigins()
+        origins.record_begun('a1', 'v1', 10.0)
+        key = stream_origins.origin_key('a1')
+        origins.learn({key: 'v1'}, 10.1)
+        self.assertEqual(origins.version_of('a1', 10.2), 'v1')
+        origins.learn({key: 'v1.1'}, 10.3)
+        self.assertEqual(
+            origins.version_of('a1', 10.4), stream_origins.AMBIGUOUS
+        )
+
 
 class OriginDirectoryTest(unittest.TestCase):
+    def test_two_versions_of_one_attempt_are_passed_on_as_ambiguous(self):
+        directory = stream_origins.OriginDirectory()
+        directory.receive({1: 'v1'}, 10.0)
+        seen = directory.number
+        directory.receive({1: 'v1'}, 10.1)
+        self.assertEqual(directory.since(seen), {})
+        for version in ('v1.1', 'v1', 'v1.1'):
+            directory.receive({1: version}, 10.2)
+            self.assertEqual(
+                directory.since(seen), {1: stream_origins.AMBIGUOUS}
+            )
+        self.assertEqual(directory.number, seen + 1)
+
     def test_answer_has_what_was_asked_for_and_what_is_new(self):
         directory = stream_origins.OriginDirectory()
         directory.receive({1: 'v1', 2: 'v1'}, 10.0)
@@ -178,3 +207,101 @@
                 now = anyio.current_time()
                 self.assertEqual(servers.only_version('engines', now), only)
                 tg.cancel_scope.cancel()
+
+
+V1 = ('engines', 'v1')
+V2 = ('engines', 'v1.1')
+
+
+def put_lease(store, versions, renewals=1):
+    """Write the lease as a leader that has been lost did."""
+    record = lease.DutyRecord(
+        'lost', '10.0.0.99', 1, 3, renewals, 1, 0.0, versions
+    )
+    revision = store.obj.revision + 1 if store.obj else 1
+    value = dataclasses.asdict(record)
+    store.obj = ports.StoredObject('holder', revision, value)
+
+
+def versions_in_lease(store):
+    versions = store.obj.value['software_versions']
+    return versions if versions is None else set(versions)
+
+
+class RecordedVersionsTest(unittest.TestCase):
+    """Versions in the lease, by which a started instance knows the only one.
+
+    A version that is missing there lets streams that it began go on at
+    another one.
+    """
+
+    @virtual_time.run_without_io
+    async def test_first_renewal_keeps_the_versions_of_the_predecessor(self):
+        # Guards against a leader that renews before it has noted them.
+        store = election_fixture.FakeStore()
+        put_lease(store, (V1, V2))
+        member = election_fixture.Member(
+            'leader', store, election_fixture.FakeNetwork()
+        )
+        member.apply_list({'s1': ['m1']}, 1)
+        async with anyio.create_task_group() as tg:
+            # Without exchanges, as if these were late.
+            tg.start_soon(member.leadership.run)
+            await anyio.sleep(8.0)
+            self.assertTrue(member.leadership.is_leader)
+            self.assertGreater(store.obj.value['renewals'], 0)
+            self.assertEqual(versions_in_lease(store), {V1, V2})
+            tg.cancel_scope.cancel()
+
+    @virtual_time.run_without_io
+    async def test_leader_that_may_lack_versions_states_none(self):
+        # The lease was written by a build that does not state them.
+        store = election_fixture.FakeStore()
+        put_lease(store, None)
+        member = election_fixture.Member(
+            'leader', store, election_fixture.FakeNetwork()
+        )
+        member.apply_list({'s1': ['m1']}, 1)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(member.run)
+            await anyio.sleep(8.0)
+            self.assertGreater(store.obj.value['renewals'], 0)
+            self.assertIsNone(versions_in_lease(store))
+            await anyio.sleep(stream_origins.ORIGIN_TTL_S)
+            self.assertEqual(versions_in_lease(store), {V1})
+            tg.cancel_scope.cancel()
+
+    @virtual_time.run_without_io
+    async def test_leader_keeps_versions_that_came_while_it_was_cut_off(self):
+        store = election_fixture.FakeStore()
+        put_lease(store, (V1,))
+        member = election_fixture.Member(
+            'leader', store, election_fixture.FakeNetwork()
+        )
+        member.apply_list({'s1': ['m1']}, 1)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(member.run)
+            await anyio.sleep(0.5)
+            put_lease(store, (V1, V2), renewals=2)
+            await anyio.sleep(8.0)
+            self.assertTrue(member.leadership.is_leader)
+            self.assertEqual(versions_in_lease(store), {V1, V2})
+            servers = member.shared_state.servers
+            now = anyio.current_time()
+            self.assertIsNone(servers.only_version('engines', now))
+            tg.cancel_scope.cancel()
+
+    @virtual_time.run_without_io
+    async def test_versions_of_a_lease_do_not_stay_for_ever(self):
+        # Guards against leaders in a row that pass an old version on.
+        store = election_fixture.FakeStore()
+        put_lease(store, (V1, V2))
+        member = election_fixture.Member(
+            'leader', store, election_fixture.FakeNetwork()
+        )
+        member.apply_list({'s1': ['m1']}, 1)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(member.run)
+            await anyio.sleep(10.0 + stream_origins.ORIGIN_TTL_S)
+            self.assertEqual(versions_in_lease(store), {V1})
+            tg.cancel_scope.cancel()
