--- a/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
@@ -40,7 +40,7 @@
 # earlier ones until their records have expired.
 MAX_OBJECTS = 100
 
-# Longest delay in seconds before a failed write is repeated.
+# Longest delay in seconds before a failed write or read is repeated.
 MAX_RETRY_DELAY_S = 2.0
 
 # Shortest time in seconds between two reads of one instance.
@@ -129,17 +129,26 @@
 
     async def run(self):
         """Read whenever it is asked for, until cancelled."""
+        failures = 0
         while True:
             await self._requested.wait()
             self._requested = anyio.Event()
             completed, self._completed = self._completed, anyio.Event()
+            delay_s = self._interval_s
             try:
                 await self._read()
+                failures = 0
             except (stores.StoreUnavailable, stores.Conflict) as exc:
-                LOG.info('read for streams failed', extra={'reason': str(exc)})
+                # Requests wait for it, so it is repeated soon.
+                delay_s = sync.retry_delay_s(failures, MAX_RETRY_DELAY_S)
+                failures += 1
+                LOG.info(
+                    'read for resumed streams failed',
+                    extra={'reason': str(exc), 'failures': failures},
+                )
             finally:
                 completed.set()
-            await anyio.sleep(self._interval_s)
+            await anyio.sleep(delay_s)
 
 
 class OriginReader:
@@ -366,6 +375,14 @@
             or now - segment.started_at >= SEGMENT_S
             or len(segment.streams) >= MAX_STREAMS
         ):
+            LOG.info(
+                'stream origins stored',
+                extra={
+                    'object': segment.name if segment else None,
+                    'streams': len(segment.streams) if segment else 0,
+                    'objects': len(self._slots),
+                },
+            )
             segment = _Segment(self._free_name(now), now, {})
             self._segment = segment
         return segment
--- a/packages/gateway/tests/control/test_origin_store.py
+++ b/packages/gateway/tests/control/test_origin_store.py
@@ -336,6 +336,29 @@
                 await reader.read_records()
             self.assertFalse(reader.has_read)
 
+    @virtual_time.run_without_io
+    async def test_failed_read_is_repeated_while_requests_wait(self):
+        # A request waits a second for the version; after a kill of all
+        # instances the store may fail for a moment.
+        store = object_store.ObjectStore()
+        store.is_down = True
+        async with running_reader(store) as (reader, _):
+            with anyio.fail_after(0.5):
+                await reader.read_records()
+                store.is_down = False
+                await reader.read_records()
+            self.assertTrue(reader.has_read)
+
+    @virtual_time.run_without_io
+    async def test_store_that_is_down_is_asked_less_and_less(self):
+        store = object_store.ObjectStore()
+        store.is_down = True
+        async with running_reader(store) as (reader, _):
+            with anyio.move_on_after(10.0):
+                while True:
+                    await reader.read_records()
+        self.assertLess(len(store.calls), 15)
+
     @virtual_time.run_without_io
     async def test_version_that_came_after_the_lease_was_written_counts(self):
         # Guards against the version of the lease being taken for the only
