gateway: Let a new leader learn versions that the last lease lacked

Cause: versions that came after the last renewal before a kill are in the store's records only. The new leader stated its own list in the lease, and instances that read the lease later took it for complete. An attempt that one instance answered twice with two versions kept the last one.

Change: a leader whose process has just started lists the records when its term begins, before its first renewal. Records of one attempt with two versions are ambiguous wherever they meet.

Measured: new tests in control.test_origin_store and control.test_stream_origins; the four modules concerned pass, 87 tests.

--- a/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
@@ -293,9 +293,13 @@
         if not self._leadership.is_leader:
             return IDLE_INTERVAL_S
         now = anyio.current_time()
+        self._start_term()
+        if not self._is_listed and not self._servers.is_settled(now):
+            # The next lease has to state the versions that the last one of
+            # the earlier leader lacked.
+            await self._list_objects()
         if not self._servers.may_have_several_versions(now):
             return CHECK_INTERVAL_S
-        self._start_term()
         versions = self._servers.software_versions(now)
         number, streams = self._new_streams()
         if not streams and frozenset(versions) <= self._versions:
@@ -339,7 +343,9 @@
                 slot = _Slot(obj.revision, now)
             slots[obj.name] = slot
         self._slots, self._stored, self._segment = slots, {}, None
-        for _, _, streams in _decode_objects(objects):
+        for revision, versions, streams in _decode_objects(objects):
+            if revision > self._leadership.first_revision:
+                self._servers.note_versions(versions, now)
             self._stored |= streams
         self._is_listed = True
 
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -493,11 +493,11 @@
             versions: Service and software version of each.
             now: Time in seconds.
         """
-        if not self._is_settled(now):
+        if not self.is_settled(now):
             for row in versions:
                 self._versions_left_at[row] = now
 
-    def _is_settled(self, now):
+    def is_settled(self, now):
         """Return whether this instance has listed servers for long enough."""
         return (
             self._listed_since is not None
@@ -512,7 +512,7 @@
         """
         if self._listed_since is None:
             return False
-        return self._has_earlier_versions or self._is_settled(now)
+        return self._has_earlier_versions or self.is_settled(now)
 
     def software_versions(self, now):
         """Return service and software version of the servers known lately."""
--- a/packages/gateway/src/wagtailtide_gateway/control/stream_origins.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/stream_origins.py
@@ -42,6 +42,14 @@
         versions[key] = AMBIGUOUS
 
 
+def _add(records, key, version, now):
+    """Add a record as the newest one of an OrderedDict; return its version."""
+    known, _ = records.pop(key, (version, now))
+    version = version if known == version else AMBIGUOUS
+    records[key] = (version, now)
+    return version
+
+
 def _drop_expired(records, now):
     """Drop the expired records of an OrderedDict, which has the oldest first.
 
@@ -67,7 +75,7 @@
         """Record the version that sent the first event of an attempt."""
         key = origin_key(attempt_id)
         _drop_expired(self._own, now)
-        self._own[key] = (version, now)
+        version = _add(self._own, key, version, now)
         self._unreported[key] = version
 
     def version_of(self, attempt_id, now):
@@ -118,8 +126,7 @@
         """Record the version by key in an update of the leader."""
         _drop_expired(self._known, now)
         for key, version in versions.items():
-            self._known.pop(key, None)
-            self._known[key] = (version, now)
+            _add(self._known, key, version, now)
 
 
 class OriginDirectory:
--- a/packages/gateway/tests/control/test_stream_origins.py
+++ b/packages/gateway/tests/control/test_stream_origins.py
@@ -57,6 +57,22 @@
         self.assertEqual(
             origins.version_of('a1', 10.4), stream_origins.AMBIGUOUS
         )
+        origins.learn({key: 'v1.1'}, 10.5)
+        self.assertEqual(
+            origins.version_of('a1', 10.6), stream_origins.AMBIGUOUS
+        )
+
+    def test_attempt_that_one_instance_answered_twice_is_ambiguous(self):
+        origins = stream_origins.StreamOrigins()
+        for version in ('v1', 'v1.1', 'v1.1'):
+            origins.record_begun('a1', version, 10.0)
+        self.assertEqual(
+            origins.take_unreported(),
+            {stream_origins.origin_key('a1'): stream_origins.AMBIGUOUS},
+        )
+        self.assertEqual(
+            origins.version_of('a1', 10.1), stream_origins.AMBIGUOUS
+        )
 
 
 class OriginDirectoryTest(unittest.TestCase):
