gateway: Let requests of a burst share the read that is in progress

Cause: a request that arrived while the records were being read waited for the next read, a second later, and was refused by then.

Change: such a request waits for the read in progress, which has all that there was before the instances came back. The reader is a module of its own.

--- a/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
@@ -40,12 +40,9 @@
 # earlier ones until their records have expired.
 MAX_OBJECTS = 100
 
-# Longest delay in seconds before a failed write or read is repeated.
+# Longest delay in seconds before a failed call is repeated.
 MAX_RETRY_DELAY_S = 2.0
 
-# Shortest time in seconds between two reads of one instance.
-READ_INTERVAL_S = 1.0
-
 
 def encode(versions, streams):
     """Return the value of an object.
@@ -93,7 +90,7 @@
     return versions, streams
 
 
-def _decode_objects(objects):
+def decode_objects(objects):
     """Yield revision, versions and streams of each valid object."""
     for obj in objects:
         try:
@@ -107,114 +104,6 @@
             yield obj.revision, versions, streams
 
 
-class SharedRead:
-    """A read for which all that ask for it wait together.
-
-    Args:
-        read: Coroutine function that reads.
-        interval_s: Shortest time in seconds between two reads.
-    """
-
-    def __init__(self, read, interval_s=READ_INTERVAL_S):
-        self._read = read
-        self._interval_s = interval_s
-        self._requested = anyio.Event()
-        self._completed = anyio.Event()
-
-    async def wait(self):
-        """Wait for the end of a read that starts after this call."""
-        completed = self._completed
-        self._requested.set()
-        await completed.wait()
-
-    async def run(self):
-        """Read whenever it is asked for, until cancelled."""
-        failures = 0
-        while True:
-            await self._requested.wait()
-            self._requested = anyio.Event()
-            completed, self._completed = self._completed, anyio.Event()
-            delay_s = self._interval_s
-            try:
-                await self._read()
-                failures = 0
-            except (stores.StoreUnavailable, stores.Conflict) as exc:
-                # Requests wait for it, so it is repeated soon.
-                delay_s = sync.retry_delay_s(failures, MAX_RETRY_DELAY_S)
-                failures += 1
-                LOG.info(
-                    'read for resumed streams failed',
-                    extra={'reason': str(exc), 'failures': failures},
-                )
-            finally:
-                completed.set()
-            await anyio.sleep(delay_s)
-
-
-class OriginReader:
-    """Reads what an instance needs to resume a stream of unknown version.
-
-    Args:
-        client: The StoreClient.
-        port: The StorePort.
-        shared_state: The SharedState of the instance.
-        first_revision: Function that returns the revision of the lease when
-            this instance first read it, 0 if it has not.
-
-    Attributes:
-        has_read: Whether the records have been read.
-    """
-
-    def __init__(self, client, port, shared_state, first_revision):
-        self._client = client
-        self._port = port
-        self._origins = shared_state.stream_origins
-        self._servers = shared_state.servers
-        self._first_revision = first_revision
-        self._records = SharedRead(self._read_records)
-        self._list = SharedRead(self._read_list)
-        self.has_read = False
-
-    async def run(self):
-        """Read whenever it is asked for, until cancelled."""
-        async with anyio.create_task_group() as tg:
-            tg.start_soon(self._records.run)
-            tg.start_soon(self._list.run)
-
-    async def read_records(self):
-        """Wait for a read of the records; it may fail."""
-        await self._records.wait()
-
-    async def read_list(self):
-        """Wait for a read of the list of servers; it may fail."""
-        await self._list.wait()
-
-    async def _read_records(self):
-        objects, _ = await self._client.list_all(self._port.origins_kind)
-        now = anyio.current_time()
-        found = {}
-        for revision, versions, streams in _decode_objects(objects):
-            # The lease lacks the versions that came after its last renewal.
-            if revision > self._first_revision():
-                self._servers.note_versions(versions, now)
-            for key, version in streams.items():
-                stream_origins.merge(found, key, version)
-        self._origins.learn(found, now)
-        self.has_read = True
-        LOG.info(
-            'stream origins read',
-            extra={'objects': len(objects), 'streams': len(found)},
-        )
-
-    async def _read_list(self):
-        sent_at = anyio.current_time()
-        objects, revision = await self._client.list_all(
-            self._port.servers_kind
-        )
-        self._servers.apply_list(objects, revision, anyio.current_time())
-        self._servers.confirm(sent_at)
-
-
 @dataclasses.dataclass
 class _Slot:
     """An object of the store.
@@ -343,7 +232,7 @@
                 slot = _Slot(obj.revision, now)
             slots[obj.name] = slot
         self._slots, self._stored, self._segment = slots, {}, None
-        for revision, versions, streams in _decode_objects(objects):
+        for revision, versions, streams in decode_objects(objects):
             if revision > self._leadership.first_revision:
                 self._servers.note_versions(versions, now)
             self._stored |= streams
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -12,6 +12,7 @@
 from wagtailtide_gateway.control import engine_controller
 from wagtailtide_gateway.control import exchange as exchanges
 from wagtailtide_gateway.control import leadership as leadership_
+from wagtailtide_gateway.control import origin_reader
 from wagtailtide_gateway.control import origin_store
 from wagtailtide_gateway.control import prober as probers
 from wagtailtide_gateway.control import store
@@ -133,7 +134,7 @@
             detector,
             lambda: self.gateway.is_stopping,
         )
-        self._origin_reader = origin_store.OriginReader(
+        self._origin_reader = origin_reader.OriginReader(
             client,
             store_port,
             self.shared_state,
