gateway: Do not compare stored records again at each check

Cause: a new leader compared all records that the instances report again with those in the store every 0.04 s, until there was a new stream.

Change: records that the store has are left behind at the first check. Measured: control.test_origin_store passes; the saving was not measured.

--- a/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
@@ -191,8 +191,11 @@
             return CHECK_INTERVAL_S
         versions = self._servers.software_versions(now)
         number, streams = self._new_streams()
-        if not streams and frozenset(versions) <= self._versions:
-            return CHECK_INTERVAL_S
+        if not streams:
+            # All that there is has been written, also by earlier leaders.
+            self._number = number
+            if frozenset(versions) <= self._versions:
+                return CHECK_INTERVAL_S
         if not self._is_listed:
             await self._list_objects()
             if not self._leadership.is_leader:
