gateway: Let other modules list with a repeated call

The evacuations will be listed as the servers are, with a second call beside one that is not answered. The code moves to a function; behaviour is the same.

--- a/packages/gateway/src/wagtailtide_gateway/control/sync.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sync.py
@@ -154,36 +154,14 @@
         return self._cfg.server_drain_s * MAX_LIST_AGE_SHARE - age_s
 
     async def _list_servers(self):
-        """List the servers, with a second call if the first one takes long.
-
-        Returns:
-            The objects, the revision of the list, and the time at which the
-            call was sent.
-        """
-        found, failures = [], []
-
-        async def call():
-            sent_at = anyio.current_time()
-            try:
-                objects, revision = await self._client.list_all(
-                    self._port.servers_kind
-                )
-            except (stores.StoreUnavailable, stores.Conflict) as exc:
-                failures.append(exc)
-            else:
-                found.append((objects, revision, sent_at))
-            tg.cancel_scope.cancel()
-
+        """List the servers, with a second call if the first one takes long."""
         drain_s = self._cfg.server_drain_s
         age_s = self._servers.age_s(anyio.current_time())
-        async with anyio.create_task_group() as tg:
-            tg.start_soon(call)
-            if age_s < drain_s:
-                await anyio.sleep(drain_s * LIST_REPEAT_SHARE)
-                tg.start_soon(call)
-        if not found:
-            raise failures[0]
-        return found[0]
+        return await list_with_repeat(
+            self._client,
+            self._port.servers_kind,
+            drain_s * LIST_REPEAT_SHARE if age_s < drain_s else None,
+        )
 
     def _apply_config(self, objects, sent_at):
         for obj in objects:
@@ -273,3 +251,42 @@
     doublings = min(failures, MAX_DOUBLINGS)
     delay_s = min(RETRY_DELAY_S * 2**doublings, max_delay_s)
     return delay_s * (0.7 + 0.6 * random.random())
+
+
+async def list_with_repeat(client, kind, repeat_after_s):
+    """List objects, with a second call if the first one takes long.
+
+    Args:
+        client: The StoreClient.
+        kind: Kind of the objects.
+        repeat_after_s: Seconds after which the second call is sent, None for
+            no second call.
+
+    Returns:
+        The objects, the revision of the list, and the time in seconds at which
+        the call was sent.
+
+    Raises:
+        StoreUnavailable: The store did not answer usably.
+        Conflict: It answered with a conflict.
+    """
+    found, failures = [], []
+
+    async def call():
+        sent_at = anyio.current_time()
+        try:
+            objects, revision = await client.list_all(kind)
+        except (stores.StoreUnavailable, stores.Conflict) as exc:
+            failures.append(exc)
+        else:
+            found.append((objects, revision, sent_at))
+        tg.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(call)
+        if repeat_after_s is not None:
+            await anyio.sleep(repeat_after_s)
+            tg.start_soon(call)
+    if not found:
+        raise failures[0]
+    return found[0]
