gateway: Learn which availability zones are evacuated

Operators evacuate a zone by an object in the store; from 5 s after its write no request may reach a server there. The leader lists these objects once a second and passes them on as section 1 with their age; an instance lists them itself at the start and when what it knows is older than half of the bound. The last list stays in force. Servers of an evacuated zone accept no new requests; an instance that never knew the zones is not ready. Metrics, dump and log lines show the state of each zone. Off without the setting.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -11,6 +11,7 @@
 from wagtailtide_gateway.control import peers
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.control import server_limits
+from wagtailtide_gateway.control import servers as servers_
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import quota
 from wagtailtide_gateway.model import backend
@@ -402,7 +403,9 @@
 
     def _is_cut_off(self, report):
         """Return whether the sender of a report reaches no listed server."""
-        listed = self._servers.states.keys()
+        if not report.unreachable:
+            return False
+        listed = servers_.contactable_ids(self._servers.states)
         return bool(listed) and listed <= frozenset(report.unreachable)
 
     def usage_by_model(self, service, now):
@@ -610,10 +613,12 @@
         return grants, refill_waits_s
 
     def _leaving(self):
+        # Servers in evacuated zones are not among them: an instance that takes
+        # over the lead does not take back what it was told of leaving servers.
         return tuple(
             server_id
             for server_id, state in self._servers.states.items()
-            if not state.accepts_requests
+            if state.leaves or state.missing_since is not None
         )
 
     def _loads_of_others(self, report):
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -5,6 +5,7 @@
 import logging
 
 from wagtailtide_gateway.control import digests
+from wagtailtide_gateway.control import evacuations as evacuations_
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import health
 from wagtailtide_gateway.decisions import reachability
@@ -59,6 +60,7 @@
         paused_until: Time in seconds until which the server wants no requests
             from this instance.
         pause_noted_at: Time in seconds at which this pause was first stated.
+        evacuations: EvacuationView of the instance.
     """
 
     server: backend.BackendServer
@@ -74,6 +76,9 @@
     states_leaving: bool = False
     paused_until: float = float('-inf')
     pause_noted_at: float = float('-inf')
+    evacuations: evacuations_.EvacuationView = dataclasses.field(
+        default_factory=evacuations_.EvacuationView
+    )
 
     @property
     def load(self):
@@ -87,10 +92,24 @@
             self.server.leaving or self.reported_leaving or self.states_leaving
         )
 
+    @property
+    def is_evacuated(self):
+        """Whether the server is in a zone that is known to be evacuated."""
+        return self.evacuations.is_evacuated(self.server.zone)
+
+    @property
+    def is_contactable(self):
+        """Whether anything may be sent to the server, as to its zone."""
+        return self.evacuations.permits(self.server.zone)
+
     @property
     def accepts_requests(self):
         """Whether requests may be sent to the server."""
-        return not self.leaves and self.missing_since is None
+        return (
+            not self.leaves
+            and self.missing_since is None
+            and self.is_contactable
+        )
 
     @property
     def residency(self):
@@ -189,6 +208,12 @@
 class ServerView:
     """All listed backend servers.
 
+    Args:
+        decode: Function that makes a BackendServer of a StoredObject.
+        on_change: Function that is called when the servers change.
+        evacuations: EvacuationView of the instance, None if zones cannot be
+            evacuated.
+
     Attributes:
         states: ServerState by server id.
         health: Failure rates of the servers.
@@ -201,7 +226,8 @@
             models.
     """
 
-    def __init__(self, decode, on_change):
+    def __init__(self, decode, on_change, evacuations=None):
+        self._evacuations = evacuations or evacuations_.EvacuationView()
         self._decode = decode
         self._on_change = on_change
         self._store_recovered_at = None
@@ -227,7 +253,9 @@
     @property
     def is_cut_off(self):
         """Whether this instance reaches none of the listed servers."""
-        return self.reachability.is_cut_off(self.states)
+        return bool(
+            self.reachability.unreachable
+        ) and self.reachability.is_cut_off(contactable_ids(self.states))
 
     def apply_list(self, objects, revision, now):
         """Apply a whole list of entries and handle the missing ones.
@@ -286,12 +314,15 @@
         """Return whether the list may lack a server's leaving for too long.
 
         A list is used at any age while the store is down: then no leaving can
-        be confirmed, and it is better than none.
+        be confirmed, and it is better than none. No list is used before it is
+        known which zones are evacuated.
 
         Args:
             max_age_s: Largest age of the list in seconds.
             now: Time in seconds.
         """
+        if not self._evacuations.is_known:
+            return True
         expired_at = self._confirmed_at + max_age_s
         return now > expired_at and self._list_failed_at < expired_at
 
@@ -394,7 +425,9 @@
                 self._note_version_left(state, now)
             # The previous process's residency, loads and refusals do not apply
             # to a restarted server.
-            state = self._take_removed(server, now) or ServerState(server)
+            state = self._take_removed(server, now) or ServerState(
+                server, evacuations=self._evacuations
+            )
             self.states[server.id] = state
             self.reachability.forget(server.id)
             self.new_state_count += 1
@@ -545,3 +578,16 @@
     def service_time_s(self, service, default_s):
         """Return the mean service time in seconds of a service's requests."""
         return self._service_times.get(service, default_s)
+
+
+def contactable_ids(states):
+    """Return the ids of the servers whose zones are not evacuated.
+
+    Args:
+        states: ServerState by server id.
+    """
+    return frozenset(
+        server_id
+        for server_id, state in states.items()
+        if state.is_contactable
+    )
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -10,6 +10,8 @@
 from wagtailtide_gateway import shared_state as shared_state_
 from wagtailtide_gateway.control import cluster_state as cluster_state_
 from wagtailtide_gateway.control import engine_controller
+from wagtailtide_gateway.control import evacuation_sync
+from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import exchange as exchanges
 from wagtailtide_gateway.control import leadership as leadership_
 from wagtailtide_gateway.control import prober as probers
@@ -66,7 +68,13 @@
         self._ready_path = caller_port.ready_path
         self._stop_requested = anyio.Event()
         self.metrics = metrics_.Metrics()
-        self.shared_state = shared_state_.SharedState(store_port, clock)
+        self.shared_state = shared_state_.SharedState(
+            store_port, clock, cfg.evacuation_s
+        )
+        if cfg.evacuation_s is not None:
+            self.shared_state.sections.add(
+                evacuations.make_section(self.shared_state.evacuations)
+            )
         self._pool = outgoing.ConnectionPool()
         client = store.StoreClient(
             store_port, cfg.store, outgoing.ConnectionPool(), self.metrics
@@ -103,6 +111,12 @@
             lambda: self.leadership.is_leader,
             lambda: self.exchange.interval_s,
         )
+        self._evacuation_sync = evacuation_sync.EvacuationSync(
+            client,
+            store_port,
+            self.shared_state,
+            lambda: self.leadership.is_leader,
+        )
         self._engine_controller = engine_controller.EngineController(
             self.shared_state,
             self.cluster,
@@ -160,6 +174,24 @@
             'duty_held': lambda: int(self.leadership.is_leader),
             'backend_servers': lambda: len(self.shared_state.servers.states),
         }
+        self._add_zone_metrics(self.shared_state.evacuations)
+
+    def _add_zone_metrics(self, view):
+        if not view.is_enabled:
+            return
+        self.metrics.gauges['evacuations_age_seconds'] = lambda: view.age_s(
+            anyio.current_time()
+        )
+        self.metrics.labelled_gauges = {
+            'zone_state': (
+                ('zone', 'state'),
+                lambda: evacuations.zone_state_values(view),
+            ),
+            'zone_requests': (
+                ('zone',),
+                lambda: {(z,): view.requests[z] for z in view.zone_states},
+            ),
+        }
 
     def _summarise_cluster(self):
         return self.cluster.summary()
@@ -179,6 +211,7 @@
         return (
             not self.gateway.is_stopping
             and self.shared_state.servers.has_list
+            and self.shared_state.evacuations.is_known
             and self.shared_state.config.deployment is not None
             and trust.may_trust_keys(
                 self.shared_state.config.age_s, self._cfg.key_withdrawal_s
@@ -213,6 +246,7 @@
                 tg.start_soon(listener.serve)
             for task in (
                 self._sync.run,
+                self._evacuation_sync.run,
                 self.leadership.run,
                 self.exchange.run,
                 self.prober.run,
@@ -320,9 +354,11 @@
         },
         'instances': instance.exchange.instances,
         'waiting': shared_state.wait_queues.count,
+        'evacuations': evacuations.dump(shared_state.evacuations, now),
         'servers': {
             server_id: {
                 'service': state.server.service,
+                'zone': state.server.zone,
                 'leaving': state.server.leaving,
                 'own_load': state.own_load,
                 'others_load': state.others_load,
--- a/packages/gateway/src/wagtailtide_gateway/metrics.py
+++ b/packages/gateway/src/wagtailtide_gateway/metrics.py
@@ -37,6 +37,8 @@
         orders: Number of orders to engines.
         repeats: Number of retries of requests.
         gauges: Function that returns the current value, by gauge name.
+        labelled_gauges: Names of the labels and function that returns the
+            current values by the values of the labels, by gauge name.
     """
 
     def __init__(self):
@@ -44,6 +46,7 @@
         self.orders = 0
         self.repeats = 0
         self.gauges = {}
+        self.labelled_gauges = {}
         self._outcomes = collections.Counter()
         self._refusals = collections.Counter()
         self._first_byte = _Histogram()
@@ -119,3 +122,10 @@
             yield core.GaugeMetricFamily(
                 f'wagtailtide_{name}', f'Current {name}.', value=read()
             )
+        for name, (labels, read) in self.labelled_gauges.items():
+            family = core.GaugeMetricFamily(
+                f'wagtailtide_{name}', f'Current {name}.', labels=labels
+            )
+            for values, value in read().items():
+                family.add_metric(values, value)
+            yield family
--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -146,6 +146,8 @@
         config_name: Name of the configuration object in use.
         servers_kind: Kind of the backend servers' entries.
         lease_kind: Kind of the leader's lease object.
+        evacuations_kind: Kind of the objects that evacuate the availability
+            zones that they are named as.
         decode_config: From a value to a Deployment; raises ValueError,
             KeyError or TypeError.
         decode_server: From a StoredObject to a BackendServer; raises
@@ -164,5 +166,6 @@
     config_name: str
     servers_kind: str
     lease_kind: str
+    evacuations_kind: str
     decode_config: Callable
     decode_server: Callable
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -10,6 +10,7 @@
 from wagtailtide_gateway.control import config
 from wagtailtide_gateway.control import demand
 from wagtailtide_gateway.control import digests
+from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import peers
 from wagtailtide_gateway.control import sections
@@ -31,9 +32,12 @@
     Args:
         port: The StorePort.
         clock: Function that returns seconds, time in suspend included.
+        evacuation_s: Seconds after which no request may reach an evacuated
+            zone, None if zones cannot be evacuated.
 
     Attributes:
         config: ConfigView, the configuration in force.
+        evacuations: EvacuationView, the evacuated zones.
         servers: ServerView, the known backend servers.
         local_quota: LocalQuota, what may be charged to each organisation.
         demand: DemandCounter, request counts by model.
@@ -47,13 +51,16 @@
         sections: Sections, what single features exchange with the leader.
     """
 
-    def __init__(self, port, clock):
+    def __init__(self, port, clock, evacuation_s=None):
         self.wait_queues = wait_queue.WaitQueues()
         self.config = config.ConfigView(
             port.decode_config, clock, self.wait_queues.wake
         )
+        self.evacuations = evacuations.EvacuationView(
+            evacuation_s, self.wait_queues.wake
+        )
         self.servers = servers.ServerView(
-            port.decode_server, self.wait_queues.wake
+            port.decode_server, self.wait_queues.wake, self.evacuations
         )
         self.local_quota = quota.LocalQuota()
         self.demand = demand.DemandCounter()
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -8,6 +8,8 @@
 from wagtailtide_gateway import ports
 from wagtailtide_gateway import shared_state
 from wagtailtide_gateway.control import cluster_state
+from wagtailtide_gateway.control import evacuation_sync
+from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import exchange
 from wagtailtide_gateway.control import leadership
 from wagtailtide_gateway.control import store
@@ -27,6 +29,7 @@
 
 PORT = types.SimpleNamespace(
     lease_kind='leases',
+    evacuations_kind='evacuations',
     decode_config=lambda value: value,
     decode_server=_decode_server,
 )
@@ -35,7 +38,7 @@
 
 
 class FakeStore:
-    """Store that holds the lease object.
+    """Store that holds the lease object and evacuations.
 
     Attributes:
         obj: The lease as a StoredObject, or None.
@@ -46,6 +49,8 @@
             answered.
         down: Names of instances that get no answer.
         reads: Number of reads of the lease.
+        lists: Number of lists of the evacuations, by instance.
+        lost_lists: Number of the next lists that are not answered.
     """
 
     def __init__(self):
@@ -55,6 +60,21 @@
         self.write_delay_s = {}
         self.lost_answers = 0
         self.down = set()
+        self.lists = collections.Counter()
+        self.lost_lists = 0
+        self._evacuations = {}
+        self._revision = 1
+
+    def evacuate(self, zone):
+        """Create the object that evacuates a zone."""
+        self._revision += 1
+        obj = ports.StoredObject(zone, self._revision, {})
+        self._evacuations[zone] = obj
+
+    def return_zone(self, zone):
+        """Remove the object that evacuates a zone."""
+        self._revision += 1
+        del self._evacuations[zone]
 
     def client(self, instance):
         """Return the StoreClient stand-in of an instance."""
@@ -77,6 +97,17 @@
     async def replace(self, kind, name, value, revision):
         return await self._write(value, revision)
 
+    async def list_all(self, kind):
+        self._store.lists[self._instance] += 1
+        await self._require_answer()
+        if self._store.lost_lists:
+            self._store.lost_lists -= 1
+            await self._fail()
+        objects = list(self._store._evacuations.values())
+        revision = self._store._revision
+        await anyio.sleep(ROUND_TRIP_S)
+        return objects, revision
+
     async def _write(self, value, revision):
         await self._require_answer()
         current = self._store.obj
@@ -184,6 +215,7 @@
         cluster: Its ClusterState.
         exchange: Its Exchange.
         shared_state: Its SharedState.
+        evacuations: Its EvacuationView.
     """
 
     def __init__(self, name, fake_store, network, **changes):
@@ -195,7 +227,14 @@
             instance=name, peers=self.address, **changes
         )
         clock = anyio.current_time
-        self.shared_state = shared_state.SharedState(PORT, clock)
+        self.shared_state = shared_state.SharedState(
+            PORT, clock, cfg.evacuation_s
+        )
+        self.evacuations = self.shared_state.evacuations
+        if cfg.evacuation_s is not None:
+            self.shared_state.sections.add(
+                evacuations.make_section(self.evacuations)
+            )
         self.leadership = leadership.Leadership(
             fake_store.client(name),
             PORT,
@@ -208,6 +247,13 @@
             self.shared_state.config,
             self.shared_state.servers,
             self.leadership,
+            self.shared_state.sections,
+        )
+        self._evacuation_sync = evacuation_sync.EvacuationSync(
+            fake_store.client(name),
+            PORT,
+            self.shared_state,
+            lambda: self.leadership.is_leader,
         )
         self.exchange = exchange.Exchange(
             self.leadership,
@@ -269,3 +315,4 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(self.leadership.run)
             tg.start_soon(self.exchange.run)
+            tg.start_soon(self._evacuation_sync.run)
