gateway: Send no request to an evacuated zone

Servers there count as unusable for new, queued, repeated and forwarded requests and resumed streams; a call checks the zone again once its connection stands. Such a request goes elsewhere at once, without a retry from the budget and without a mark on the server. An instance that refuses to forward a request for that reason is still used for other servers.

--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -51,6 +51,8 @@
             caller, or None.
         body: Body of that response.
         peer: Name of the instance that forwarded the request, or None.
+        evacuated: Whether nothing was sent because the server's zone was
+            evacuated.
     """
 
     not_run: bool
@@ -61,11 +63,12 @@
     head: ports.ResponseHead | None = None
     body: bytes = b''
     peer: str | None = None
+    evacuated: bool = False
 
     @property
     def found_no_server(self):
-        """Whether this instance itself could not connect to the server."""
-        return self.unreachable and self.peer is None
+        """Whether this instance itself could not send to the server."""
+        return self.evacuated or (self.unreachable and self.peer is None)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,7 +120,11 @@
                 _, response = await self._call.send(request)
                 return await self._classify(response)
         except server_call.NotSent as exc:
-            return Failure(not_run=True, reason=str(exc))
+            return Failure(
+                not_run=True,
+                reason=str(exc),
+                evacuated=isinstance(exc, server_call.ZoneEvacuated),
+            )
         except outgoing.ConnectionBroken as exc:
             run_fate = fate.fate_of_failure(exc.progress)
             return Failure(
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -108,7 +108,9 @@
         if version is None:
             return
         if not any(
-            state.server.software_version == version and not state.leaves
+            state.server.software_version == version
+            and not state.leaves
+            and not state.is_evacuated
             for state in self._servers.of_service(job.service.name)
         ):
             raise kinds.ServingError(
--- a/packages/gateway/src/wagtailtide_gateway/serving/forward_messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forward_messages.py
@@ -33,7 +33,8 @@
 
     Attributes:
         NOT_SENT: It does not use the server now; nothing was sent to it.
-        UNREACHABLE: The server accepted no connection.
+        UNREACHABLE: The server accepted no connection, or its zone is
+            evacuated; nothing was sent to it. Other servers may be used.
         BROKEN: The connection broke; the request may have run.
     """
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
@@ -47,11 +47,15 @@
         self.peer = peer.instance
 
     async def connect(self, max_idle_s):
-        """Acquire a connection to the peer; raises ConnectionBroken.
+        """Acquire a connection to the peer.
 
         Args:
             max_idle_s: Longest idle time in seconds of a connection of the
                 peer; connections between instances may be older.
+
+        Raises:
+            ConnectionBroken: No connection could be established.
+            ZoneEvacuated: The server's zone was evacuated in the meantime.
         """
         del max_idle_s
         self._directory.record_start(self._peer)
@@ -61,6 +65,9 @@
         except outgoing.ConnectionBroken:
             self._note_failed_peer()
             raise
+        if not self._state.is_contactable:
+            await self.keep_connection()
+            raise server_call.ZoneEvacuated(self._state.server.zone)
 
     async def send(self, request):
         """Send a ServerRequest and return the head of its response.
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -145,6 +145,15 @@
             state.server.residency.process_start_ms != forward.process_start_ms
         ):
             reason = 'another process of the server is listed, or none'
+        elif state.is_evacuated:
+            # Not NOT_SENT: the sender would do without this instance for a
+            # while, also for servers in other zones.
+            raise _NotForwarded(
+                forward_messages.Refusal.UNREACHABLE,
+                'the zone of the server is evacuated',
+            )
+        elif not state.is_contactable:
+            reason = 'it is not known which zones are evacuated'
         elif not state.accepts_requests:
             reason = 'the server leaves'
         elif state.pauses(anyio.current_time()):
@@ -178,6 +187,10 @@
         self._quarantine.record_started(job, state.server.id)
         try:
             await self._exchange(forward.request, job, call, state, out)
+        except server_call.ZoneEvacuated as exc:
+            raise _NotForwarded(
+                forward_messages.Refusal.UNREACHABLE, str(exc)
+            ) from exc
         except server_call.NotSent as exc:
             raise _NotForwarded(
                 forward_messages.Refusal.NOT_SENT, str(exc)
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -437,8 +437,8 @@
             job.tried.remove(server_id)
         elif failure.misdirected:
             self._record_misdirected(job, state, now)
-        elif failure.not_run and state.pauses(now):
-            # It may be tried again after the pause.
+        elif failure.evacuated or (failure.not_run and state.pauses(now)):
+            # It may be tried again after the pause, or once the zone is back.
             job.tried.remove(server_id)
         elif not failure.unreachable and (
             failure.reason != 'caller disconnected or deadline passed'
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -35,6 +35,13 @@
     """The server wants no requests any more; nothing was sent."""
 
 
+class ZoneEvacuated(NotSent):
+    """The server's zone was evacuated in the meantime; nothing was sent."""
+
+    def __init__(self, zone):
+        super().__init__(f'the zone {zone} was evacuated')
+
+
 class ServerCall:
     """A request to a server and its response.
 
@@ -69,12 +76,16 @@
         Raises:
             ConnectionBroken: No connection could be established.
             NotSent: The server asked for a pause in the meantime.
+            ZoneEvacuated: Its zone was evacuated in the meantime.
         """
         self._reachability.record_request_start(anyio.current_time())
         self._is_open = True
         self._conn = await self._pool.acquire(
             self._state.server.address, max_idle_s
         )
+        if not self._state.is_contactable:
+            await self.keep_connection()
+            raise ZoneEvacuated(self._state.server.zone)
         if self._state.pauses(anyio.current_time()):
             await self.keep_connection()
             raise NotSent('the server asked for a pause')
--- a/packages/gateway/tests/serving/test_forwarding.py
+++ b/packages/gateway/tests/serving/test_forwarding.py
@@ -2,6 +2,8 @@
 import unittest
 
 import anyio
+from wagtailtide_gateway import ports
+from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.serving import forward_messages
@@ -51,6 +53,17 @@
     view.states['s1'] = servers.ServerState(server)
 
 
+def evacuate(view):
+    zones = evacuations.EvacuationView(5.0)
+    zone = view.states['s1'].server.zone
+    zones.apply_list([ports.StoredObject(zone, 2, {})], 2, 0.0)
+    view.states['s1'].evacuations = zones
+
+
+def forget_zones(view):
+    view.states['s1'].evacuations = evacuations.EvacuationView(5.0)
+
+
 def cut_off(view):
     for server_id in view.states:
         view.reachability.record_failed(server_id, 0.0)
@@ -87,6 +100,7 @@
                 5.0, 'r', now, now
             ),
             'cut off': cut_off,
+            'unknown zones': forget_zones,
         }
         for name, prepare in rows.items():
             with self.subTest(name):
@@ -101,3 +115,9 @@
             lambda view: view.reachability.record_failed('s1', 0.0)
         )
         self.assertEqual(refusal, 'unreachable')
+
+    @virtual_time.run_without_io
+    async def test_request_for_an_evacuated_zone_does_not_cost_the_peer(self):
+        # Guards against senders that do without this instance, also for the
+        # other zones, because it learned of the evacuation before them.
+        self.assertEqual(await self.refusal(evacuate), 'unreachable')
