gateway: Leave engines of an evacuated zone out of placement

They are no replicas, so models with demand are loaded elsewhere within the limits of the weight store, and they get neither orders nor calls for reports nor probes until the zone returns. A load in progress there is no longer announced to waiting requests, and gives its place at the weight store back.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -53,7 +53,7 @@
         state = self._servers.states.get(server_id)
         if state is None or not self._leads_with(order.fence):
             return None
-        if state.pauses(anyio.current_time()):
+        if not _takes_calls(state):
             return None
         if self._fleet.engines.get(server_id) is not engine:
             # The engine restarted, or this is an order of an earlier term. The
@@ -97,7 +97,7 @@
             The EngineReport, or None if there is none that can be used.
         """
         state = self._servers.states.get(server_id)
-        if state is None or state.pauses(anyio.current_time()):
+        if state is None or not _takes_calls(state):
             return None
         head, body = await self._call(
             state, self._port.report_call, REPORT_TIMEOUT_S
@@ -168,6 +168,11 @@
         try:
             with anyio.fail_after(timeout_s):
                 conn = await self._pool.acquire(state.server.address)
+                if not state.is_contactable:
+                    raise outgoing.ConnectionBroken(
+                        'zone evacuated while connecting',
+                        fate.Progress.CONNECTING,
+                    )
                 if not is_permitted():
                     raise outgoing.ConnectionBroken(
                         'lease lapsed while connecting',
@@ -197,6 +202,11 @@
                 await conn.close()
 
 
+def _takes_calls(state):
+    """Return whether an engine takes calls now, as to its zone and pauses."""
+    return state.is_contactable and not state.pauses(anyio.current_time())
+
+
 def _with_incoming(residency, incoming_adapters):
     """Return a residency that includes the adapters on their way.
 
--- a/packages/gateway/src/wagtailtide_gateway/control/fleet.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/fleet.py
@@ -129,6 +129,11 @@
             and not self._cluster.is_unreachable(server_id)
         ]
 
+    def is_evacuated(self, server_id):
+        """Return whether a listed engine is in an evacuated zone."""
+        state = self._servers.states.get(server_id)
+        return state is not None and state.is_evacuated
+
     def takes_orders(self, server_id, engine, now):
         """Return whether an engine may get an order now."""
         return (
--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -63,6 +63,7 @@
 
     def plan(self, tg, now):
         """Plan for all services and start the planned steps."""
+        self._withdraw_evacuated_loads()
         for service in self._config.deployment.services.values():
             if service.engine is None:
                 continue
@@ -70,6 +71,24 @@
             for step in placement.plan(snapshot, service.engine.models):
                 self._start_step(tg, service, step, now)
 
+    def _withdraw_evacuated_loads(self):
+        """Tell the instances not to wait for loads in evacuated zones.
+
+        Their results are unknown until the zones return.
+        """
+        for server_id, engine in self._fleet.engines.items():
+            model = engine.loading
+            if model is None or not self._fleet.is_evacuated(server_id):
+                continue
+            engine.loading = None
+            name = self._servers.states[server_id].server.service
+            service = self._config.deployment.services.get(name)
+            if service is None or not any(
+                other.loading == model
+                for _, other in self._fleet.available_engines(service)
+            ):
+                self._cluster.set_loading(name, model, None)
+
     def _snapshot(self, service, now):
         copies, serving = collections.Counter(), collections.Counter()
         views, demand = [], self._demand(service, now)
@@ -227,14 +246,19 @@
             if await self._send_orders(service, step, engine, load_s):
                 engine.loaded_at[step.model] = anyio.current_time()
             else:
+                if self._fleet.is_evacuated(step.engine):
+                    # The load should have ended, and the engine's report is
+                    # not read before its zone returns.
+                    engine.from_store = False
                 # An order that was not answered or is overdue may be in
                 # progress. A further load might not fit beside its model.
                 await self._client.await_idle(step.engine, engine)
         finally:
+            is_announced = engine.loading is not None
             engine.busy = engine.from_store = False
             engine.loading, engine.victims = None, frozenset()
             self._fleet.publish(step.engine, engine, engine.residency)
-            if self._fleet.fence == fence:
+            if self._fleet.fence == fence and is_announced:
                 self._cluster.set_loading(service.name, step.model, None)
 
     async def _send_orders(self, service, step, engine, load_s):
@@ -314,7 +338,9 @@
         await anyio.sleep(expected_s)
         limit_s = expected_s * OVERDUE_FACTOR + OVERDUE_MARGIN_S
         while anyio.current_time() - started_at < limit_s:
-            if self._fleet.engines.get(server_id) is not engine:
+            if self._fleet.engines.get(server_id) is not engine or (
+                self._fleet.is_evacuated(server_id)
+            ):
                 return False
             report = await self._client.refresh(server_id, engine)
             if report is not None and not report.busy:
--- a/packages/gateway/src/wagtailtide_gateway/control/prober.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/prober.py
@@ -73,7 +73,7 @@
         return [
             states[server_id]
             for server_id in self._reachability.unreachable
-            if server_id in states
+            if server_id in states and states[server_id].is_contactable
         ]
 
     async def finds_path(self):
@@ -101,7 +101,8 @@
             states = [
                 state
                 for server_id, state in self._servers.states.items()
-                if not self._reachability.is_unreachable(server_id)
+                if state.is_contactable
+                and not self._reachability.is_unreachable(server_id)
             ]
             random.shuffle(states)
             if not await self._probe_all(states[:FIRST_PROBES]):
--- a/packages/gateway/tests/control/leader_fixture.py
+++ b/packages/gateway/tests/control/leader_fixture.py
@@ -6,6 +6,7 @@
 import anyio
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import cluster_state
+from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import fleet
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.model import deployment
@@ -84,6 +85,7 @@
         cluster: The ClusterState.
         client: The FakeEngineClient.
         servers: The ServerView.
+        evacuations: The EvacuationView, at first without evacuated zones.
         config: Stand-in for the ConfigView, with a deployment.
     """
 
@@ -98,8 +100,12 @@
             value=None,
             age_s=0.0,
         )
-        self.servers = servers.ServerView(lambda obj: obj.value, lambda: None)
+        self.evacuations = evacuations.EvacuationView(5.0)
+        self.servers = servers.ServerView(
+            lambda obj: obj.value, lambda: None, self.evacuations
+        )
         self._revision = 0
+        self.set_evacuated_zones()
         self.set_listed_servers(*listed)
         self.cluster = cluster_state.ClusterState(
             self.config, self.servers, FakeLeadership()
@@ -121,6 +127,16 @@
         ]
         self.servers.apply_list(objects, self._revision, anyio.current_time())
 
+    def set_evacuated_zones(self, *zones):
+        """Replace the evacuated zones."""
+        self._revision += 1
+        objects = [
+            ports.StoredObject(zone, self._revision, {}) for zone in zones
+        ]
+        self.evacuations.apply_list(
+            objects, self._revision, anyio.current_time()
+        )
+
     def add_listed_engines(self):
         """Add the listed engines to the fleet and mark them as idle."""
         for server_id in self.fleet.sync_with_list():
--- a/packages/gateway/tests/control/test_engine_client.py
+++ b/packages/gateway/tests/control/test_engine_client.py
@@ -135,6 +135,75 @@
         self.assertEqual((status, pool.requests), (None, 0))
 
 
+class ZoneEvacuatingPool:
+    """Pool whose connection stands only after the zone was evacuated."""
+
+    def __init__(self, fixture):
+        self._fixture = fixture
+        self.opened = self.requests = 0
+
+    async def acquire(self, address):
+        """Evacuate the zone; return the connection."""
+        self.opened += 1
+        self._fixture.set_evacuated_zones('z1')
+        return self
+
+    async def request(self, method, target, headers, body):
+        """Count a request that was sent."""
+        self.requests += 1
+        return types.SimpleNamespace(status=202, headers=())
+
+    async def close(self):
+        """Close the connection."""
+
+
+class EvacuatedZoneTest(unittest.TestCase):
+    def make_client(self):
+        self.fixture = leader_fixture.LeaderFixture(builders.make_server('e1'))
+        self.fixture.fleet.start_term(1)
+        self.fixture.add_listed_engines()
+        self.engine = self.fixture.fleet.engines['e1']
+        self.pool = ZoneEvacuatingPool(self.fixture)
+        call = ports.Call(b'POST', b'/')
+        return engine_client.EngineClient(
+            self.fixture.fleet,
+            self.fixture.servers,
+            leader_fixture.FakeLeadership(),
+            builders.make_settings(),
+            types.SimpleNamespace(
+                encode_order=lambda order, server_id: call, report_call=call
+            ),
+            self.pool,
+            types.SimpleNamespace(orders=0),
+        )
+
+    async def call_engine(self, client):
+        return (
+            await client.send_order('e1', self.engine, True, 'b'),
+            await client.refresh('e1', self.engine),
+        )
+
+    @virtual_time.run_without_io
+    async def test_engine_gets_neither_orders_nor_calls_for_reports(self):
+        client = self.make_client()
+        self.fixture.set_evacuated_zones('z1')
+        self.assertEqual(await self.call_engine(client), (None, None))
+        self.assertEqual(self.pool.opened, 0)
+
+    @virtual_time.run_without_io
+    async def test_nothing_is_sent_if_connecting_took_too_long(self):
+        for number in (0, 1):
+            with self.subTest(number):
+                client = self.make_client()
+                if number:
+                    await client.refresh('e1', self.engine)
+                else:
+                    await client.send_order('e1', self.engine, True, 'b')
+                self.assertEqual(
+                    (self.pool.opened, self.pool.requests), (1, 0)
+                )
+
+
 class RefreshTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_report_replaces_models_and_order_count(self):
--- a/packages/gateway/tests/control/test_fleet.py
+++ b/packages/gateway/tests/control/test_fleet.py
@@ -53,6 +53,24 @@
         ]
         self.assertEqual(['e1'], found)
 
+    @virtual_time.run_without_io
+    async def test_engine_in_an_evacuated_zone_is_not_available(self):
+        # Guards against models whose only replica is there and that are
+        # loaded nowhere else.
+        fixture = leader_fixture.LeaderFixture(
+            make_server('e1', zone='z1'), make_server('e2', zone='z2')
+        )
+        fixture.add_listed_engines()
+
+        def available():
+            engines = fixture.fleet.available_engines(fixture.service)
+            return [id_ for id_, _ in engines]
+
+        fixture.set_evacuated_zones('z2')
+        self.assertEqual(['e1'], available())
+        fixture.set_evacuated_zones()
+        self.assertEqual(['e1', 'e2'], available())
+
     @virtual_time.run_without_io
     async def test_order_that_a_report_includes_is_counted_once(self):
         # Guards against an engine that refuses all further orders: its
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -280,3 +280,135 @@
         # Guards against loads of all models on the few engines that are left.
         fixture, orders = self.make_fixture('e1', 'e2')
         self.assertEqual(await self.loads(fixture, orders), [])
+
+
+class EvacuatedZoneTest(unittest.TestCase):
+    def make_fixture(self, *models_by_engine):
+        """Return engines in zones of their own, z1 the first, and orders."""
+        fixture = leader_fixture.LeaderFixture(
+            *(
+                builders.make_server(
+                    f'e{number}',
+                    zone=f'z{number}',
+                    residency=builders.make_residency(models),
+                )
+                for number, models in enumerate(models_by_engine, 1)
+            )
+        )
+        fixture.add_listed_engines()
+        orders = model_orders.ModelOrders(
+            fixture.config,
+            fixture.servers,
+            fixture.fleet,
+            fixture.cluster,
+            fixture.client,
+            builders.make_settings(),
+        )
+        return fixture, orders
+
+    @virtual_time.run_without_io
+    async def test_model_with_its_only_replica_there_is_loaded_elsewhere(self):
+        fixture, orders = self.make_fixture(['a'], ['b'])
+        await report_demand(fixture, ('a', 3, 0, 0.4), ('b', 3, 0, 0.4))
+        async with anyio.create_task_group() as tg:
+            orders.plan(tg, anyio.current_time())
+            await anyio.sleep(0.1)
+            self.assertEqual([], fixture.client.sent)
+            fixture.set_evacuated_zones('z1')
+            orders.plan(tg, anyio.current_time())
+            await anyio.sleep(0.1)
+            tg.cancel_scope.cancel()
+        self.assertEqual(
+            [('e2', True, 'a')],
+            [row[1:4] for row in fixture.client.sent],
+        )
+
+    @virtual_time.run_without_io
+    async def test_loads_after_an_evacuation_keep_to_the_weight_store(self):
+        # Guards against a burst of loads that makes each of them slower.
+        models = {f'm{n}': builders.make_model(f'm{n}') for n in range(20)}
+        engine = deployment.Engine(24, 200_000.0, 2, 1.0, models)
+        held = [[f'm{2 * n}', f'm{2 * n + 1}'] for n in range(10)]
+        fixture = leader_fixture.LeaderFixture(
+            *(
+                builders.make_server(
+                    f'e{n}',
+                    zone='z1' if n < 10 else 'z2',
+                    residency=builders.make_residency(
+                        held[n] if n < 10 else ()
+                    ),
+                )
+                for n in range(20)
+            ),
+            engine=engine,
+        )
+        fixture.add_listed_engines()
+        cfg = builders.make_settings()
+        orders = model_orders.ModelOrders(
+            fixture.config,
+            fixture.servers,
+            fixture.fleet,
+            fixture.cluster,
+            fixture.client,
+            cfg,
+        )
+        rows = [(name, 3, 0, 0.4) for name in models]
+        await report_demand(fixture, *rows)
+        fixture.set_evacuated_zones('z1')
+        started_at = anyio.current_time()
+        async with anyio.create_task_group() as tg:
+            while anyio.current_time() < started_at + 4.0:
+                orders.plan(tg, anyio.current_time())
+                await anyio.sleep(0.1)
+            tg.cancel_scope.cancel()
+        loads = [row for row in fixture.client.sent if row[2]]
+        self.assertTrue(loads)
+        self.assertLessEqual(len(loads), cfg.load_window_s * 1.0)
+        self.assertEqual(
+            {fixture.servers.states[row[1]].server.zone for row in loads},
+            {'z2'},
+        )
+
+    @virtual_time.run_without_io
+    async def test_load_in_progress_there_is_not_waited_for(self):
+        # Guards against requests that wait for a load whose end nobody sees,
+        # and against a place at the weight store that it keeps for hours.
+        fixture, orders = self.make_fixture(['b'], ['b'])
+        fixture.client.busy = True
+        engine = fixture.fleet.engines['e1']
+        fixture.fleet.engines['e2'].busy = True
+        await report_demand(fixture, ('c', 0, 40, 0.4))
+        async with anyio.create_task_group() as tg:
+            orders.plan(tg, anyio.current_time())
+            await anyio.sleep(0.1)
+            self.assertEqual('c', engine.loading)
+            self.assertIn(('engines', 'c'), fixture.cluster._loading)
+            fixture.set_evacuated_zones('z1')
+            orders.plan(tg, anyio.current_time())
+            self.assertNotIn(('engines', 'c'), fixture.cluster._loading)
+            with self.assertNoLogs(model_orders.LOG, 'WARNING'):
+                await anyio.sleep(60.0)
+            self.assertTrue(engine.busy)
+            self.assertFalse(engine.from_store)
+            # It is ready for orders again after its zone has returned.
+            fixture.set_evacuated_zones()
+            fixture.client.busy = False
+            await anyio.sleep(1.0)
+            self.assertFalse(engine.busy)
+            tg.cancel_scope.cancel()
+
+    @virtual_time.run_without_io
+    async def test_load_of_the_same_model_elsewhere_is_still_waited_for(self):
+        fixture, orders = self.make_fixture(['b'], ['b'])
+        fixture.client.busy = True
+        await report_demand(fixture, ('c', 0, 40, 0.4))
+        async with anyio.create_task_group() as tg:
+            orders.plan(tg, anyio.current_time())
+            await anyio.sleep(0.1)
+            for engine in fixture.fleet.engines.values():
+                engine.loading = 'c'
+            fixture.set_evacuated_zones('z1')
+            orders.plan(tg, anyio.current_time())
+            self.assertIn(('engines', 'c'), fixture.cluster._loading)
+            self.assertEqual('c', fixture.fleet.engines['e2'].loading)
+            tg.cancel_scope.cancel()
--- a/packages/gateway/tests/control/test_prober.py
+++ b/packages/gateway/tests/control/test_prober.py
@@ -3,6 +3,8 @@
 import anyio
 import trio
 from wagtailtide_core.retries import fate
+from wagtailtide_gateway import ports
+from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import prober
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.decisions import reachability
@@ -41,12 +43,16 @@
 
     def __init__(self):
         self.reachability = reachability.Reachability()
+        self.evacuations = evacuations.EvacuationView(5.0)
+        self.evacuations.apply_list([], 1, 0.0)
         self.states = {
             f's{port}': servers.ServerState(
                 builders.make_server(
                     f's{port}',
                     address=builders.backend.Address('127.0.0.1', port),
-                )
+                    zone=f'z{port % 3}',
+                ),
+                evacuations=self.evacuations,
             )
             for port in range(SERVERS)
         }
@@ -145,3 +151,37 @@
             await anyio.sleep(1.0)
             self.assertEqual(view.reachability.unreachable, ())
             tg.cancel_scope.cancel()
+
+
+class EvacuatedZoneTest(unittest.TestCase):
+    def evacuate(self, view, revision, *zones):
+        objects = [ports.StoredObject(z, revision, {}) for z in zones]
+        now = anyio.current_time()
+        view.evacuations.apply_list(objects, revision, now)
+
+    def probed_zones(self, view, pool):
+        return {view.states[f's{port}'].server.zone for port in pool.opened}
+
+    @virtual_time.run_without_io
+    async def test_servers_of_the_zone_are_not_probed_for_a_path(self):
+        found, view, pool = make_prober()
+        self.evacuate(view, 2, 'z0', 'z1')
+        pool.refused = set(range(SERVERS))
+        await found.record_failed(view.states['s0'], 'refused')
+        self.assertFalse(await found.finds_path())
+        self.assertEqual(self.probed_zones(view, pool), {'z2'})
+
+    @virtual_time.run_without_io
+    async def test_unreachable_servers_are_probed_once_the_zone_is_back(self):
+        found, view, pool = make_prober()
+        self.evacuate(view, 2, 'z0')
+        await found.record_failed(view.states['s0'], 'refused')
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(found.run)
+            await anyio.sleep(5.0)
+            self.assertEqual(pool.opened, [])
+            self.evacuate(view, 3)
+            await anyio.sleep(1.0)
+            tg.cancel_scope.cancel()
+        self.assertEqual(pool.opened, [0])
+        self.assertEqual(view.reachability.unreachable, ())
