gateway: Test lost lists and evacuated zones at the leader

Taking out the repeated list, the rule on leaving servers or that on instances that are cut off failed no test. Each of the three fails one now, on a scratch copy with the rule taken out.

--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -9,6 +9,7 @@
 from wagtailtide_testing import virtual_time
 
 from tests import builders
+from tests.control import leader_fixture
 
 
 class FakeLeadership:
@@ -317,3 +318,33 @@
             builders.make_report(quota_fence=7, draws=draws)
         )
         self.assertAlmostEqual(update.grants['club'], 1_000.0, delta=1.0)
+
+
+class EvacuatedZoneTest(unittest.TestCase):
+    def make_fixture(self):
+        fixture = leader_fixture.LeaderFixture(
+            builders.make_server('e1', zone='z1'),
+            builders.make_server('e2', zone='z2'),
+        )
+        fixture.set_evacuated_zones('z1')
+        return fixture
+
+    @virtual_time.run_without_io
+    async def test_its_servers_are_not_reported_as_leaving(self):
+        # Guards against a zone that stays unused after its return, because an
+        # instance that takes over the lead keeps what it was told.
+        update = self.make_fixture().cluster.handle_report(
+            builders.make_report()
+        )
+        self.assertEqual(update.leaving, ())
+
+    @virtual_time.run_without_io
+    async def test_instance_that_reaches_no_other_zone_is_cut_off(self):
+        # Guards against servers that count as unreachable, so that nothing is
+        # loaded on them, because some instances are cut off.
+        fixture = self.make_fixture()
+        for name in ('front-1', 'front-2'):
+            fixture.cluster.handle_report(
+                builders.make_report(name, unreachable=('e2',))
+            )
+        self.assertFalse(fixture.cluster.is_unreachable('e2'))
--- a/packages/gateway/tests/control/test_evacuation_sync.py
+++ b/packages/gateway/tests/control/test_evacuation_sync.py
@@ -100,16 +100,18 @@
 
     @virtual_time.run_without_io
     async def test_lost_answers_keep_the_bound(self):
-        # One answer is lost for the leader and for each that lists itself.
-        fleet = Fleet(12)
-        async with anyio.create_task_group() as tg:
-            await fleet.start(tg)
-            fleet.store.lost_lists = 12
-            fleet.kill(fleet.leader)
-            fleet.store.evacuate('z1')
-            elapsed_s = await fleet.spread_s('z1')
-            tg.cancel_scope.cancel()
-        self.assertLess(elapsed_s, BOUND_S)
+        # Up to two answers in a row are lost for each instance.
+        for lost in (11, 22):
+            with self.subTest(lost):
+                fleet = Fleet(12)
+                async with anyio.create_task_group() as tg:
+                    await fleet.start(tg)
+                    fleet.store.lost_lists = lost
+                    fleet.kill(fleet.leader)
+                    fleet.store.evacuate('z1')
+                    elapsed_s = await fleet.spread_s('z1')
+                    tg.cancel_scope.cancel()
+                self.assertLess(elapsed_s, BOUND_S)
 
     @virtual_time.run_without_io
     async def test_leader_without_a_store_does_not_hold_others_back(self):
