--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -147,6 +147,8 @@
         servers_kind: Kind of the backend servers' entries.
         lease_kind: Kind of the leader's lease object.
         origins_kind: Kind of the objects with what began the streams.
+        evacuations_kind: Kind of the objects that evacuate the availability
+            zones that they are named as.
         decode_config: From a value to a Deployment; raises ValueError,
             KeyError or TypeError.
         decode_server: From a StoredObject to a BackendServer; raises
@@ -166,5 +168,6 @@
     servers_kind: str
     lease_kind: str
     origins_kind: str
+    evacuations_kind: str
     decode_config: Callable
     decode_server: Callable
