--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -31,6 +31,8 @@
         load_window_s: Window of the weight store's load rate in seconds.
         cpu_cores: Processor time that the instance may use, in cores.
         link_mbps: Rate of its network link in Mbit/s.
+        learns_capacity: Whether the load that each server sustains is learned
+            from its responses.
     """
 
     instance: str
@@ -50,3 +52,4 @@
     load_window_s: float
     cpu_cores: float
     link_mbps: float
+    learns_capacity: bool = False
