gateway: Estimate what each server sustains, and choose servers by it

Candidate.slowdown was set by nothing, and slots were taken for capacity: a server at half speed, or one that slows beyond a third of its slots, got as many requests at once as the others. Instances that share load data up to a second old all chose the same server.

Servers are compared with their peers on the same model, share of busy slots and size of prompt. A lower limit tells a server that is slow from one that has too many requests. With learns_capacity, requests are spread so that the costs become equal until the next exchange. Without it nothing changes (test_recorded_choice).

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -8,6 +8,7 @@
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import health
 from wagtailtide_gateway.decisions import reachability
+from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.model import backend
 
@@ -59,6 +60,8 @@
         paused_until: Time in seconds until which the server wants no requests
             from this instance.
         pause_noted_at: Time in seconds at which this pause was first stated.
+        capacity: Learned Capacity, the nominal one unless it is learned.
+        logged_capacity: Capacity in the last log line about it.
     """
 
     server: backend.BackendServer
@@ -74,6 +77,15 @@
     states_leaving: bool = False
     paused_until: float = float('-inf')
     pause_noted_at: float = float('-inf')
+    capacity: server_capacity.Capacity = server_capacity.NOMINAL
+    logged_capacity: server_capacity.Capacity = server_capacity.NOMINAL
+
+    @property
+    def sustained_slots(self):
+        """Requests that the server runs at once without waiting, learned."""
+        if self.capacity.slots_share == 1.0:
+            return self.server.slots
+        return max(1.0, self.server.slots * self.capacity.slots_share)
 
     @property
     def load(self):
@@ -532,6 +544,11 @@
         for state in self.states.values():
             state.leader_residency = None
 
+    def sustained_share(self, server_id):
+        """Return the share of its slots that a server sustains."""
+        state = self.states.get(server_id)
+        return 1.0 if state is None else state.capacity.slots_share
+
     def of_service(self, service):
         """Return the states of a service's servers."""
         return [s for s in self.states.values() if s.server.service == service]
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_capacity.py
@@ -0,0 +1,265 @@
+"""Estimates how fast each server is and how many requests it sustains.
+
+Each server is compared with its peers on the same kind of work: the same
+model, the same share of busy slots, and either the pace of running streams or
+the time to the first event of prompts of similar size.
+"""
+
+import collections
+import dataclasses
+import math
+import statistics
+
+from wagtailtide_gateway.decisions import concurrency_limit
+
+# Time constant in seconds of the sums that an estimate is made of. A change
+# has to be found within 3 s, of which an exchange of 1 s is a part.
+WINDOW_S = 1.0
+
+# Time constant in seconds of the expected pace of a kind of work. It is longer
+# than most slow periods of single servers.
+BASELINE_S = 10.0
+
+# Expected seconds of work added to each server at its peers' pace, so that a
+# few requests do not show much, and an estimate without new data fades.
+PRIOR_S = 0.5
+
+# Expected seconds of work without which a server is no peer of others.
+MIN_PEER_S = 0.1
+
+# Expected seconds of work that an estimate of an earlier leader counts for.
+SEED_S = 2.0
+
+# Bounds of a slowdown.
+MIN_SLOWDOWN = 0.5
+MAX_SLOWDOWN = 8.0
+
+# Differences from 1 up to this are not published.
+PUBLISHED_STEP = 0.1
+
+# Bands of the share of busy slots: quarters, and beyond all slots.
+BANDS = 5
+
+# Largest number of kinds of work of a service. Kinds beyond it are ignored.
+MAX_KINDS = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What a server sustains.
+
+    Attributes:
+        slots_share: Share of its slots beyond which waiting grows without
+            more work being done.
+        slowdown: Time that it takes for work divided by its peers' time.
+    """
+
+    slots_share: float = 1.0
+    slowdown: float = 1.0
+
+
+NOMINAL = Capacity()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observation:
+    """Sums over similar work of one server.
+
+    Attributes:
+        model: Name of the model.
+        size: Class of the prompt's size for times to first events, 0 for the
+            pace of running streams.
+        band: Band of the share of busy slots, see `band_of`.
+        units: Amount of work: events, or tokens before the first one.
+        seconds: Time that it took.
+        busy: Mean share of busy slots meanwhile.
+    """
+
+    model: str
+    size: int
+    band: int
+    units: float
+    seconds: float
+    busy: float
+
+
+def band_of(busy):
+    """Return the band of a share of busy slots."""
+    return min(int(busy * (BANDS - 1)), BANDS - 1)
+
+
+@dataclasses.dataclass(slots=True)
+class _Baseline:
+    """Expected pace of a kind of work in seconds per unit."""
+
+    pace: float
+    servers: int
+
+
+class _Server:
+    def __init__(self, service, capacity=NOMINAL):
+        self.service = service
+        self.limit = concurrency_limit.ConcurrencyLimit(
+            capacity.slots_share, capacity.slowdown
+        )
+        self.published = capacity
+        # Units, seconds and busy seconds by kind of work.
+        self.sums = {}
+        self.expected_s = self.observed_s = self.busy = 0.0
+        # Expected seconds of an earlier estimate that still counts.
+        self.seed_s = 0.0 if capacity == NOMINAL else SEED_S
+        self.seed = capacity.slowdown
+
+    def decay(self, factor):
+        self.seed_s *= factor
+        for kind, row in list(self.sums.items()):
+            row[0] *= factor
+            row[1] *= factor
+            row[2] *= factor
+            if row[1] < 0.001:
+                del self.sums[kind]
+
+    @property
+    def ratio(self):
+        """Observed over expected time."""
+        prior_s = PRIOR_S + self.seed_s
+        prior_observed_s = PRIOR_S + self.seed * self.seed_s
+        return (self.observed_s + prior_observed_s) / (
+            self.expected_s + prior_s
+        )
+
+    def confidence(self):
+        return self.expected_s / (self.expected_s + PRIOR_S)
+
+
+class Estimator:
+    """Estimates the Capacity of each server from observations.
+
+    Args:
+        window_s: Time constant in seconds of the sums. It has to be longer
+            for the observations of a single instance.
+    """
+
+    def __init__(self, window_s=WINDOW_S):
+        self._window_s = window_s
+        self._servers = {}
+        self._baselines = {}
+        self._evaluated_at = None
+
+    def seed(self, server_id, service, capacity):
+        """Start with the estimate of an earlier leader."""
+        self._servers[server_id] = _Server(service, capacity)
+
+    def retain(self, server_ids):
+        """Drop all other servers, whose processes have ended."""
+        for server_id in self._servers.keys() - server_ids:
+            del self._servers[server_id]
+
+    def add(self, server_id, service, observation):
+        """Add an Observation of a server."""
+        server = self._servers.get(server_id)
+        if server is None:
+            server = self._servers[server_id] = _Server(service)
+        kind = (observation.model, observation.size, observation.band)
+        row = server.sums.get(kind)
+        if row is None:
+            if len(server.sums) >= MAX_KINDS:
+                return
+            row = server.sums[kind] = [0.0, 0.0, 0.0]
+        row[0] += observation.units
+        row[1] += observation.seconds
+        row[2] += observation.busy * observation.seconds
+
+    def evaluate(self, now):
+        """Return the Capacity of each server that differs from the nominal.
+
+        Args:
+            now: Time in seconds.
+        """
+        elapsed_s = 0.0
+        if self._evaluated_at is not None:
+            elapsed_s = max(0.0, now - self._evaluated_at)
+        self._evaluated_at = now
+        self._update_baselines(elapsed_s)
+        for server in self._servers.values():
+            self._sum_up(server)
+        medians = self._medians()
+        for server in self._servers.values():
+            self._update_limit(server, medians, now)
+            server.decay(math.exp(-elapsed_s / self._window_s))
+        return {
+            server_id: server.published
+            for server_id, server in self._servers.items()
+            if server.published != NOMINAL
+        }
+
+    def confidence(self, server_id):
+        """Return the confidence in the estimate of a server, 0 to 1."""
+        server = self._servers.get(server_id)
+        return 0.0 if server is None else server.confidence()
+
+    def _update_baselines(self, elapsed_s):
+        paces = collections.defaultdict(list)
+        for server in self._servers.values():
+            for kind, row in server.sums.items():
+                if row[0] > 0.0:
+                    key = (server.service, *kind)
+                    paces[key].append(row[1] / row[0])
+        weight = min(1.0, elapsed_s / BASELINE_S)
+        for key, found in paces.items():
+            # The lower one of two: slow servers are fewer than others.
+            pace = statistics.median_low(found)
+            known = self._baselines.get(key)
+            if known is None or len(found) > known.servers:
+                if known is None and len(self._baselines) >= MAX_KINDS:
+                    continue
+                self._baselines[key] = _Baseline(pace, len(found))
+            elif len(found) > 1:
+                known.pace += weight * (pace - known.pace)
+
+    def _expected_pace(self, service, model, size, band):
+        """Return the pace of peers, in the next band that has any.
+
+        A limited server has a smaller share of busy slots than its peers.
+        """
+        for distance in range(BANDS):
+            for other in (band + distance, band - distance):
+                found = self._baselines.get((service, model, size, other))
+                if found is not None and found.servers > 1:
+                    return found.pace
+        found = self._baselines.get((service, model, size, band))
+        return None if found is None else found.pace
+
+    def _sum_up(self, server):
+        expected_s = observed_s = busy_s = 0.0
+        for kind, (units, seconds, kind_busy_s) in server.sums.items():
+            pace = self._expected_pace(server.service, *kind)
+            if pace is not None:
+                expected_s += units * pace
+                observed_s += seconds
+                busy_s += kind_busy_s
+        server.expected_s, server.observed_s = expected_s, observed_s
+        if observed_s > 0.0:
+            server.busy = busy_s / observed_s
+
+    def _medians(self):
+        ratios = collections.defaultdict(list)
+        for server in self._servers.values():
+            if server.expected_s >= MIN_PEER_S:
+                ratios[server.service].append(server.ratio)
+        return {
+            service: statistics.median_low(found)
+            for service, found in ratios.items()
+        }
+
+    def _update_limit(self, server, medians, now):
+        ratio = server.ratio / medians.get(server.service, 1.0)
+        slowdown = min(max(ratio, MIN_SLOWDOWN), MAX_SLOWDOWN)
+        limit = server.limit
+        limit.update(slowdown, server.busy, now)
+        if limit.is_testing:
+            slowdown = limit.slowdown
+        if abs(slowdown - 1.0) <= PUBLISHED_STEP:
+            slowdown = 1.0
+        share = limit.share if limit.share < 1.0 - PUBLISHED_STEP else 1.0
+        server.published = Capacity(round(share, 2), round(slowdown, 2))
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
@@ -28,11 +28,11 @@
     Attributes:
         id: Identifier of the server.
         zone: Availability zone of the server.
-        slots: Requests that the server runs at once.
+        slots: Requests that the server runs at once without waiting.
         load: Estimated number of requests in the server, from all instances.
         failure_rate: Recent share of failed requests, 0 to 1.
         slowdown: Time that the server takes for a request divided by the time
-            of its peers, at least 1.
+            of its peers; 1 unless it is learned.
     """
 
     id: str
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -8,6 +8,7 @@
 
 from wagtailtide_gateway.decisions import admission
 from wagtailtide_gateway.decisions import server_choice
+from wagtailtide_gateway.decisions import spread_choice
 
 # Service times assumed before any request of a service has completed.
 DEFAULT_ENGINE_SERVICE_S = 1.5
@@ -130,6 +131,11 @@
         """
         now = anyio.current_time()
         candidates = [self._candidate(state, now) for state in capable]
+        if self._cfg.learns_capacity:
+            best = self._spread(job, candidates)
+            return candidates, next(
+                (s for s in capable if best and s.server.id == best.id), None
+            )
         best = server_choice.choose_server(
             candidates, self._cfg.zone, job.prefix_hash, random.random
         )
@@ -142,6 +148,19 @@
             return candidates, None
         return candidates, next(s for s in capable if s.server.id == best.id)
 
+    def _spread(self, job, candidates):
+        service_s = self.service_time_s(job)
+        return spread_choice.choose(
+            candidates,
+            self._cfg.zone,
+            job.prefix_hash,
+            random.random,
+            self._exchange.interval_s / service_s,
+            lambda c: spread_choice.room(
+                c, job.priority, job.route.latency_target_s, service_s
+            ),
+        )
+
     def best_permitted(self, job, limited, now):
         """Return the best limited server that may get a request, or None."""
         instances = self._exchange.leaderless_instances
@@ -175,7 +194,7 @@
                 instances = 1
             return self.limited_per_s(limited) / instances
         slots = max(
-            (state.server.slots for state in self.usable(job, now)),
+            (state.sustained_slots for state in self.usable(job, now)),
             default=DEFAULT_SLOTS,
         )
         return slots / self.service_time_s(job) / instances
@@ -259,9 +278,10 @@
         return server_choice.Candidate(
             id=server.id,
             zone=server.zone,
-            slots=server.slots,
+            slots=state.sustained_slots,
             load=state.load,
             failure_rate=self._servers.health.failure_rate(server.id, now),
+            slowdown=state.capacity.slowdown,
         )
 
     def _load_s(self, model, usable):
