gateway: Record the pace of streams and exchange what it shows

The estimator had no observations. Streams are now recorded between their events, without single long gaps, slow clients, hold-ups of this process and times to first events that may contain a load. Section 4 carries the sums to the leader and the estimates back; the predicted wait, the rate of retries and the utilisation in placement use them. On with learns_capacity.

--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -113,7 +113,10 @@
             if server_id in limits:
                 continue
             for name in engine.residency.models:
-                loads[name].append(self._cluster.load_of(server_id))
+                loads[name].append(
+                    self._cluster.load_of(server_id)
+                    / self._servers.sustained_share(server_id)
+                )
         return {
             name: sum(model_loads) / len(model_loads) / service.engine.slots
             for name, model_loads in loads.items()
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -13,12 +13,15 @@
 from wagtailtide_gateway.control import exchange as exchanges
 from wagtailtide_gateway.control import leadership as leadership_
 from wagtailtide_gateway.control import prober as probers
+from wagtailtide_gateway.control import server_performance
 from wagtailtide_gateway.control import store
 from wagtailtide_gateway.control import sync
+from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.decisions import trust
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import deployment
+from wagtailtide_gateway.serving import capacity_recorder
 from wagtailtide_gateway.serving import crash_detector
 from wagtailtide_gateway.serving import forward_messages
 from wagtailtide_gateway.serving import forwarding
@@ -65,6 +68,7 @@
         self._cfg = cfg
         self._ready_path = caller_port.ready_path
         self._stop_requested = anyio.Event()
+        self._tasks = []
         self.metrics = metrics_.Metrics()
         self.shared_state = shared_state_.SharedState(store_port, clock)
         self._pool = outgoing.ConnectionPool()
@@ -132,6 +136,7 @@
             detector,
             lambda: self.gateway.is_stopping,
         )
+        recorder = self._learn_capacity() if cfg.learns_capacity else None
         self.gateway = gateway.Gateway(
             cfg,
             caller_port,
@@ -142,6 +147,7 @@
             quarantine,
             detector,
             self.metrics,
+            recorder,
         )
         self._callers = incoming.Listener(
             cfg.callers,
@@ -159,11 +165,28 @@
             'config_age_seconds': lambda: self.shared_state.config.age_s,
             'duty_held': lambda: int(self.leadership.is_leader),
             'backend_servers': lambda: len(self.shared_state.servers.states),
+            'slowed_backend_servers': self._count_slowed,
         }
 
+    def _learn_capacity(self):
+        """Return the CapacityRecorder; share what it learns."""
+        recorder = capacity_recorder.CapacityRecorder()
+        self._tasks.append(recorder.watch_hold_ups)
+        performance = server_performance.ServerPerformance(
+            self.shared_state.servers, recorder.take
+        )
+        self.shared_state.sections.add(performance.section())
+        return recorder
+
     def _summarise_cluster(self):
         return self.cluster.summary()
 
+    def _count_slowed(self):
+        return sum(
+            state.capacity != server_capacity.NOMINAL
+            for state in self.shared_state.servers.states.values()
+        )
+
     def _caller_limits(self):
         current = self.shared_state.config.deployment
         return current.limits if current else deployment.CallerLimits()
@@ -217,6 +240,7 @@
                 self.exchange.run,
                 self.prober.run,
                 self._engine_controller.run,
+                *self._tasks,
             ):
                 tg.start_soon(_restart_on_error, task)
             tg.start_soon(self._watch_signals)
@@ -327,6 +351,8 @@
                 'own_load': state.own_load,
                 'others_load': state.others_load,
                 'limit_per_s': state.limit.per_s,
+                'slots_share': state.capacity.slots_share,
+                'slowdown': state.capacity.slowdown,
                 'failure_rate': shared_state.servers.health.failure_rate(
                     server_id, now
                 ),
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -172,7 +172,7 @@
             job.service.name, job.req.model, job.priority, waiter
         )
         pool = admission.ServerPool(
-            slots=sum(c.slots for c in candidates),
+            slots=sum(c.slots / c.slowdown for c in candidates),
             load=sum(c.load for c in candidates),
             waiting_ahead=ahead,
             instances=max(1, self._exchange.instances),
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -49,6 +49,7 @@
         quarantine: The Quarantine of the instance.
         crash_detector: CrashDetector of the instance.
         metrics: The Metrics.
+        recorder: CapacityRecorder, None if no capacity is learned.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         quarantine,
         crash_detector,
         metrics,
+        recorder=None,
     ):
         self._caller_port = caller_port
         self._backend_port = backend_port
@@ -72,6 +74,7 @@
         self._crash_detector = crash_detector
         self._instance = cfg.instance
         self._metrics = metrics
+        self._recorder = recorder
         self._access = access.Access(cfg, shared_state, exchange)
         self._finder = finder.Finder(
             cfg,
@@ -326,6 +329,8 @@
         )
         started_at = anyio.current_time()
         self._record_start(job, state)
+        if self._recorder is not None:
+            job.tracker = self._recorder.start(job, state, call.peer)
         failure = attempts.Failure(
             False, 'caller disconnected or deadline passed'
         )
@@ -410,6 +415,9 @@
     def _record_end(self, job, state, failure, started_at):
         now = anyio.current_time()
         server_id = state.server.id
+        if job.tracker is not None:
+            job.tracker.end(now)
+            job.tracker = None
         state.own_load -= 1
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -60,6 +60,7 @@
         has_proved_parts: Whether the server that it is in has answered it for
             long enough to show that its parts are sound.
         stream_end: StreamEnd of the last server that sent its stream, or None.
+        tracker: Tracker of the current attempt, None if it is not tracked.
     """
 
     req: request.CallerRequest
@@ -85,6 +86,7 @@
     first_byte_at: float | None = None
     has_proved_parts: bool = False
     stream_end: StreamEnd | None = None
+    tracker: object | None = None
 
     @property
     def time_left_s(self):
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -122,6 +122,8 @@
             self._record_begun(self._job)
         await self._out.send(data)
         if complete_events:
+            if self._job.tracker is not None:
+                self._job.tracker.note_written(anyio.current_time())
             # Not earlier: a caller that reads slowly delays the next read.
             self._postpone_stall_check(attempts.STREAM_STALL_TIMEOUT_S)
 
@@ -132,6 +134,8 @@
         now = anyio.current_time()
         if self._first_event_at is None:
             self._first_event_at = now
+        if self._job.tracker is not None:
+            self._job.tracker.note_events(self._splitter.count, now)
         self._record_events(now - self._first_event_at)
 
     def _take_partial(self, attempt):
