--- a/packages/gateway/src/wagtailtide_gateway/decisions/concurrency_limit.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/concurrency_limit.py
@@ -49,6 +49,14 @@
     A slowdown may show that the server is slow at any load, or that it has
     more requests than it sustains. A lower limit tells the two apart: work
     becomes faster in the second case only.
+
+    Args:
+        share: Share of the slots up to which work does not become slower.
+        slowdown: Time for work at any load divided by the peers' time.
+
+    Attributes:
+        share: The current share.
+        slowdown: The current slowdown at any load.
     """
 
     def __init__(self, share, slowdown):
