--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -50,6 +50,7 @@
         crash_detector: CrashDetector of the instance.
         metrics: The Metrics.
         origin_reader: OriginReader of the instance.
+        recorder: CapacityRecorder, None if no capacity is learned.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         crash_detector,
         metrics,
         origin_reader,
+        recorder=None,
     ):
         self._caller_port = caller_port
         self._backend_port = backend_port
@@ -74,6 +76,7 @@
         self._crash_detector = crash_detector
         self._instance = cfg.instance
         self._metrics = metrics
+        self._recorder = recorder
         self._access = access.Access(cfg, shared_state, exchange)
         self._finder = finder.Finder(
             cfg,
@@ -330,6 +333,8 @@
         )
         started_at = anyio.current_time()
         self._record_start(job, state)
+        if self._recorder is not None:
+            job.tracker = self._recorder.start(job, state, call.peer)
         failure = attempts.Failure(
             False, 'caller disconnected or deadline passed'
         )
@@ -414,6 +419,9 @@
     def _record_end(self, job, state, failure, started_at):
         now = anyio.current_time()
         server_id = state.server.id
+        if job.tracker is not None:
+            job.tracker.end(now)
+            job.tracker = None
         state.own_load -= 1
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -33,6 +33,8 @@
         link_mbps: Rate of its network link in Mbit/s.
         evacuation_s: Seconds after which no request may reach a server in an
             evacuated zone, None if zones cannot be evacuated.
+        learns_capacity: Whether the load that each server sustains is learned
+            from its responses.
     """
 
     instance: str
@@ -53,3 +55,4 @@
     cpu_cores: float
     link_mbps: float
     evacuation_s: float | None = None
+    learns_capacity: bool = False
