gateway: Limit requests to servers that have just started

Cause: all instances together filled a server whose process had just started; one that gets many more requests than cold_per_s crashes.

Change: a cold server is a second source of the limit of decision 013. The leader grants permits that lapse after 0.5 s, instances that hear no leader send in turns, and after the cold period the rate doubles each 0.5 s for 2 s. Entries, responses, new processes and section 5 tell of cold servers. Without bounds.cold_overage and bounds.cold_slack nothing changes.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -370,6 +370,10 @@
         else:
             self._loading[(service, model)] = ready_at
 
+    def others_waiting(self, server_id, instance):
+        """Return how many requests of others wait for a server's permit."""
+        return self._limits.others_waiting(server_id, instance)
+
     def load_of(self, server_id):
         """Return the number of requests in a server, from all instances."""
         return self._loads[server_id]
--- a/packages/gateway/src/wagtailtide_gateway/control/prober.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/prober.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.http import outgoing
 
 LOG = logging.getLogger(__name__)
@@ -136,6 +137,7 @@
         now = anyio.current_time()
         if self._reachability.record_connected(server_id, now):
             LOG.info('server reachable', extra={'server': server_id})
+            cold_servers.record_suspected(state, 'reachable again', now)
             self._wake(state.server.service)
 
     async def record_failed(self, state, reason):
--- a/packages/gateway/src/wagtailtide_gateway/control/sections.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sections.py
@@ -32,6 +32,7 @@
     WAITING_WORK = 2
     ENGINE_MEMORY = 3
     SERVER_PERFORMANCE = 4
+    COLD_SERVERS = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/control/server_limits.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/server_limits.py
@@ -157,10 +157,10 @@
         """Return the number of permits granted to an instance, by server."""
         granted = {}
         for server_id, wanted in report.permits.items():
-            per_s = self._per_s(server_id)
+            per_s, max_burst = self._permit_rate(server_id, now)
             if per_s is not None:
                 granted[server_id] = self._buckets.grant(
-                    server_id, per_s, wanted, now
+                    server_id, per_s, wanted, now, max_burst
                 )
         return {s: count for s, count in granted.items() if count}
 
@@ -174,7 +174,7 @@
             server_id: SharedLimit(
                 self._per_s(server_id),
                 now - self._statements[server_id].at,
-                self._others_waiting(server_id, report.instance),
+                self.others_waiting(server_id, report.instance),
             )
             for server_id in server_ids
             if self._per_s(server_id) is not None
@@ -184,8 +184,28 @@
         statement = self._statements.get(server_id)
         return None if statement is None else statement.per_s
 
-    def _others_waiting(self, server_id, instance):
-        _, permits = self._waiting[instance]
+    def _permit_rate(self, server_id, now):
+        """Return the permits a second for a server and its largest burst."""
+        stated_per_s = self._per_s(server_id)
+        state = self._servers.states.get(server_id)
+        rule = state.limit.cold.rule if state is not None else None
+        if rule is None:
+            return stated_per_s, None
+        cold_per_s = state.limit.cold.per_s(now)
+        if cold_per_s is None:
+            if stated_per_s is not None:
+                return stated_per_s, None
+            # The instance that wants permits takes the server to be cold. It
+            # may have learned of it first.
+            return rule.permits_per_s, rule.burst
+        if stated_per_s is not None:
+            cold_per_s = min(cold_per_s, stated_per_s)
+        is_ramp = cold_per_s > rule.permits_per_s
+        return cold_per_s, None if is_ramp else rule.burst
+
+    def others_waiting(self, server_id, instance):
+        """Return how many requests wait for a permit at other instances."""
+        _, permits = self._waiting.get(instance, (0.0, {}))
         return self._total_waiting[server_id] - permits.get(server_id, 0)
 
     def _set_waiting(self, instance, permits, now):
@@ -202,4 +222,4 @@
         for server_id in self._statements.keys() - self._servers.states.keys():
             if now - self._statements[server_id].at > UNLISTED_TTL_S:
                 del self._statements[server_id]
-        self._buckets.retain(self._statements.keys())
+        self._buckets.retain(self._statements.keys(), now)
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -4,8 +4,10 @@
 import itertools
 import logging
 
+from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import stream_origins
+from wagtailtide_gateway.decisions import cold_servers as cold_decisions
 from wagtailtide_gateway.decisions import health
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.decisions import server_limits
@@ -199,6 +201,8 @@
             instance has learned of.
         entry_number: Number of the last change of an entry, other than of its
             models.
+        cold_rule_of: Function from the name of a service to its ColdRule, or
+            None.
     """
 
     def __init__(self, decode, on_change):
@@ -223,6 +227,7 @@
         self.own_list_count = 0
         self.new_state_count = 0
         self.entry_number = 0
+        self.cold_rule_of = lambda service: None
 
     @property
     def is_cut_off(self):
@@ -373,8 +378,9 @@
                 },
             )
             return
+        is_new_revision = obj.revision != self._revisions.get(obj.name)
         self._revisions[obj.name] = obj.revision
-        state = self.states.get(server.id)
+        state = known_state = self.states.get(server.id)
         if state is not None and state.server.residency.process_start_ms > (
             server.residency.process_start_ms
         ):
@@ -392,9 +398,11 @@
         ):
             if state is not None:
                 self._note_version_left(state, now)
+                # For requests whose connection is being opened.
+                cold_servers.record_suspected(state, 'replaced', now)
             # The previous process's residency, loads and refusals do not apply
             # to a restarted server.
-            state = self._take_removed(server, now) or ServerState(server)
+            state = self._take_removed(server, now) or self._new_state(server)
             self.states[server.id] = state
             self.reachability.forget(server.id)
             self.new_state_count += 1
@@ -425,6 +433,15 @@
             self._entries[obj.name] = (number, obj)
         state.server = server
         state.missing_since = None
+        if is_new_revision:
+            starts = self.has_list and state is not known_state
+            cold_servers.record_entry(state, starts, now)
+
+    def _new_state(self, server):
+        cold = cold_decisions.ColdStart(
+            lambda: self.cold_rule_of(server.service)
+        )
+        return ServerState(server, limit=server_limits.ServerLimit(cold))
 
     def _handle_missing(self, server_id, now):
         state = self.states.get(server_id)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_limits.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_limits.py
@@ -1,4 +1,4 @@
-"""Limits that backend servers state for all instances together.
+"""Limits of backend servers that hold for all instances together.
 
 A server in need states in its responses how many requests a second it takes
 from all instances. The leader grants permits within that limit, and an
@@ -9,12 +9,17 @@
 each of its turns. The turns of all instances are spread over time and add up
 to a part of the limit, because a leader that the instance does not hear may
 still grant all of it to others.
+
+Servers that have just started are limited in the same way (`cold_servers`).
+If both limits apply, the smaller one does.
 """
 
 import collections
 import dataclasses
 import random
 
+from wagtailtide_gateway.decisions import cold_servers
+
 # A permit lapses after this many seconds. It covers a round trip to a slow
 # leader and the time until a waiting request is woken.
 PERMIT_TTL_S = 1.0
@@ -25,6 +30,10 @@
 MAX_UNUSED_S = 0.5
 MIN_BURST = 2.0
 
+# A bucket of a server that states no limit is kept for this many seconds after
+# its last use. Permits for cold servers are requested more often than that.
+BUCKET_TTL_S = 5.0
+
 # Seconds after which permits that were not granted are requested again.
 REQUEST_INTERVAL_S = 0.25
 
@@ -59,15 +68,20 @@
 class ServerLimit:
     """Limit of one server, with the permits of this instance.
 
+    Args:
+        cold: ColdStart of the server, None if it is never cold.
+
     Attributes:
         statement: The newest Statement known.
+        cold: ColdStart of the server.
         waiting: Number of requests of this instance that wait for a permit.
         others_waiting: Number of requests of other instances that wait for
             one, from the last update.
     """
 
-    def __init__(self):
+    def __init__(self, cold=None):
         self.statement = NO_STATEMENT
+        self.cold = cold or cold_servers.ColdStart()
         self.waiting = 0
         self.others_waiting = 0
         self._expiries = collections.deque()
@@ -77,15 +91,28 @@
 
     @property
     def per_s(self):
-        """Requests a second for all instances, None without a limit."""
+        """Requests a second that it states, None if it states no limit."""
         if self.statement.per_s is None:
             return None
         return max(self.statement.per_s, MIN_PER_S)
 
-    @property
-    def queue_s(self):
-        """Seconds that a limited server takes for all waiting requests."""
-        return (self.waiting + self.others_waiting) / self.per_s
+    def present_per_s(self, now):
+        """Return the requests a second for all instances, None for any."""
+        cold_per_s = self.cold.per_s(now)
+        if cold_per_s is None or self.per_s is None:
+            return self.per_s if cold_per_s is None else cold_per_s
+        return min(cold_per_s, self.per_s)
+
+    def queue_order(self, now):
+        """Return a key that orders limited servers by their queues.
+
+        First the seconds that the server takes for all waiting requests.
+        Equal queues, such as empty ones, are in another order on each
+        instance: otherwise all would wait for the same server.
+        """
+        per_s = self.present_per_s(now)
+        waiting = self.waiting + self.others_waiting
+        return (waiting / per_s if per_s else 0.0, self._phase)
 
     def update(self, statement):
         """Apply a Statement if it is newer; return whether the limit changed.
@@ -103,9 +130,16 @@
             self._expiries.clear()
         return statement.per_s != previous
 
+    def drop_permits(self):
+        """Drop all permits, as they were granted under a higher limit."""
+        self._expiries.clear()
+
     def add_permits(self, count, requested_at):
         """Add permits that were requested at a time in seconds."""
-        expires_at = requested_at + PERMIT_TTL_S
+        ttl_s = PERMIT_TTL_S
+        if self.cold.is_limited(requested_at):
+            ttl_s = cold_servers.PERMIT_TTL_S
+        expires_at = requested_at + ttl_s
         self._expiries.extend([expires_at] * count)
 
     def start_permit_request(self, now):
@@ -120,16 +154,22 @@
         self._drop_expired(now)
         return max(0, self.waiting - len(self._expiries))
 
-    def usable_per_s(self, instances):
+    def usable_per_s(self, instances, now):
         """Return the requests a second of which this instance has a part.
 
         Args:
             instances: Number of instances that share the limit by turns, None
                 while the leader grants permits.
+            now: Time in seconds.
         """
         if instances is None:
-            return self.per_s
-        return self.per_s * LEADERLESS_PART / instances
+            return self.present_per_s(now)
+        rates = []
+        if self.per_s is not None:
+            rates.append(1.0 / self._cycle_s(instances))
+        if self.cold.is_limited(now):
+            rates.append(self.cold.turns_per_s(instances))
+        return min(rates)
 
     def allows(self, instances, now):
         """Return whether a request may be sent to the server now.
@@ -139,9 +179,11 @@
             now: Time in seconds.
         """
         self._drop_expired(now)
-        return bool(self._expiries) or (
-            instances is not None and self._is_turn(instances, now)
-        )
+        if self._expiries or instances is None:
+            return bool(self._expiries)
+        if self.cold.is_limited(now) and not self.cold.is_turn(instances, now):
+            return False
+        return self.per_s is None or self._is_turn(instances, now)
 
     def record_request(self, now):
         """Use a permit or the present turn for a request."""
@@ -150,13 +192,17 @@
             self._expiries.popleft()
         else:
             self._sent_in_turn_at = now
+            self.cold.record_turn(now)
 
     def _drop_expired(self, now):
         while self._expiries and self._expiries[0] <= now:
             self._expiries.popleft()
 
+    def _cycle_s(self, instances):
+        return instances / (self.per_s * LEADERLESS_PART)
+
     def _is_turn(self, instances, now):
-        cycle_s = 1.0 / self.usable_per_s(instances)
+        cycle_s = self._cycle_s(instances)
         in_cycle_s = (now + self._phase * cycle_s) % cycle_s
         started_at = now - in_cycle_s
         return in_cycle_s < TURN_S and self._sent_in_turn_at < started_at
@@ -178,7 +224,7 @@
     def __init__(self):
         self._buckets = {}
 
-    def grant(self, server_id, per_s, wanted, now):
+    def grant(self, server_id, per_s, wanted, now, max_burst=None):
         """Return the number of permits granted.
 
         Args:
@@ -186,17 +232,26 @@
             per_s: Its limit in requests a second.
             wanted: Number of permits wanted.
             now: Time in seconds.
+            max_burst: Largest number granted at once, None for the usual one.
         """
         bucket = self._buckets.setdefault(server_id, _Bucket(0.0, now))
         added = max(per_s, MIN_PER_S) * (now - bucket.updated_at)
         burst = max(MIN_BURST, per_s * MAX_UNUSED_S)
+        if max_burst is not None:
+            burst = min(burst, max_burst)
         bucket.level = min(bucket.level + added, burst)
         bucket.updated_at = now
         granted = min(wanted, int(bucket.level))
         bucket.level -= granted
         return granted
 
-    def retain(self, server_ids):
-        """Drop the buckets of all other servers."""
+    def retain(self, server_ids, now):
+        """Drop the buckets of other servers that were not used lately.
+
+        Args:
+            server_ids: Ids of the servers that state a limit.
+            now: Time in seconds.
+        """
         for server_id in self._buckets.keys() - server_ids:
-            del self._buckets[server_id]
+            if now - self._buckets[server_id].updated_at > BUCKET_TTL_S:
+                del self._buckets[server_id]
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -1,5 +1,6 @@
 """One instance of the gateway: startup, background tasks and shutdown."""
 
+import functools
 import logging
 import signal
 import time
@@ -9,6 +10,7 @@
 from wagtailtide_gateway import metrics as metrics_
 from wagtailtide_gateway import shared_state as shared_state_
 from wagtailtide_gateway.control import cluster_state as cluster_state_
+from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import engine_controller
 from wagtailtide_gateway.control import exchange as exchanges
 from wagtailtide_gateway.control import leadership as leadership_
@@ -67,6 +69,9 @@
         self._stop_requested = anyio.Event()
         self.metrics = metrics_.Metrics()
         self.shared_state = shared_state_.SharedState(store_port, clock)
+        self.shared_state.servers.cold_rule_of = functools.partial(
+            cold_servers.rule_of, cfg, self.shared_state.config
+        )
         self._pool = outgoing.ConnectionPool()
         client = store.StoreClient(
             store_port, cfg.store, outgoing.ConnectionPool(), self.metrics
@@ -85,6 +90,11 @@
             self.leadership,
             self.shared_state.sections,
         )
+        self.shared_state.sections.add(
+            cold_servers.ColdServers(
+                self.shared_state.servers, self.cluster.others_waiting
+            ).section()
+        )
         self.exchange = exchanges.Exchange(
             self.leadership,
             self.cluster,
@@ -327,6 +337,7 @@
                 'own_load': state.own_load,
                 'others_load': state.others_load,
                 'limit_per_s': state.limit.per_s,
+                'cold_per_s': state.limit.cold.per_s(now),
                 'failure_rate': shared_state.servers.health.failure_rate(
                     server_id, now
                 ),
--- a/packages/gateway/src/wagtailtide_gateway/model/backend.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/backend.py
@@ -62,6 +62,8 @@
         residency: Models that the server holds.
         software_version: Version of the server's software, not of the weights
             of its models.
+        cold_remaining_s: Seconds for which the server was still cold when the
+            entry was written, None if it does not state it.
     """
 
     id: str
@@ -73,6 +75,7 @@
     time_left_s: float | None
     residency: Residency
     software_version: str
+    cold_remaining_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/model/deployment.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/deployment.py
@@ -116,11 +116,16 @@
         name: Name of the service.
         connection_limit: Limit on connections, from the configuration.
         engine: Properties of its engines, None for a plain service.
+        cold_start_s: Seconds for which a server is cold after its start.
+        cold_per_s: Requests a second that a cold server takes from all
+            instances, 0 if the service has no cold servers.
     """
 
     name: str
     connection_limit: int
     engine: Engine | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -32,6 +32,8 @@
         states_leaving: Whether the server states that it is leaving.
         stated_pause_s: Seconds for which the server wants no requests from
             this instance, or None if it states no pause.
+        cold_remaining_s: Seconds for which the server states that it is still
+            cold, or None.
         headers: Headers to forward to the caller.
     """
 
@@ -44,6 +46,7 @@
     stated_limit_per_s: float | None
     states_leaving: bool
     stated_pause_s: float | None
+    cold_remaining_s: float | None
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -114,8 +114,8 @@
         """Return the capable servers without and those with a limit."""
         capable = self.capable(job, now)
         return (
-            [s for s in capable if s.limit.per_s is None],
-            [s for s in capable if s.limit.per_s is not None],
+            [s for s in capable if s.limit.present_per_s(now) is None],
+            [s for s in capable if s.limit.present_per_s(now) is not None],
         )
 
     def best_free(self, job, capable):
@@ -148,16 +148,17 @@
         permitted = [s for s in limited if s.limit.allows(instances, now)]
         return self.best_free(job, permitted)[1]
 
-    def limited_per_s(self, limited):
+    def limited_per_s(self, limited, now):
         """Return the requests a second that limited servers take.
 
         While no leader answers, only the part of this instance counts.
 
         Args:
             limited: ServerState of each.
+            now: Time in seconds.
         """
         instances = self._exchange.leaderless_instances
-        return sum(s.limit.usable_per_s(instances) for s in limited)
+        return sum(s.limit.usable_per_s(instances, now) for s in limited)
 
     def limited_waiting(self, limited):
         """Return how many requests of other instances the leader counted."""
@@ -173,7 +174,7 @@
             if self._exchange.leaderless_instances is not None:
                 # The rate is that of this instance alone.
                 instances = 1
-            return self.limited_per_s(limited) / instances
+            return self.limited_per_s(limited, now) / instances
         slots = max(
             (state.server.slots for state in self.usable(job, now)),
             default=DEFAULT_SLOTS,
@@ -201,12 +202,19 @@
     def other_server_in_s(self, job):
         """Return the seconds until a further server can run a request.
 
-        One without a limit that lacks only its adapter, or loads its model;
-        infinity if there is none.
+        One without a limit that lacks only its adapter, loads its model, or
+        is still cold; infinity if there is none.
         """
         if self.needs_adapter(job):
             return ADAPTER_FETCH_S
-        return self._exchange.loading_s.get(job.demand_key, math.inf)
+        loading_s = self._exchange.loading_s.get(job.demand_key, math.inf)
+        now = anyio.current_time()
+        cold_s = (
+            max(0.0, state.limit.cold.opens_at - now)
+            for state in self.capable(job, now)
+            if state.limit.per_s is None
+        )
+        return min(loading_s, *cold_s, math.inf)
 
     def ready_in_s(self, job, now):
         """Return the seconds until a server is able to run the request.
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -144,7 +144,7 @@
         limits = [state.limit for state in limited]
         if waiter.limit not in limits:
             waiter.wait_for_permit(
-                min(limits, key=lambda limit: limit.queue_s, default=None)
+                min(limits, key=lambda x: x.queue_order(now), default=None)
             )
         if waiter.limit is not None and waiter.limit.start_permit_request(now):
             self._exchange.start_now()
@@ -182,7 +182,7 @@
                 if unlimited or limited
                 else self._availability.ready_in_s(job, now)
             ),
-            limited_per_s=self._availability.limited_per_s(limited),
+            limited_per_s=self._availability.limited_per_s(limited, now),
             limited_waiting=self._availability.limited_waiting(limited),
         )
         if limited and not unlimited:
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -437,8 +437,10 @@
             job.tried.remove(server_id)
         elif failure.misdirected:
             self._record_misdirected(job, state, now)
-        elif failure.not_run and state.pauses(now):
-            # It may be tried again after the pause.
+        elif failure.not_run and (
+            state.pauses(now) or failure.reason == server_call.BECAME_COLD
+        ):
+            # It may be tried again after the pause, or with a permit.
             job.tried.remove(server_id)
         elif not failure.unreachable and (
             failure.reason != 'caller disconnected or deadline passed'
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import server_limits as limits
 from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.http import outgoing
@@ -31,6 +32,10 @@
     max_idle_s: float
 
 
+# Reason of an attempt that was dropped as its server became cold.
+BECAME_COLD = 'the server has just started and needs a permit'
+
+
 class NotSent(Exception):
     """The server wants no requests any more; nothing was sent."""
 
@@ -68,9 +73,11 @@
 
         Raises:
             ConnectionBroken: No connection could be established.
-            NotSent: The server asked for a pause in the meantime.
+            NotSent: The server asked for a pause in the meantime, or has
+                become cold.
         """
-        self._reachability.record_request_start(anyio.current_time())
+        started_at = anyio.current_time()
+        self._reachability.record_request_start(started_at)
         self._is_open = True
         self._conn = await self._pool.acquire(
             self._state.server.address, max_idle_s
@@ -78,6 +85,11 @@
         if self._state.pauses(anyio.current_time()):
             await self.keep_connection()
             raise NotSent('the server asked for a pause')
+        if self._state.limit.cold.began_since(
+            started_at, anyio.current_time()
+        ):
+            await self.keep_connection()
+            raise NotSent(BECAME_COLD)
 
     async def send(self, request):
         """Send a ServerRequest and return the head of its response.
@@ -178,6 +190,12 @@
             sent_at,
             anyio.current_time(),
         )
+    cold_servers.record_response(
+        state,
+        response.cold_remaining_s,
+        attempt_id,
+        anyio.current_time(),
+    )
     _record_limit(state, response, attempt_id)
 
 
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -31,6 +31,9 @@
         load_window_s: Window of the weight store's load rate in seconds.
         cpu_cores: Processor time that the instance may use, in cores.
         link_mbps: Rate of its network link in Mbit/s.
+        cold_overage: Factor by which a cold server may get more requests in
+            one second than its service states, None for no cold limit.
+        cold_slack: Further requests that it may get in one second, or None.
     """
 
     instance: str
@@ -50,3 +53,5 @@
     load_window_s: float
     cpu_cores: float
     link_mbps: float
+    cold_overage: float | None = None
+    cold_slack: float | None = None
--- a/packages/gateway/tests/control/test_prober.py
+++ b/packages/gateway/tests/control/test_prober.py
@@ -5,6 +5,7 @@
 from wagtailtide_core.retries import fate
 from wagtailtide_gateway.control import prober
 from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.decisions import cold_servers
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_testing import virtual_time
@@ -60,6 +61,22 @@
     return found, view, pool
 
 
+class ReachableTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_server_that_is_reachable_again_counts_as_cold(self):
+        # Guards against requests without permits to a new process whose entry
+        # is not known yet.
+        found, view, _ = make_prober()
+        state, rule = view.states['s0'], cold_servers.make_rule(3, 8, 1.5, 5)
+        state.limit.cold = cold_servers.ColdStart(lambda: rule)
+        await found.record_failed(state, 'refused')
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(found.run)
+            await anyio.sleep(1.0)
+            tg.cancel_scope.cancel()
+        self.assertTrue(state.limit.cold.is_limited(anyio.current_time()))
+
+
 class FindsPathTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_few_servers_are_probed_if_one_crashed(self):
