gateway: Send requests only to engines that have memory for them

Cause: an engine whose requests need more tokens than it has memory for preempts some of them or crashes. Slots alone decided.

Where the others want more of an engine than it has free until they learn of each other, each request may use a share of its engines. A request that fits into no engine gets request_too_large.

--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -336,6 +336,7 @@
                 'leaving': state.server.leaving,
                 'own_load': state.own_load,
                 'others_load': state.others_load,
+                **shared_state.engine_memory.held(state),
                 'limit_per_s': state.limit.per_s,
                 'cold_per_s': state.limit.cold.per_s(now),
                 'failure_rate': shared_state.servers.health.failure_rate(
--- a/packages/gateway/src/wagtailtide_gateway/model/deployment.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/deployment.py
@@ -99,6 +99,8 @@
         loads_per_s: Loads a second that the weight store allows for all
             engines together.
         models: Models by name.
+        kv_capacity_tokens: Tokens of requests that an engine has memory for,
+            0 if the configuration does not state it.
     """
 
     slots: int
@@ -106,6 +108,7 @@
     adapter_slots: int
     loads_per_s: float
     models: Mapping[str, Model]
+    kv_capacity_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -43,9 +43,11 @@
         servers: ServerView of the instance.
         peers: PeerDirectory of the instance.
         exchange: Exchange with the leader.
+        memory: EngineMemory of the instance.
     """
 
-    def __init__(self, cfg, servers, peers, exchange):
+    def __init__(self, cfg, servers, peers, exchange, memory):
+        self._memory = memory
         self._cfg = cfg
         self._peers = peers
         self._servers = servers
@@ -130,8 +132,17 @@
         """
         now = anyio.current_time()
         candidates = [self._candidate(state, now) for state in capable]
+        fitting = self._memory.fitting(
+            job,
+            capable,
+            self._exchange.instances,
+            self.service_time_s(job),
+        )
         best = server_choice.choose_server(
-            candidates, self._cfg.zone, job.prefix_hash, random.random
+            [c for c in candidates if c.id in fitting],
+            self._cfg.zone,
+            job.prefix_hash,
+            random.random,
         )
         if best is None or best.load >= admission.load_limit(
             job.priority,
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -35,7 +35,11 @@
         self._shared_state = shared_state
         self._exchange = exchange
         self._availability = availability.Availability(
-            cfg, shared_state.servers, shared_state.peers, exchange
+            cfg,
+            shared_state.servers,
+            shared_state.peers,
+            exchange,
+            shared_state.engine_memory,
         )
         self._retry_schedule = retry_schedule.RetrySchedule()
 
@@ -51,6 +55,7 @@
                 unknown or this instance is stopping. It has not been sent to
                 a further server.
         """
+        self._shared_state.engine_memory.require_possible(job)
         waiter, started_at = None, anyio.current_time()
         wait_timeout_at = None
         try:
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -66,6 +66,7 @@
         self._caller_port = caller_port
         self._backend_port = backend_port
         self._shared_state = shared_state
+        self._memory = shared_state.engine_memory
         self._pool = pool
         self._exchange = exchange
         self._quarantine = quarantine
@@ -399,6 +400,7 @@
         # Until the outcome is known, the request may have run.
         job.possible_runs += 1
         state.own_load += 1
+        job.held_tokens = self._memory.record_start(job, state)
         self._quarantine.record_started(job, state.server.id)
         if job.req.model is not None:
             self._shared_state.demand.record_start(*job.demand_key)
@@ -411,6 +413,7 @@
         now = anyio.current_time()
         server_id = state.server.id
         state.own_load -= 1
+        self._memory.record_end(state, job.held_tokens)
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
         broken = bool(failure) and failure.broken
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -60,6 +60,11 @@
         has_proved_parts: Whether the server that it is in has answered it for
             long enough to show that its parts are sound.
         stream_end: StreamEnd of the last server that sent its stream, or None.
+        held_tokens: Tokens that count for it in the server that it is in.
+        memory_window: Number of the window in which its tokens were last
+            counted as wanted.
+        memory_chances: Its chances to use engines whose memory is scarce, by
+            server id, in this window.
     """
 
     req: request.CallerRequest
@@ -85,6 +90,9 @@
     first_byte_at: float | None = None
     has_proved_parts: bool = False
     stream_end: StreamEnd | None = None
+    held_tokens: int = 0
+    memory_window: int | None = None
+    memory_chances: dict = dataclasses.field(default_factory=dict)
 
     @property
     def time_left_s(self):
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -10,6 +10,7 @@
 from wagtailtide_gateway.control import config
 from wagtailtide_gateway.control import demand
 from wagtailtide_gateway.control import digests
+from wagtailtide_gateway.control import engine_memory
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import peers
 from wagtailtide_gateway.control import sections
@@ -45,6 +46,7 @@
         adapter_requests: Adapters that waiting requests need.
         stream_origins: StreamOrigins, versions that began streams.
         sections: Sections, what single features exchange with the leader.
+        engine_memory: EngineMemory, tokens of requests in engines.
     """
 
     def __init__(self, port, clock):
@@ -61,6 +63,8 @@
         self.adapter_requests = set()
         self.stream_origins = stream_origins.StreamOrigins()
         self.sections = sections.Sections()
+        self.engine_memory = engine_memory.EngineMemory(self.servers)
+        self.sections.add(self.engine_memory.section())
         self.peers = peers.PeerDirectory()
         self.part_crashes = prompt_parts.PartQuarantine()
         self._unreported_crashes = []
--- /dev/null
+++ b/packages/gateway/tests/control/test_engine_memory.py
@@ -0,0 +1,128 @@
+import types
+import unittest
+
+import anyio
+from wagtailtide_core.errors import kinds
+from wagtailtide_gateway.control import engine_memory
+from wagtailtide_gateway.control import servers
+from wagtailtide_testing import virtual_time
+
+from tests import builders
+
+CAPACITY = 100_000
+
+
+def make_memory(process_start_ms=1):
+    residency = builders.make_residency(['m1'], process_start_ms)
+    state = servers.ServerState(builders.make_server(residency=residency))
+    view = types.SimpleNamespace(states={'s1': state})
+    return engine_memory.EngineMemory(view), state
+
+
+def make_job(tokens=10_000, capacity=CAPACITY):
+    engine = types.SimpleNamespace(kv_capacity_tokens=capacity, slots=10)
+    return types.SimpleNamespace(
+        service=types.SimpleNamespace(name='engines', engine=engine),
+        req=types.SimpleNamespace(tokens=tokens, attempt_id='a1'),
+        demand_key=('engines', 'm1'),
+        memory_window=None,
+        memory_chances={},
+    )
+
+
+def exchange(leader, memory, name='front-1'):
+    """Report from a memory to a leader; return the update for another."""
+    now = anyio.current_time()
+    leader.section().receive(name, memory.section().make_report(), now)
+    return leader.section().make_update('front-2', now)
+
+
+class EngineMemoryTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_tokens_of_one_instance_reach_the_others(self):
+        first, first_state = make_memory()
+        second, second_state = make_memory()
+        leader, _ = make_memory()
+        for _ in range(9):
+            first.record_start(make_job(), first_state)
+        update = exchange(leader, first)
+        self.assertEqual(update[0], {'s1': 90_000})
+        second.section().apply(update, anyio.current_time())
+        self.assertFalse(second.fitting(make_job(), [second_state], 2, 1.5))
+
+    @virtual_time.run_without_io
+    async def test_ended_request_frees_its_tokens(self):
+        memory, state = make_memory()
+        tokens = memory.record_start(make_job(95_000), state)
+        self.assertFalse(memory.fitting(make_job(), [state], 1, 1.5))
+        memory.record_end(state, tokens)
+        self.assertEqual(memory.fitting(make_job(), [state], 1, 1.5), {'s1'})
+
+    @virtual_time.run_without_io
+    async def test_tokens_in_a_process_that_ended_are_not_reported(self):
+        memory, state = make_memory()
+        memory.record_start(make_job(), state)
+        new = builders.make_residency(['m1'], 2)
+        memory._servers.states['s1'] = servers.ServerState(
+            builders.make_server(residency=new)
+        )
+        self.assertEqual(memory.section().make_report()[0], {})
+
+    @virtual_time.run_without_io
+    async def test_request_that_fits_no_engine_is_rejected_at_once(self):
+        memory, _ = make_memory()
+        with self.assertRaises(kinds.ServingError) as caught:
+            memory.require_possible(make_job(CAPACITY + 1))
+        self.assertIs(caught.exception.kind, kinds.ErrorKind.REQUEST_TOO_LARGE)
+        memory.require_possible(make_job(CAPACITY))
+        memory.require_possible(make_job(None))
+
+    @virtual_time.run_without_io
+    async def test_engines_without_a_stated_memory_have_no_limit(self):
+        memory, state = make_memory()
+        job = make_job(10**9, capacity=0)
+        memory.require_possible(job)
+        self.assertEqual(memory.record_start(job, state), 0)
+        self.assertEqual(memory.fitting(job, [state], 9, 1.5), {'s1'})
+
+    @virtual_time.run_without_io
+    async def test_what_others_want_reaches_an_instance(self):
+        first, state = make_memory()
+        leader, _ = make_memory()
+        first.fitting(make_job(), [state], 2, 1.5)
+        rows = exchange(leader, first)[1]
+        self.assertEqual([row[:2] for row in rows], [['engines', 'm1']])
+        self.assertGreater(rows[0][2], 0.0)
+
+    @virtual_time.run_without_io
+    async def test_waiting_request_counts_as_wanted_once_in_a_window(self):
+        memory, state = make_memory()
+        job = make_job()
+        for _ in range(5):
+            memory.fitting(job, [state], 2, 1.5)
+        self.assertEqual(memory._wanted['engines', 'm1'], 10_000)
+
+    @virtual_time.run_without_io
+    async def test_silent_instance_is_forgotten(self):
+        memory, state = make_memory()
+        leader, _ = make_memory()
+        memory.record_start(make_job(), state)
+        exchange(leader, memory)
+        await anyio.sleep(engine_memory.REPORT_TTL_S + 0.1)
+        other, _ = make_memory()
+        self.assertEqual(exchange(leader, other, 'front-3'), [{}, []])
+
+    @virtual_time.run_without_io
+    async def test_malformed_section_leaves_the_reports_as_they_were(self):
+        memory, state = make_memory()
+        leader, _ = make_memory()
+        memory.record_start(make_job(), state)
+        before = exchange(leader, memory)
+        for value in (7, [{}], [{'s1': -1}, []], [{'s1': 1.5}, []]):
+            with (
+                self.subTest(value=value),
+                self.assertRaises((TypeError, ValueError)),
+            ):
+                leader.section().receive('front-1', value, 0.0)
+        now = anyio.current_time()
+        self.assertEqual(leader.section().make_update('front-2', now), before)
--- /dev/null
+++ b/packages/gateway/tests/decisions/test_engine_memory.py
@@ -0,0 +1,126 @@
+import unittest
+
+from wagtailtide_gateway.decisions import engine_memory
+
+from tests.decisions import memory_fleet
+
+CAPACITY = 100_000
+SEEDS = range(2)
+
+
+def make_sizes(*tokens):
+    sizes = engine_memory.RequestSizes(5_000)
+    for count in tokens:
+        sizes.record(count)
+    return sizes
+
+
+def make_others(tokens=0, **changes):
+    fields = {
+        'tokens': tokens,
+        'load': 0,
+        'age_s': 0.5,
+        'instances': 9,
+        'wanted_per_s': 0.0,
+        'service_s': 1.5,
+    }
+    return engine_memory.Others(**fields | changes)
+
+
+def fits(tokens, own=0, others=None, chance=0.5):
+    return engine_memory.fits(
+        tokens,
+        own,
+        others or make_others(),
+        make_sizes(2_000),
+        CAPACITY,
+        chance,
+    )
+
+
+class FleetTest(unittest.TestCase):
+    """Replays the first deployment, unless stated otherwise."""
+
+    def check_bound(self, **changes):
+        for seed in SEEDS:
+            replay = memory_fleet.Replay(memory_fleet.Load(**changes), seed)
+            replay.run()
+            with self.subTest(seed=seed):
+                self.assertLessEqual(replay.most, memory_fleet.CAPACITY)
+                yield replay
+
+    def test_engines_hold_the_requests_of_the_deployment(self):
+        # Without the shares, all instances choose the engine that seemed
+        # empty, which gets several times its memory.
+        for replay in self.check_bound(arrivals_per_s=400.0):
+            self.assertGreater(replay.served, 0.9 * 4_000)
+
+    def test_engines_hold_the_requests_of_an_overload(self):
+        for _ in self.check_bound(arrivals_per_s=700.0):
+            pass
+
+    def test_one_instance_fills_its_engines_exactly(self):
+        load = {'instances': 1, 'engines': 3, 'sizes': (8_000,)}
+        for replay in self.check_bound(**load, arrivals_per_s=80.0):
+            self.assertGreater(replay.most, 0.8 * memory_fleet.CAPACITY)
+
+    def test_engines_hold_requests_that_are_large_beside_their_memory(self):
+        for _ in self.check_bound(sizes=(8_000,), arrivals_per_s=300.0):
+            pass
+
+
+class FitsTest(unittest.TestCase):
+    def test_tokens_of_this_instance_count_at_once(self):
+        self.assertTrue(fits(10_000, own=80_000))
+        self.assertFalse(fits(10_000, own=95_000))
+
+    def test_tokens_of_others_count(self):
+        self.assertFalse(fits(10_000, others=make_others(90_000)))
+
+    def test_request_as_large_as_the_memory_fits_into_an_empty_engine(self):
+        # Guards against a margin that refuses it for ever.
+        self.assertTrue(fits(CAPACITY))
+        self.assertFalse(fits(CAPACITY + 1))
+
+    def test_unknown_tokens_of_others_count_by_their_requests(self):
+        # Guards against taking silence for an empty engine.
+        unknown = make_others(None, load=45)
+        self.assertFalse(fits(2_000, others=unknown))
+
+    def test_old_tokens_of_others_get_a_larger_margin(self):
+        fresh = make_others(70_000, load=30)
+        old = make_others(70_000, load=30, age_s=3.0)
+        self.assertTrue(fits(10_000, others=fresh))
+        self.assertFalse(fits(10_000, others=old))
+
+    def test_few_requests_use_an_engine_that_all_want(self):
+        wanted = make_others(0, wanted_per_s=2_000_000.0)
+        self.assertTrue(fits(2_000, others=wanted, chance=0.0))
+        self.assertFalse(fits(2_000, others=wanted, chance=0.2))
+
+
+class ChancesTest(unittest.TestCase):
+    def test_chances_of_a_request_are_spread_over_its_engines(self):
+        # Guards against a request that may use no engine by bad luck.
+        for number in range(50):
+            chances = engine_memory.chances(number, 'abcd', 0)
+            self.assertEqual(
+                [int(4 * chance) for chance in sorted(chances.values())],
+                [0, 1, 2, 3],
+            )
+
+    def test_chances_at_an_engine_are_even(self):
+        # Guards against a hash that prefers some engines.
+        chances = [
+            engine_memory.chances(number, 'abcd', 0)['b']
+            for number in range(2_000)
+        ]
+        for limit in (0.1, 0.5, 0.9):
+            share = sum(chance < limit for chance in chances) / len(chances)
+            self.assertAlmostEqual(share, limit, delta=0.05)
+
+
+class SizesTest(unittest.TestCase):
+    def test_unknown_size_is_never_zero(self):
+        self.assertEqual(make_sizes().mean, 5_000)
+        self.assertEqual(make_sizes(1_000, 3_000).mean, 2_000)
