gateway: Limit what the kernel keeps for a slow client

Cause: the kernel kept up to 4 MB for each client that reads slowly. The smallest instance has 152 MB.

Change: the send buffer of a client's connection is 256 KiB (twice that in the kernel).

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -386,6 +386,7 @@
 
     async def _serve_connection(self, stream):
         sockets.enable_keepalive(stream)
+        sockets.limit_send_buffer(stream)
         conn = CallerConnection(
             stream, self._handle, self._limits(), self._stopping
         )
--- a/packages/gateway/src/wagtailtide_gateway/http/sockets.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/sockets.py
@@ -16,6 +16,18 @@
 KEEPALIVE_PROBES = 2
 
 
+# Bytes that the kernel keeps for a peer that reads slowly; it allows for as
+# many again for its own data. Unlimited it keeps up to 4 MB, and the smallest
+# instance has 152 MB for all peers. It covers 20 ms at 100 Mbit/s.
+SEND_BUFFER_BYTES = 262_144
+
+
+def limit_send_buffer(stream):
+    """Limit what the kernel keeps for a peer that reads slowly."""
+    sock = stream.extra(SocketAttribute.raw_socket)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
 def enable_keepalive(stream):
     """Make the kernel close a connection whose peer is unreachable."""
     sock = stream.extra(SocketAttribute.raw_socket)
