--- a/packages/gateway/src/wagtailtide_gateway/control/evacuations.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/evacuations.py
@@ -30,14 +30,11 @@
 def is_cold(state, now):
     """Return whether a server has started so recently that it is cold.
 
-    Servers do not state it yet, so none counts as cold.
-
     Args:
         state: ServerState of the server.
         now: Time in seconds.
     """
-    del state, now
-    return False
+    return state.limit.cold.is_limited(now)
 
 
 class EvacuationView:
@@ -47,6 +44,8 @@
         bound_s: Seconds after which no request may reach an evacuated zone,
             None if zones cannot be evacuated.
         on_change: Function that is called when the evacuated zones change.
+        on_return: Function that is called with each zone that returns, before
+            its servers may be used.
 
     Attributes:
         bound_s: The same.
@@ -56,8 +55,14 @@
         requests: Number of requests in the servers of each of these zones.
     """
 
-    def __init__(self, bound_s=None, on_change=lambda: None):
+    def __init__(
+        self,
+        bound_s=None,
+        on_change=lambda: None,
+        on_return=lambda zone: None,
+    ):
         self.bound_s = bound_s
+        self._on_return = on_return
         self.is_known = not self.is_enabled
         self.zone_states = {}
         self.requests = collections.Counter()
@@ -147,6 +152,8 @@
                     zone, previous.get(zone), revisions.get(zone), source
                 )
         self._ignored &= revisions.keys()
+        for zone in previous.keys() - revisions.keys():
+            self._on_return(zone)
         self._on_change()
 
     def observe(self, servers, now):
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -1,5 +1,6 @@
 """One instance of the gateway: startup, background tasks and shutdown."""
 
+import functools
 import logging
 import signal
 import time
@@ -9,6 +10,7 @@
 from wagtailtide_gateway import metrics as metrics_
 from wagtailtide_gateway import shared_state as shared_state_
 from wagtailtide_gateway.control import cluster_state as cluster_state_
+from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import engine_controller
 from wagtailtide_gateway.control import evacuation_sync
 from wagtailtide_gateway.control import evacuations
@@ -75,12 +77,15 @@
         self._tasks = []
         self.metrics = metrics_.Metrics()
         self.shared_state = shared_state_.SharedState(
-            store_port, clock, cfg.evacuation_s
+            store_port, clock, cfg.evacuation_s, cfg.limits_engine_memory
         )
         if cfg.evacuation_s is not None:
             self.shared_state.sections.add(
                 evacuations.make_section(self.shared_state.evacuations)
             )
+        self.shared_state.servers.cold_rule_of = functools.partial(
+            cold_servers.rule_of, cfg, self.shared_state.config
+        )
         self._pool = outgoing.ConnectionPool()
         client = store.StoreClient(
             store_port, cfg.store, outgoing.ConnectionPool(), self.metrics
@@ -99,6 +104,11 @@
             self.leadership,
             self.shared_state.sections,
         )
+        self.shared_state.sections.add(
+            cold_servers.ColdServers(
+                self.shared_state.servers, self.cluster.others_waiting
+            ).section()
+        )
         self.exchange = exchanges.Exchange(
             self.leadership,
             self.cluster,
@@ -404,9 +414,11 @@
                 'leaving': state.server.leaving,
                 'own_load': state.own_load,
                 'others_load': state.others_load,
+                **shared_state.engine_memory.held(state),
                 'limit_per_s': state.limit.per_s,
                 'slots_share': state.capacity.slots_share,
                 'slowdown': state.capacity.slowdown,
+                'cold_per_s': state.limit.cold.per_s(now),
                 'failure_rate': shared_state.servers.health.failure_rate(
                     server_id, now
                 ),
--- a/packages/gateway/src/wagtailtide_gateway/model/deployment.py
+++ b/packages/gateway/src/wagtailtide_gateway/model/deployment.py
@@ -99,6 +99,8 @@
         loads_per_s: Loads a second that the weight store allows for all
             engines together.
         models: Models by name.
+        kv_capacity_tokens: Tokens of requests that an engine has memory for,
+            0 if the configuration does not state it.
     """
 
     slots: int
@@ -106,6 +108,7 @@
     adapter_slots: int
     loads_per_s: float
     models: Mapping[str, Model]
+    kv_capacity_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,11 +119,16 @@
         name: Name of the service.
         connection_limit: Limit on connections, from the configuration.
         engine: Properties of its engines, None for a plain service.
+        cold_start_s: Seconds for which a server is cold after its start.
+        cold_per_s: Requests a second that a cold server takes from all
+            instances, 0 if the service has no cold servers.
     """
 
     name: str
     connection_limit: int
     engine: Engine | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -35,7 +35,11 @@
         self._shared_state = shared_state
         self._exchange = exchange
         self._availability = availability.Availability(
-            cfg, shared_state.servers, shared_state.peers, exchange
+            cfg,
+            shared_state.servers,
+            shared_state.peers,
+            exchange,
+            shared_state.engine_memory,
         )
         self._retry_schedule = retry_schedule.RetrySchedule()
 
@@ -51,6 +55,7 @@
                 unknown or this instance is stopping. It has not been sent to
                 a further server.
         """
+        self._shared_state.engine_memory.require_possible(job)
         waiter, started_at = None, anyio.current_time()
         wait_timeout_at = None
         try:
@@ -146,7 +151,7 @@
         limits = [state.limit for state in limited]
         if waiter.limit not in limits:
             waiter.wait_for_permit(
-                min(limits, key=lambda limit: limit.queue_s, default=None)
+                min(limits, key=lambda x: x.queue_order(now), default=None)
             )
         if waiter.limit is not None and waiter.limit.start_permit_request(now):
             self._exchange.start_now()
@@ -184,7 +189,7 @@
                 if unlimited or limited
                 else self._availability.ready_in_s(job, now)
             ),
-            limited_per_s=self._availability.limited_per_s(limited),
+            limited_per_s=self._availability.limited_per_s(limited, now),
             limited_waiting=self._availability.limited_waiting(limited),
         )
         if limited and not unlimited:
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -70,6 +70,7 @@
         self._caller_port = caller_port
         self._backend_port = backend_port
         self._shared_state = shared_state
+        self._memory = shared_state.engine_memory
         self._pool = pool
         self._exchange = exchange
         self._quarantine = quarantine
@@ -408,6 +409,7 @@
         # Until the outcome is known, the request may have run.
         job.possible_runs += 1
         state.own_load += 1
+        job.held_tokens = self._memory.record_start(job, state)
         self._quarantine.record_started(job, state.server.id)
         if job.req.model is not None:
             self._shared_state.demand.record_start(*job.demand_key)
@@ -423,6 +425,7 @@
             job.tracker.end(now)
             job.tracker = None
         state.own_load -= 1
+        self._memory.record_end(state, job.held_tokens)
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
         broken = bool(failure) and failure.broken
@@ -449,8 +452,14 @@
             job.tried.remove(server_id)
         elif failure.misdirected:
             self._record_misdirected(job, state, now)
-        elif failure.evacuated or (failure.not_run and state.pauses(now)):
-            # It may be tried again after the pause, or once the zone is back.
+        elif failure.evacuated or (
+            failure.not_run
+            and (
+                state.pauses(now) or failure.reason == server_call.BECAME_COLD
+            )
+        ):
+            # It may be tried again after the pause, with a permit, or once
+            # the zone is back.
             job.tried.remove(server_id)
         elif not failure.unreachable and (
             failure.reason != 'caller disconnected or deadline passed'
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -61,6 +61,11 @@
             long enough to show that its parts are sound.
         stream_end: StreamEnd of the last server that sent its stream, or None.
         tracker: Tracker of the current attempt, None if it is not tracked.
+        held_tokens: Tokens that count for it in the server that it is in.
+        memory_window: Number of the window in which its tokens were last
+            counted as wanted.
+        memory_chances: Its chances to use engines whose memory is scarce, by
+            server id, in this window.
     """
 
     req: request.CallerRequest
@@ -87,6 +92,9 @@
     has_proved_parts: bool = False
     stream_end: StreamEnd | None = None
     tracker: object | None = None
+    held_tokens: int = 0
+    memory_window: int | None = None
+    memory_chances: dict = dataclasses.field(default_factory=dict)
 
     @property
     def time_left_s(self):
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -35,6 +35,11 @@
             evacuated zone, None if zones cannot be evacuated.
         learns_capacity: Whether the load that each server sustains is learned
             from its responses.
+        limits_engine_memory: Whether requests go only to engines that have
+            memory for their tokens.
+        cold_overage: Factor by which a cold server may get more requests in
+            one second than its service states, None for no cold limit.
+        cold_slack: Further requests that it may get in one second, or None.
     """
 
     instance: str
@@ -56,3 +61,6 @@
     link_mbps: float
     evacuation_s: float | None = None
     learns_capacity: bool = False
+    limits_engine_memory: bool = False
+    cold_overage: float | None = None
+    cold_slack: float | None = None
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -10,6 +10,7 @@
 from wagtailtide_gateway.control import config
 from wagtailtide_gateway.control import demand
 from wagtailtide_gateway.control import digests
+from wagtailtide_gateway.control import engine_memory
 from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import messages
 from wagtailtide_gateway.control import peers
@@ -49,15 +50,22 @@
         adapter_requests: Adapters that waiting requests need.
         stream_origins: StreamOrigins, versions that began streams.
         sections: Sections, what single features exchange with the leader.
+        engine_memory: EngineMemory, tokens of requests in engines.
     """
 
-    def __init__(self, port, clock, evacuation_s=None):
+    def __init__(
+        self, port, clock, evacuation_s=None, limits_engine_memory=False
+    ):
         self.wait_queues = wait_queue.WaitQueues()
         self.config = config.ConfigView(
             port.decode_config, clock, self.wait_queues.wake
         )
         self.evacuations = evacuations.EvacuationView(
-            evacuation_s, self.wait_queues.wake
+            evacuation_s,
+            self.wait_queues.wake,
+            lambda zone: self.servers.note_zone_returned(
+                zone, anyio.current_time()
+            ),
         )
         self.servers = servers.ServerView(
             port.decode_server, self.wait_queues.wake, self.evacuations
@@ -68,6 +76,11 @@
         self.adapter_requests = set()
         self.stream_origins = stream_origins.StreamOrigins()
         self.sections = sections.Sections()
+        self.engine_memory = engine_memory.EngineMemory(
+            self.servers, limits_engine_memory
+        )
+        if limits_engine_memory:
+            self.sections.add(self.engine_memory.section())
         self.peers = peers.PeerDirectory()
         self.part_crashes = prompt_parts.PartQuarantine()
         self._unreported_crashes = []
--- a/packages/gateway/tests/control/test_evacuations.py
+++ b/packages/gateway/tests/control/test_evacuations.py
@@ -7,6 +7,7 @@
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.decisions import cold_servers
 
 from tests import builders
 
@@ -200,6 +201,24 @@
             cold.clear()
             self.assertEqual(self.states()['z1'], 'in_use')
 
+    def test_servers_of_a_returning_zone_are_limited_at_once(self):
+        # Guards against the callers who waited overrunning servers that have
+        # become cold meanwhile: their entries show it only later.
+        rule = cold_servers.make_rule(3.0, 8.0, 1.5, 5.0)
+        self.servers.cold_rule_of = lambda service: rule
+        view = evacuations.EvacuationView(
+            BOUND_S,
+            on_return=lambda zone: self.servers.note_zone_returned(zone, 2.0),
+        )
+        list_zones(view, 3, 1.0, 'z1')
+        list_zones(view, 4, 2.0)
+        limits = {
+            server_id: state.limit.cold.per_s(2.1)
+            for server_id, state in self.servers.states.items()
+        }
+        self.assertEqual(limits, {'z1': rule.permits_per_s, 'z2': None})
+        self.assertTrue(evacuations.is_cold(self.servers.states['z1'], 2.1))
+
     def test_state_is_kept_while_the_servers_are_gone(self):
         # Guards against a zone that is forgotten because all its servers stop.
         list_zones(self.view, 3, 1.0, 'z1')
