gateway: Predict the wait from what waits at all instances

predict_wait_s took each other instance to have as many requests waiting as this one. With 124 instances, a few of which get a burst, the prediction was up to 31 times too long, and requests were rejected that could be served.

Section 2 now carries what waits and arrives by service, model and priority, and the recent work by organisation. Each report has the whole state of its instance (arrival rates and work as decayed sums), so a lost report or a new leader needs no correction.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -48,6 +48,8 @@
         limited_per_s: Requests a second that the servers which state a limit
             take in addition. They are not counted in slots and load.
         limited_waiting: Requests of other instances that wait for these.
+        others_ahead: Requests that wait at other instances ahead of this one,
+            as reported; None if it is not known.
     """
 
     slots: float
@@ -58,6 +60,7 @@
     ready_in_s: float = 0.0
     limited_per_s: float = 0.0
     limited_waiting: int = 0
+    others_ahead: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,16 +103,20 @@
 def predict_wait_s(pool):
     """Return how many seconds a request that arrives now would wait.
 
-    A full pool finishes slots / service_s requests a second. Each other
-    instance is assumed to have as many requests waiting as this one, unless
-    all servers state limits: then the leader counts them.
+    A full pool finishes slots / service_s requests a second. What waits at
+    the other instances is reported. If it is not known, each of them is
+    assumed to have as many requests waiting as this one, unless all servers
+    state limits: then the leader counts them.
     """
     starts_per_s = throughput(pool)
     if starts_per_s <= 0:
         return pool.ready_in_s
     if pool.slots > 0:
         backlog = max(0.0, pool.load - pool.slots)
-        backlog += pool.waiting_ahead * pool.instances
+        if pool.others_ahead is None:
+            backlog += pool.waiting_ahead * pool.instances
+        else:
+            backlog += pool.waiting_ahead + pool.others_ahead
     else:
         backlog = 1 + pool.waiting_ahead + pool.limited_waiting
     return pool.ready_in_s + backlog / starts_per_s
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -66,7 +66,9 @@
         self._ready_path = caller_port.ready_path
         self._stop_requested = anyio.Event()
         self.metrics = metrics_.Metrics()
-        self.shared_state = shared_state_.SharedState(store_port, clock)
+        self.shared_state = shared_state_.SharedState(
+            store_port, clock, cfg.schedules_shares
+        )
         self._pool = outgoing.ConnectionPool()
         client = store.StoreClient(
             store_port, cfg.store, outgoing.ConnectionPool(), self.metrics
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -38,6 +38,7 @@
             cfg, shared_state.servers, shared_state.peers, exchange
         )
         self._retry_schedule = retry_schedule.RetrySchedule()
+        self._scheduler = shared_state.scheduler
 
     async def find(self, job):
         """Return the ServerState of the server that should run a request.
@@ -74,7 +75,7 @@
                     ):
                         raise self._refusal(job, decision)
                 if waiter is None:
-                    waiter = self._join_queue(job)
+                    waiter = self._join_queue(job, decision)
                     timeout_s = WAIT_TIMEOUT_FACTOR * decision.wait_s
                     wait_timeout_at = now + timeout_s + WAIT_TIMEOUT_EXTRA_S
                 await self._wait(job, waiter)
@@ -82,6 +83,8 @@
             if waiter is not None:
                 self._wait_queues.remove(job.service.name, waiter)
                 waiter.wait_for_permit(None)
+                if self._scheduler is not None:
+                    self._scheduler.record_leave(job)
                 job.waited_s += anyio.current_time() - started_at
                 if job.req.model is not None:
                     self._demand.record_wait_end(*job.demand_key)
@@ -121,7 +124,11 @@
         if not self._availability.capable(job, anyio.current_time()):
             job.tried.clear()
 
-    def _join_queue(self, job):
+    def _join_queue(self, job, decision):
+        if self._scheduler is not None:
+            self._scheduler.record_join(
+                job, decision.wait_s, self._exchange.instances
+            )
         if job.req.model is not None:
             self._demand.record_wait(*job.demand_key)
             self._exchange.start_now()
@@ -189,6 +196,8 @@
             pool = admission.with_other_server(
                 pool, self._availability.other_server_in_s(job)
             )
+        if self._scheduler is not None:
+            pool = self._scheduler.with_others(pool, job)
         decision = admission.decide(pool, best is not None, job.wait_left_s)
         return best, decision
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -204,6 +204,8 @@
         await self._access.charge(job)
         now = anyio.current_time()
         self._budget.record_request(job.service.name, now)
+        if self._shared_state.scheduler is not None:
+            self._shared_state.scheduler.record_arrival(job)
         if job.req.model is not None:
             self._shared_state.demand.record_arrival(
                 *job.demand_key, job.route.latency_target_s
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -0,0 +1,150 @@
+"""Scheduling of waiting requests by what waits at all instances."""
+
+import collections
+import dataclasses
+
+import anyio
+
+from wagtailtide_gateway.control import sections
+from wagtailtide_gateway.control import waiting_work
+from wagtailtide_gateway.decisions import admission
+from wagtailtide_gateway.decisions import pace
+from wagtailtide_gateway.decisions import scheduling
+
+# Priorities beyond this one are counted as this one, as servers are told.
+LOWEST_PRIORITY = 9
+
+
+@dataclasses.dataclass(slots=True)
+class _QueuedJob:
+    """What was known of the requests ahead when a request was queued.
+
+    Attributes:
+        joined_at: Time in seconds at which it was queued.
+        counted_at: Time in seconds at which those ahead were last counted.
+        others_ahead: Number of those at other instances then.
+        expected_wait_s: Wait that was predicted then.
+    """
+
+    joined_at: float
+    counted_at: float
+    others_ahead: float
+    expected_wait_s: float
+
+
+class Scheduler:
+    """Requests of this instance that wait, and the work of all instances."""
+
+    def __init__(self):
+        self._view = waiting_work.FleetView()
+        self._leader = waiting_work.LeaderWork()
+        self._waiting = collections.Counter()
+        self._org_waiting = collections.Counter()
+        self._arrivals = scheduling.DecayingSums(scheduling.RATE_PERIOD_S)
+        self._usage = scheduling.DecayingSums(scheduling.USAGE_PERIOD_S)
+        self._queued = {}
+
+    def section(self):
+        """Return the Section by which the instances exchange their work."""
+        return sections.Section(
+            number=sections.Number.WAITING_WORK,
+            make_report=self._make_report,
+            receive=self._leader.receive,
+            make_update=self._leader.make_update,
+            apply=self._view.apply,
+            start_term=self._leader.start_term,
+        )
+
+    def _make_report(self):
+        now = anyio.current_time()
+        rates = {
+            key: total / scheduling.RATE_PERIOD_S
+            for key, total in self._arrivals.values(now).items()
+        }
+        return waiting_work.encode_work(
+            waiting_work.Work(
+                waiting=+self._waiting,
+                arrivals_per_s=rates,
+                usage_s=self._usage.values(now),
+                org_waiting=+self._org_waiting,
+            )
+        )
+
+    def record_arrival(self, job):
+        """Count the arrival of a request."""
+        self._arrivals.add(_key(job), 1, anyio.current_time())
+
+    def record_join(self, job, wait_s, instances):
+        """Count a request that starts to wait.
+
+        Args:
+            job: Its Job.
+            wait_s: Predicted wait in seconds.
+            instances: Number of instances.
+        """
+        now = anyio.current_time()
+        others_ahead = self._reported_ahead(job, instances, now)
+        self._queued[id(job)] = _QueuedJob(
+            now, now, others_ahead or 0.0, wait_s
+        )
+        self._waiting[_key(job)] += 1
+        self._org_waiting[_org(job), _priority(job)] += 1
+
+    def record_leave(self, job):
+        """Count a request that no longer waits."""
+        del self._queued[id(job)]
+        self._waiting[_key(job)] -= 1
+        self._org_waiting[_org(job), _priority(job)] -= 1
+
+    def with_others(self, pool, job):
+        """Return an admission.ServerPool with what waits elsewhere."""
+        now = anyio.current_time()
+        ahead = self._reported_ahead(job, pool.instances, now)
+        queued = self._queued.get(id(job))
+        if ahead is None or queued is None:
+            return dataclasses.replace(pool, others_ahead=ahead)
+        # Reports of other instances are up to an interval older than the
+        # update. Until they are all from after the request was queued, it is
+        # counted anew what is ahead of it.
+        settled_at = queued.joined_at + pace.exchange_interval_s(
+            pool.instances
+        )
+        if self._view.reported_at <= settled_at:
+            pool = dataclasses.replace(pool, others_ahead=ahead)
+            queued.counted_at, queued.others_ahead = now, ahead
+            queued.expected_wait_s = admission.predict_wait_s(pool)
+            return pool
+        ahead = scheduling.remaining_ahead(
+            ahead,
+            queued.others_ahead,
+            now - queued.counted_at,
+            queued.expected_wait_s,
+        )
+        return dataclasses.replace(pool, others_ahead=ahead)
+
+    def _reported_ahead(self, job, instances, now):
+        """Return the requests ahead at other instances, None if unknown."""
+        service, model, priority = _key(job)
+        counts = [
+            self._view.waiting((service, model, p), instances, now)
+            for p in range(priority + 1)
+        ]
+        if None in counts:
+            return None
+        part = self._part_ahead(job, now)
+        return sum(counts[:-1]) + part * counts[-1]
+
+    def _part_ahead(self, job, now):
+        return 1.0
+
+
+def _priority(job):
+    return min(max(job.priority, 0), LOWEST_PRIORITY)
+
+
+def _key(job):
+    return job.service.name, job.req.model or '', _priority(job)
+
+
+def _org(job):
+    return job.organisation.name if job.organisation else ''
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -31,6 +31,8 @@
         load_window_s: Window of the weight store's load rate in seconds.
         cpu_cores: Processor time that the instance may use, in cores.
         link_mbps: Rate of its network link in Mbit/s.
+        schedules_shares: Whether waiting requests are ordered by the shares of
+            their organisations, over all instances.
     """
 
     instance: str
@@ -50,3 +52,4 @@
     load_window_s: float
     cpu_cores: float
     link_mbps: float
+    schedules_shares: bool = False
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -17,6 +17,7 @@
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import quota
+from wagtailtide_gateway.serving import scheduler
 from wagtailtide_gateway.serving import wait_queue
 
 LOG = logging.getLogger(__name__)
@@ -31,6 +32,8 @@
     Args:
         port: The StorePort.
         clock: Function that returns seconds, time in suspend included.
+        schedules_shares: Whether waiting requests are scheduled by what waits
+            at all instances, see `Settings.schedules_shares`.
 
     Attributes:
         config: ConfigView, the configuration in force.
@@ -45,9 +48,10 @@
         adapter_requests: Adapters that waiting requests need.
         stream_origins: StreamOrigins, versions that began streams.
         sections: Sections, what single features exchange with the leader.
+        scheduler: Scheduler of the waiting requests, None if it is off.
     """
 
-    def __init__(self, port, clock):
+    def __init__(self, port, clock, schedules_shares=False):
         self.wait_queues = wait_queue.WaitQueues()
         self.config = config.ConfigView(
             port.decode_config, clock, self.wait_queues.wake
@@ -61,6 +65,10 @@
         self.adapter_requests = set()
         self.stream_origins = stream_origins.StreamOrigins()
         self.sections = sections.Sections()
+        self.scheduler = None
+        if schedules_shares:
+            self.scheduler = scheduler.Scheduler()
+            self.sections.add(self.scheduler.section())
         self.peers = peers.PeerDirectory()
         self.part_crashes = prompt_parts.PartQuarantine()
         self._unreported_crashes = []
--- /dev/null
+++ b/packages/gateway/tests/serving/scheduling_fleet.py
@@ -0,0 +1,315 @@
+"""Instances that compete for engines, driven by a replayed load.
+
+The instances run the Finder, its queues and the sections of their exchange
+with a leader. Engines and the network are simulated in virtual time.
+"""
+
+import contextlib
+import dataclasses
+import heapq
+import itertools
+import random
+import types
+
+import anyio
+from wagtailtide_core.errors import kinds
+from wagtailtide_gateway import shared_state
+from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.decisions import pace
+from wagtailtide_gateway.model import deployment
+from wagtailtide_gateway.serving import finder
+
+from tests import builders
+
+MODEL = 'm1'
+SERVICE = deployment.Service(
+    'engines',
+    100,
+    deployment.Engine(
+        12, 200_000.0, 4, 4.0, {MODEL: builders.make_model(MODEL)}
+    ),
+)
+
+# The stream classes of the page: priority, latency target and slot time.
+CLASSES = {
+    'urgent': (0, 0.257, 0.9),
+    'note': (1, 0.411, 0.9),
+    'backlog': (2, 2.507, 0.9),
+}
+
+_NUMBERS = itertools.count()
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What happened to one request.
+
+    Attributes:
+        kind: Name of its class.
+        organisation: Name of its organisation.
+        arrived_at: Time of its arrival.
+        instance: Index of its instance.
+        predicted_s: First predicted wait in seconds.
+        waited_s: Seconds until it got a server.
+        first_event_s: Seconds until its first event, None if it was rejected.
+        rejected_s: Seconds until it was rejected, or None.
+        retry_after_s: Retry-After of its rejection, or None.
+    """
+
+    kind: str
+    organisation: str
+    arrived_at: float
+    instance: int
+    predicted_s: float | None = None
+    waited_s: float = 0.0
+    first_event_s: float | None = None
+    rejected_s: float | None = None
+    retry_after_s: float | None = None
+
+    @property
+    def in_time(self):
+        """Whether its first event came within the latency target."""
+        return (
+            self.first_event_s is not None
+            and self.first_event_s <= CLASSES[self.kind][1]
+        )
+
+
+class Engine:
+    """An engine that runs requests in slots, the most urgent first."""
+
+    def __init__(self, slots):
+        self._free = slots
+        self._queue = []
+
+    async def run(self, priority, service_s):
+        """Run a request; return the seconds that it waited for a slot."""
+        arrived_at = anyio.current_time()
+        if not self._free:
+            started = anyio.Event()
+            row = (priority, next(_NUMBERS), started)
+            heapq.heappush(self._queue, row)
+            try:
+                await started.wait()
+            except BaseException:
+                if row in self._queue:
+                    self._queue.remove(row)
+                    heapq.heapify(self._queue)
+                raise
+        else:
+            self._free -= 1
+        waited_s = anyio.current_time() - arrived_at
+        await anyio.sleep(service_s)
+        if self._queue:
+            heapq.heappop(self._queue)[2].set()
+        else:
+            self._free += 1
+        return waited_s
+
+
+class Instance:
+    """One instance: its state, its Finder and its part of the exchanges."""
+
+    def __init__(self, index, fleet, schedules_shares):
+        cfg = builders.make_settings(
+            instance=f'front-{index}', schedules_shares=schedules_shares
+        )
+        port = types.SimpleNamespace(decode_config=None, decode_server=None)
+        self.name = cfg.instance
+        self.is_cut_off = False
+        self.shared = shared_state.SharedState(port, None, schedules_shares)
+        for server_id in fleet.engines:
+            self.shared.servers.states[server_id] = servers.ServerState(
+                builders.make_server(
+                    server_id,
+                    slots=fleet.slots,
+                    residency=builders.make_residency([MODEL]),
+                )
+            )
+        self.shared.servers.confirm(float('inf'))
+        self.exchange = types.SimpleNamespace(
+            instances=fleet.size,
+            loading_s={},
+            leaderless_instances=None,
+            start_now=lambda: None,
+        )
+        self.finder = finder.Finder(
+            cfg,
+            self.shared,
+            self.exchange,
+            types.SimpleNamespace(check=lambda job: None),
+            lambda: False,
+        )
+
+
+class Fleet:
+    """Instances, engines and a leader.
+
+    Args:
+        size: Number of instances.
+        engines: Number of engines.
+        slots: Slots of each engine.
+        schedules_shares: Whether the instances schedule by shares.
+        older: Number of instances of a build without sections.
+        seed: Seed of the phases of the exchanges and of the load.
+
+    Attributes:
+        outcomes: Outcome of each request.
+        has_leader: Whether a leader answers.
+        lost_reports: Probability that an exchange fails.
+    """
+
+    def __init__(
+        self,
+        size=124,
+        engines=8,
+        slots=12,
+        schedules_shares=True,
+        older=0,
+        seed=1,
+    ):
+        self.size = size
+        self.slots = slots
+        self.rng = random.Random(seed)
+        random.seed(seed)
+        self.engines = {f's{n}': Engine(slots) for n in range(engines)}
+        self.outcomes = []
+        self.has_leader = True
+        self.lost_reports = 0.0
+        self.instances = [
+            Instance(n, self, schedules_shares and n >= older)
+            for n in range(size)
+        ]
+        self._sections = self.instances[-1].shared.sections
+        self._loads = {}
+
+    @property
+    def capacity_per_s(self):
+        """Requests a second that the engines can run."""
+        return len(self.engines) * self.slots / CLASSES['urgent'][2]
+
+    def replace_leader(self):
+        """Let an instance lead that has no reports yet."""
+        self._sections = self.instances[-2].shared.sections
+        self._sections.start_term()
+        self._loads = {}
+        self.has_leader = True
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Run the exchanges; yield the task group for the requests."""
+        async with anyio.create_task_group() as exchanges:
+            for instance in self.instances:
+                exchanges.start_soon(self._exchange, instance)
+            async with anyio.create_task_group() as requests:
+                yield requests
+            exchanges.cancel_scope.cancel()
+
+    async def _exchange(self, instance):
+        interval_s = pace.exchange_interval_s(self.size)
+        await anyio.sleep(self.rng.random() * interval_s)
+        while True:
+            is_lost = self.rng.random() < self.lost_reports
+            if self.has_leader and not instance.is_cut_off and not is_lost:
+                self._answer(instance)
+            await anyio.sleep(interval_s)
+
+    def _answer(self, instance):
+        now = anyio.current_time()
+        states = instance.shared.servers.states
+        own = {server_id: s.own_load for server_id, s in states.items()}
+        self._loads[instance.name] = own
+        report = instance.shared.sections.make_report()
+        self._sections.receive(instance.name, report, now)
+        values = self._sections.make_update(instance.name, now)
+        for server_id, state in states.items():
+            total = sum(loads[server_id] for loads in self._loads.values())
+            state.others_load = total - own[server_id]
+        instance.shared.sections.apply(values, now)
+        instance.shared.wait_queues.wake()
+
+    def make_job(self, kind, organisation, **changes):
+        """Return a job as the Finder reads it."""
+        priority, target_s, _ = CLASSES[kind]
+        now = anyio.current_time()
+        fields = {
+            'req': types.SimpleNamespace(
+                model=MODEL, adapter=None, tokens=900
+            ),
+            'route': builders.make_route(
+                priority=priority, latency_target_s=target_s
+            ),
+            'service': SERVICE,
+            'organisation': builders.make_organisation(name=organisation),
+            'priority': priority,
+            'is_plain': False,
+            'demand_key': (SERVICE.name, MODEL),
+            'software_version': None,
+            'tried': [],
+            'has_response_started': False,
+            'prefix_hash': None,
+            'fingerprint': str(next(_NUMBERS)),
+            'waited_s': 0.0,
+            'limited_servers': 0,
+            'send_count': 0,
+            'first_byte_due_at': now + 4.0,
+        }
+        return _Job(**fields | changes)
+
+    async def request(self, kind, index, organisation='club', **changes):
+        """Serve one request at an instance; return its Outcome."""
+        instance = self.instances[index]
+        now = anyio.current_time()
+        outcome = Outcome(kind, organisation, now, index)
+        self.outcomes.append(outcome)
+        job = self.make_job(kind, organisation, **changes)
+        instance.shared.demand.record_arrival(*job.demand_key, 0.4)
+        scheduler = instance.shared.scheduler
+        if scheduler is not None:
+            scheduler.record_arrival(job)
+        try:
+            state = await instance.finder.find(job)
+        except kinds.ServingError as exc:
+            outcome.rejected_s = anyio.current_time() - now
+            outcome.retry_after_s = exc.retry_after_s
+            return outcome
+        outcome.waited_s = anyio.current_time() - now
+        await self._run(job, instance, state, outcome)
+        return outcome
+
+    async def _run(self, job, instance, state, outcome):
+        _, _, service_s = CLASSES[outcome.kind]
+        started_at = anyio.current_time()
+        scheduler = instance.shared.scheduler
+        state.own_load += 1
+        if scheduler is not None and hasattr(scheduler, 'record_start'):
+            scheduler.record_start(job)
+        queued_s = await self.engines[state.server.id].run(
+            job.priority, service_s
+        )
+        outcome.first_event_s = outcome.waited_s + queued_s
+        state.own_load -= 1
+        elapsed_s = anyio.current_time() - started_at
+        if scheduler is not None and hasattr(scheduler, 'record_end'):
+            scheduler.record_end(job, elapsed_s)
+        instance.shared.servers.record_service_time(SERVICE.name, elapsed_s)
+        instance.shared.wait_queues.wake(SERVICE.name)
+
+    async def arrivals(
+        self, requests, kind, per_s, seconds, among=None, organisation='club'
+    ):
+        """Start requests at random times and instances for some seconds."""
+        among = among or range(self.size)
+        until = anyio.current_time() + seconds
+        while True:
+            await anyio.sleep(self.rng.expovariate(per_s))
+            if anyio.current_time() >= until:
+                return
+            index = self.rng.choice(among)
+            requests.start_soon(self.request, kind, index, organisation)
+
+
+class _Job(types.SimpleNamespace):
+    @property
+    def wait_left_s(self):
+        return self.first_byte_due_at - anyio.current_time()
