gateway: Serve waiting requests in the order of organisations' shares

Each waiting request compared all servers on its own whenever one might be free, and the first task that ran took it: an organisation with many requests got most of the servers, and new requests overtook waiting ones.

FairQueues wakes only the first request for a model, by priority, then the organisation's recent work (slot seconds, expected from tokens at the start and corrected at the end, decayed with 2 s, over all instances) relative to its rate, then whether it can still be in time, then arrival. One that finds no server passes its turn to the next one with other needs.

The predicted wait counts only what goes first by this order, so that one organisation's queue does not get the others rejected.

Bounds: an organisation that was idle goes first for at most 2 s x ln 2 plus one request of each organisation; in the long run the work follows the weights within 2 s of work.

--- a/packages/gateway/src/wagtailtide_gateway/control/waiting_work.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/waiting_work.py
@@ -289,6 +289,17 @@
         left = scheduling.decay(now - self._at, scheduling.USAGE_PERIOD_S)
         return self._fleet.work.usage_s.get(organisation, 0.0) * left
 
+    def org_waiting(self, priority, now):
+        """Return the requests of a priority that wait elsewhere, by name."""
+        fleet = self.fleet(now)
+        if fleet is None:
+            return {}
+        return {
+            name: count
+            for (name, other), count in fleet.work.org_waiting.items()
+            if other == priority
+        }
+
     def waiting(self, key, instances, now):
         """Return how many requests wait at other instances, None if unknown.
 
--- a/packages/gateway/src/wagtailtide_gateway/decisions/scheduling.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/scheduling.py
@@ -12,6 +12,13 @@
 # Time constant in seconds of arrival rates.
 RATE_PERIOD_S = 1.0
 
+# Weight of the latest request in the mean work of its kind.
+SMOOTHING = 0.05
+
+# Largest ratio of the expected work of a request to the mean of its kind. The
+# work is corrected when the request ends.
+MAX_RATIO = 4.0
+
 # Sums below this part of the last amount added are dropped.
 _NEGLIGIBLE = 0.001
 
@@ -51,6 +58,65 @@
     return math.exp(-max(0.0, age_s) / period_s)
 
 
+def relative_weights(organisations):
+    """Return the weight of each organisation, by name.
+
+    It is the rate relative to the mean rate of those that are counted in the
+    same unit, so that one without a rate has a weight comparable to theirs.
+
+    Args:
+        organisations: The Organisation objects.
+    """
+    rates = {False: [], True: []}
+    for org in organisations:
+        if org.rate_per_s > 0:
+            rates[org.counts_tokens].append(org.rate_per_s)
+    means = {
+        unit: sum(values) / len(values)
+        for unit, values in rates.items()
+        if values
+    }
+    return {
+        org.name: org.rate_per_s / means[org.counts_tokens]
+        for org in organisations
+        if org.rate_per_s > 0
+    }
+
+
+class WorkEstimates:
+    """Mean slot time and tokens of the requests of each kind."""
+
+    def __init__(self):
+        self._means = {}
+
+    def record(self, kind, tokens, seconds):
+        """Record a request that ended.
+
+        Args:
+            kind: Kind of request, for example its service and priority.
+            tokens: Number of its tokens, None if unknown.
+            seconds: Time for which it was in a server.
+        """
+        mean = self._means.get(kind, (tokens or 0, seconds))
+        self._means[kind] = (
+            mean[0] + SMOOTHING * ((tokens or mean[0]) - mean[0]),
+            mean[1] + SMOOTHING * (seconds - mean[1]),
+        )
+
+    def seconds(self, kind, default_s):
+        """Return the mean time in a server of a kind of requests."""
+        return self._means.get(kind, (0, default_s))[1]
+
+    def work_s(self, kind, tokens, default_s):
+        """Return the expected work of a request in seconds in a slot."""
+        mean_tokens, mean_s = self._means.get(kind, (0, default_s))
+        if not tokens or not mean_tokens:
+            return mean_s
+        return mean_s * min(
+            max(tokens / mean_tokens, 1 / MAX_RATIO), MAX_RATIO
+        )
+
+
 def part_ahead(usage, waiting, organisation):
     """Return the part of waiting requests that go before an organisation's.
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -125,13 +125,13 @@
             job.tried.clear()
 
     def _join_queue(self, job, decision):
-        if self._scheduler is not None:
-            self._scheduler.record_join(
-                job, decision.wait_s, self._exchange.instances
-            )
         if job.req.model is not None:
             self._demand.record_wait(*job.demand_key)
             self._exchange.start_now()
+        if self._scheduler is not None:
+            return self._scheduler.join(
+                job, decision.wait_s, self._exchange.instances
+            )
         return self._wait_queues.add(
             job.service.name, job.req.model, job.priority
         )
@@ -175,9 +175,13 @@
             best = self._availability.best_permitted(job, limited, now)
         if best is None:
             job.limited_servers = len(limited)
-        ahead = self._wait_queues.ahead(
-            job.service.name, job.req.model, job.priority, waiter
-        )
+        if self._scheduler is not None:
+            best = self._scheduler.take(job, waiter, best)
+            ahead = self._scheduler.ahead(job, waiter)
+        else:
+            ahead = self._wait_queues.ahead(
+                job.service.name, job.req.model, job.priority, waiter
+            )
         pool = admission.ServerPool(
             slots=sum(c.slots for c in candidates),
             load=sum(c.load for c in candidates),
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -402,6 +402,8 @@
         job.possible_runs += 1
         state.own_load += 1
         self._quarantine.record_started(job, state.server.id)
+        if self._shared_state.scheduler is not None:
+            self._shared_state.scheduler.record_start(job)
         if job.req.model is not None:
             self._shared_state.demand.record_start(*job.demand_key)
 
@@ -415,6 +417,8 @@
         state.own_load -= 1
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
+        if self._shared_state.scheduler is not None:
+            self._shared_state.scheduler.record_end(job, not failure)
         broken = bool(failure) and failure.broken
         self._quarantine.record_ended(job, server_id, now if broken else None)
         health = self._shared_state.servers.health
--- a/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 import anyio
 
@@ -10,10 +11,14 @@
 from wagtailtide_gateway.decisions import admission
 from wagtailtide_gateway.decisions import pace
 from wagtailtide_gateway.decisions import scheduling
+from wagtailtide_gateway.serving import fair_queue
 
 # Priorities beyond this one are counted as this one, as servers are told.
 LOWEST_PRIORITY = 9
 
+# Work in seconds expected of a request before one of its kind has ended.
+DEFAULT_WORK_S = 1.0
+
 
 @dataclasses.dataclass(slots=True)
 class _QueuedJob:
@@ -33,9 +38,21 @@
 
 
 class Scheduler:
-    """Requests of this instance that wait, and the work of all instances."""
+    """Requests of this instance that wait, and the work of all instances.
+
+    Args:
+        deployment: Function that returns the Deployment in force, or None.
+
+    Attributes:
+        queues: FairQueues of the waiting requests.
+    """
 
-    def __init__(self):
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._weights = (None, {})
+        self._estimates = scheduling.WorkEstimates()
+        self._charged = {}
+        self.queues = fair_queue.FairQueues(self._relative_usage)
         self._view = waiting_work.FleetView()
         self._leader = waiting_work.LeaderWork()
         self._waiting = collections.Counter()
@@ -74,13 +91,39 @@
         """Count the arrival of a request."""
         self._arrivals.add(_key(job), 1, anyio.current_time())
 
-    def record_join(self, job, wait_s, instances):
-        """Count a request that starts to wait.
+    def record_start(self, job):
+        """Charge the expected work of a request that is sent to a server."""
+        now = anyio.current_time()
+        work_s = self._estimates.work_s(
+            _kind(job), job.req.tokens, DEFAULT_WORK_S
+        )
+        self._charged[id(job)] = (work_s, now)
+        self._usage.add(_org(job), work_s, now)
+
+    def record_end(self, job, is_complete):
+        """Charge the work that a request has used instead of the expected.
+
+        Args:
+            job: The Job of a request that left its server.
+            is_complete: Whether its response is complete.
+        """
+        now = anyio.current_time()
+        work_s, started_at = self._charged.pop(id(job))
+        used_s = now - started_at
+        self._usage.add(_org(job), used_s - work_s, now)
+        if is_complete:
+            self._estimates.record(_kind(job), job.req.tokens, used_s)
+
+    def join(self, job, wait_s, instances):
+        """Queue a request.
 
         Args:
             job: Its Job.
             wait_s: Predicted wait in seconds.
             instances: Number of instances.
+
+        Returns:
+            Its FairWaiter.
         """
         now = anyio.current_time()
         others_ahead = self._reported_ahead(job, instances, now)
@@ -89,6 +132,9 @@
         )
         self._waiting[_key(job)] += 1
         self._org_waiting[_org(job), _priority(job)] += 1
+        return self.queues.add_ticket(
+            job.service.name, job.req.model, self._ticket(job)
+        )
 
     def record_leave(self, job):
         """Count a request that no longer waits."""
@@ -96,6 +142,62 @@
         self._waiting[_key(job)] -= 1
         self._org_waiting[_org(job), _priority(job)] -= 1
 
+    def ahead(self, job, waiter):
+        """Return how many requests of this instance are ahead of one."""
+        return self.queues.ahead_of(
+            job.service.name, job.req.model, self._ticket(job), waiter
+        )
+
+    def take(self, job, waiter, best):
+        """Return the server that a request may take now, or None.
+
+        Args:
+            job: Its Job.
+            waiter: Its FairWaiter, None if it is not queued.
+            best: ServerState of a free server, or None.
+        """
+        service, model = job.service.name, job.req.model
+        ticket = self._ticket(job)
+        if not self.queues.may_take(service, model, ticket, waiter):
+            if best is not None:
+                self.queues.wake_first(service, model)
+            return None
+        if best is None and waiter is not None:
+            self.queues.record_failure(service, waiter)
+        return best
+
+    def _ticket(self, job):
+        target_s = job.route.latency_target_s
+        return fair_queue.Ticket(
+            priority=_priority(job),
+            organisation=_org(job),
+            needs=(
+                job.req.adapter,
+                job.software_version,
+                frozenset(job.tried),
+                target_s,
+            ),
+            has_returned=False,
+            late_at=(
+                math.inf
+                if job.has_response_started
+                else job.received_at + target_s
+            ),
+        )
+
+    def _relative_usage(self, organisation):
+        now = anyio.current_time()
+        used_s = self._usage.value(organisation, now)
+        used_s += self._view.usage_s(organisation, now)
+        return used_s / self._weight(organisation)
+
+    def _weight(self, organisation):
+        deployment = self._deployment()
+        if deployment is not None and self._weights[0] is not deployment:
+            orgs = deployment.organisations_by_name.values()
+            self._weights = (deployment, scheduling.relative_weights(orgs))
+        return self._weights[1].get(organisation, 1.0)
+
     def with_others(self, pool, job):
         """Return an admission.ServerPool with what waits elsewhere."""
         now = anyio.current_time()
@@ -135,7 +237,12 @@
         return sum(counts[:-1]) + part * counts[-1]
 
     def _part_ahead(self, job, now):
-        return 1.0
+        waiting = self._view.org_waiting(_priority(job), now)
+        return scheduling.part_ahead(self._relative_usage, waiting, _org(job))
+
+
+def _kind(job):
+    return job.service.name, _priority(job)
 
 
 def _priority(job):
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -52,7 +52,13 @@
     """
 
     def __init__(self, port, clock, schedules_shares=False):
+        self.scheduler = None
         self.wait_queues = wait_queue.WaitQueues()
+        if schedules_shares:
+            self.scheduler = scheduler.Scheduler(
+                lambda: self.config.deployment
+            )
+            self.wait_queues = self.scheduler.queues
         self.config = config.ConfigView(
             port.decode_config, clock, self.wait_queues.wake
         )
@@ -65,9 +71,7 @@
         self.adapter_requests = set()
         self.stream_origins = stream_origins.StreamOrigins()
         self.sections = sections.Sections()
-        self.scheduler = None
-        if schedules_shares:
-            self.scheduler = scheduler.Scheduler()
+        if self.scheduler is not None:
             self.sections.add(self.scheduler.section())
         self.peers = peers.PeerDirectory()
         self.part_crashes = prompt_parts.PartQuarantine()
--- a/packages/gateway/tests/serving/scheduling_fleet.py
+++ b/packages/gateway/tests/serving/scheduling_fleet.py
@@ -249,6 +249,7 @@
             'has_response_started': False,
             'prefix_hash': None,
             'fingerprint': str(next(_NUMBERS)),
+            'received_at': now,
             'waited_s': 0.0,
             'limited_servers': 0,
             'send_count': 0,
@@ -282,7 +283,7 @@
         started_at = anyio.current_time()
         scheduler = instance.shared.scheduler
         state.own_load += 1
-        if scheduler is not None and hasattr(scheduler, 'record_start'):
+        if scheduler is not None:
             scheduler.record_start(job)
         queued_s = await self.engines[state.server.id].run(
             job.priority, service_s
@@ -290,8 +291,8 @@
         outcome.first_event_s = outcome.waited_s + queued_s
         state.own_load -= 1
         elapsed_s = anyio.current_time() - started_at
-        if scheduler is not None and hasattr(scheduler, 'record_end'):
-            scheduler.record_end(job, elapsed_s)
+        if scheduler is not None:
+            scheduler.record_end(job, True)
         instance.shared.servers.record_service_time(SERVICE.name, elapsed_s)
         instance.shared.wait_queues.wake(SERVICE.name)
 
