--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -176,7 +176,6 @@
         if best is None:
             job.limited_servers = len(limited)
         if self._scheduler is not None:
-            best = self._scheduler.take(job, waiter, best)
             ahead = self._scheduler.ahead(job, waiter)
         else:
             ahead = self._wait_queues.ahead(
@@ -201,6 +200,7 @@
                 pool, self._availability.other_server_in_s(job)
             )
         if self._scheduler is not None:
+            best, pool = self._scheduler.take(job, waiter, best, pool)
             pool = self._scheduler.with_others(pool, job)
         decision = admission.decide(pool, best is not None, job.wait_left_s)
         return best, decision
--- a/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -16,6 +16,10 @@
 # Priorities beyond this one are counted as this one, as servers are told.
 LOWEST_PRIORITY = 9
 
+# Least predicted wait in seconds of a request that another one precedes. With
+# none, a request whose time is over would check again at once, without end.
+TURN_S = 0.005
+
 # Work in seconds expected of a request before one of its kind has ended.
 DEFAULT_WORK_S = 1.0
 
@@ -148,23 +152,27 @@
             job.service.name, job.req.model, self._ticket(job), waiter
         )
 
-    def take(self, job, waiter, best):
+    def take(self, job, waiter, best, pool):
         """Return the server that a request may take now, or None.
 
         Args:
             job: Its Job.
             waiter: Its FairWaiter, None if it is not queued.
             best: ServerState of a free server, or None.
+            pool: admission.ServerPool of the servers that can run it.
+
+        Returns:
+            The server or None, and the pool with the delay that it implies.
         """
         service, model = job.service.name, job.req.model
-        ticket = self._ticket(job)
-        if not self.queues.may_take(service, model, ticket, waiter):
+        if not self.queues.may_take(service, model, self._ticket(job), waiter):
             if best is not None:
                 self.queues.wake_first(service, model)
-            return None
+            ready_in_s = max(pool.ready_in_s, TURN_S)
+            return None, dataclasses.replace(pool, ready_in_s=ready_in_s)
         if best is None and waiter is not None:
             self.queues.record_failure(service, waiter)
-        return best
+        return best, pool
 
     def _ticket(self, job):
         target_s = job.route.latency_target_s
