--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -114,10 +114,9 @@
 
     def _capacity(self, job):
         """Return the tokens that an engine has memory for, 0 for no limit."""
-        engine = job.service.engine
-        if engine is None or not self._is_enabled:
+        if not self._is_enabled or job.service.engine is None:
             return 0
-        return engine.kv_capacity_tokens
+        return job.service.engine.kv_capacity_tokens
 
     def _window(self):
         window_s = max(2.0 * self._interval_s, MIN_WINDOW_S)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_capacity.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_capacity.py
@@ -128,9 +128,6 @@
             self.expected_s + prior_s
         )
 
-    def confidence(self):
-        return self.expected_s / (self.expected_s + PRIOR_S)
-
 
 class Estimator:
     """Estimates the Capacity of each server from observations.
@@ -193,11 +190,6 @@
             if server.published != NOMINAL
         }
 
-    def confidence(self, server_id):
-        """Return the confidence in the estimate of a server, 0 to 1."""
-        server = self._servers.get(server_id)
-        return 0.0 if server is None else server.confidence()
-
     def _update_baselines(self, elapsed_s):
         paces = collections.defaultdict(list)
         for server in self._servers.values():
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -77,7 +77,11 @@
         self._tasks = []
         self.metrics = metrics_.Metrics()
         self.shared_state = shared_state_.SharedState(
-            store_port, clock, cfg.evacuation_s, cfg.limits_engine_memory
+            store_port,
+            clock,
+            evacuation_s=cfg.evacuation_s,
+            limits_engine_memory=cfg.limits_engine_memory,
+            schedules_shares=cfg.schedules_shares,
         )
         if cfg.evacuation_s is not None:
             self.shared_state.sections.add(
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -42,6 +42,7 @@
             shared_state.engine_memory,
         )
         self._retry_schedule = retry_schedule.RetrySchedule()
+        self._scheduler = shared_state.scheduler
 
     async def find(self, job):
         """Return the ServerState of the server that should run a request.
@@ -79,7 +80,7 @@
                     ):
                         raise self._refusal(job, decision)
                 if waiter is None:
-                    waiter = self._join_queue(job)
+                    waiter = self._join_queue(job, decision)
                     timeout_s = WAIT_TIMEOUT_FACTOR * decision.wait_s
                     wait_timeout_at = now + timeout_s + WAIT_TIMEOUT_EXTRA_S
                 await self._wait(job, waiter)
@@ -87,6 +88,8 @@
             if waiter is not None:
                 self._wait_queues.remove(job.service.name, waiter)
                 waiter.wait_for_permit(None)
+                if self._scheduler is not None:
+                    self._scheduler.record_leave(job)
                 job.waited_s += anyio.current_time() - started_at
                 if job.req.model is not None:
                     self._demand.record_wait_end(*job.demand_key)
@@ -128,10 +131,14 @@
         if not self._availability.capable(job, anyio.current_time()):
             job.tried.clear()
 
-    def _join_queue(self, job):
+    def _join_queue(self, job, decision):
         if job.req.model is not None:
             self._demand.record_wait(*job.demand_key)
             self._exchange.start_now()
+        if self._scheduler is not None:
+            return self._scheduler.join(
+                job, decision.wait_s, self._exchange.instances
+            )
         return self._wait_queues.add(
             job.service.name, job.req.model, job.priority
         )
@@ -175,9 +182,12 @@
             best = self._availability.best_permitted(job, limited, now)
         if best is None:
             job.limited_servers = len(limited)
-        ahead = self._wait_queues.ahead(
-            job.service.name, job.req.model, job.priority, waiter
-        )
+        if self._scheduler is not None:
+            ahead = self._scheduler.ahead(job, waiter)
+        else:
+            ahead = self._wait_queues.ahead(
+                job.service.name, job.req.model, job.priority, waiter
+            )
         pool = admission.ServerPool(
             slots=sum(c.slots / c.slowdown for c in candidates),
             load=sum(c.load for c in candidates),
@@ -196,6 +206,9 @@
             pool = admission.with_other_server(
                 pool, self._availability.other_server_in_s(job)
             )
+        if self._scheduler is not None:
+            best, pool = self._scheduler.take(job, waiter, best, pool)
+            pool = self._scheduler.with_others(pool, job)
         decision = admission.decide(pool, best is not None, job.wait_left_s)
         return best, decision
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -212,6 +212,8 @@
         await self._access.charge(job)
         now = anyio.current_time()
         self._budget.record_request(job.service.name, now)
+        if self._shared_state.scheduler is not None:
+            self._shared_state.scheduler.record_arrival(job)
         if job.req.model is not None:
             self._shared_state.demand.record_arrival(
                 *job.demand_key, job.route.latency_target_s
@@ -411,6 +413,8 @@
         state.own_load += 1
         job.held_tokens = self._memory.record_start(job, state)
         self._quarantine.record_started(job, state.server.id)
+        if self._shared_state.scheduler is not None:
+            self._shared_state.scheduler.record_start(job)
         if job.req.model is not None:
             self._shared_state.demand.record_start(*job.demand_key)
 
@@ -428,6 +432,8 @@
         self._memory.record_end(state, job.held_tokens)
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
+        if self._shared_state.scheduler is not None:
+            self._shared_state.scheduler.record_end(job, not failure)
         broken = bool(failure) and failure.broken
         self._quarantine.record_ended(job, server_id, now if broken else None)
         health = self._shared_state.servers.health
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -40,6 +40,8 @@
         cold_overage: Factor by which a cold server may get more requests in
             one second than its service states, None for no cold limit.
         cold_slack: Further requests that it may get in one second, or None.
+        schedules_shares: Whether waiting requests are ordered by the shares of
+            their organisations, over all instances.
     """
 
     instance: str
@@ -64,3 +66,4 @@
     limits_engine_memory: bool = False
     cold_overage: float | None = None
     cold_slack: float | None = None
+    schedules_shares: bool = False
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -19,6 +19,7 @@
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import quota
+from wagtailtide_gateway.serving import scheduler
 from wagtailtide_gateway.serving import wait_queue
 
 LOG = logging.getLogger(__name__)
@@ -35,6 +36,10 @@
         clock: Function that returns seconds, time in suspend included.
         evacuation_s: Seconds after which no request may reach an evacuated
             zone, None if zones cannot be evacuated.
+        limits_engine_memory: Whether requests go only to engines that have
+            memory for them.
+        schedules_shares: Whether waiting requests are scheduled by what waits
+            at all instances, see `Settings.schedules_shares`.
 
     Attributes:
         config: ConfigView, the configuration in force.
@@ -51,12 +56,24 @@
         stream_origins: StreamOrigins, versions that began streams.
         sections: Sections, what single features exchange with the leader.
         engine_memory: EngineMemory, tokens of requests in engines.
+        scheduler: Scheduler of the waiting requests, None if it is off.
     """
 
     def __init__(
-        self, port, clock, evacuation_s=None, limits_engine_memory=False
+        self,
+        port,
+        clock,
+        evacuation_s=None,
+        limits_engine_memory=False,
+        schedules_shares=False,
     ):
+        self.scheduler = None
         self.wait_queues = wait_queue.WaitQueues()
+        if schedules_shares:
+            self.scheduler = scheduler.Scheduler(
+                lambda: self.config.deployment
+            )
+            self.wait_queues = self.scheduler.queues
         self.config = config.ConfigView(
             port.decode_config, clock, self.wait_queues.wake
         )
@@ -81,6 +98,8 @@
         )
         if limits_engine_memory:
             self.sections.add(self.engine_memory.section())
+        if self.scheduler is not None:
+            self.sections.add(self.scheduler.section())
         self.peers = peers.PeerDirectory()
         self.part_crashes = prompt_parts.PartQuarantine()
         self._unreported_crashes = []
--- a/packages/gateway/tests/decisions/capacity_fleet.py
+++ b/packages/gateway/tests/decisions/capacity_fleet.py
@@ -7,6 +7,7 @@
 
 import anyio
 import cbor2
+from wagtailtide_gateway.control import engine_memory
 from wagtailtide_gateway.control import peers
 from wagtailtide_gateway.control import server_performance
 from wagtailtide_gateway.control import servers
@@ -173,6 +174,7 @@
             types.SimpleNamespace(
                 instances=fleet.instance_count, interval_s=fleet.interval_s
             ),
+            engine_memory.EngineMemory(self.view, is_enabled=False),
         )
         self.next_exchange_at = (
             fleet.start + fleet.interval_s * number / fleet.instance_count
