gateway: Let resumed streams wait for quota after a loss of all instances

Of 151 lines of resumed streams 81 are rate_unconfirmed and 30 rate_exceeded, in the second after all instances or the leader were killed; 7 are resume_unconfirmed. New streams are refused at the same moments, but most of them begin at others.

A resumed stream waits for quota until 1.6 s after its arrival, when a new leader usually answers. The rates stay as they are. The new tests fail without it.

--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -21,6 +21,15 @@
 # milliseconds unless its machine is slow.
 QUOTA_TIMEOUT_S = 0.4
 
+# Seconds after its arrival for which a resumed stream waits for quota instead
+# of being refused. After a loss of all instances, most resumed streams arrive
+# before a new leader answers, which takes about a second. Callers leave a
+# stream that sends nothing for two seconds.
+RESUME_WAIT_S = 1.6
+
+# Pause between two questions of a resumed stream for quota.
+RESUME_QUOTA_INTERVAL_S = 0.1
+
 # Replaces a route timeout or a caller's deadline that is not set; the shorter
 # of the two applies.
 DEFAULT_DEADLINE_S = 30.0
@@ -170,7 +179,12 @@
             return
         self._local_quota.add_pending(org, job.cost)
         try:
-            if await self._await_quota(org, job):
+            wait = (
+                self._await_quota_to_resume
+                if job.resumes_stream
+                else self._await_quota
+            )
+            if await wait(org, job):
                 return
         finally:
             self._local_quota.remove_pending(org, job.cost)
@@ -207,10 +221,31 @@
                 if org.name in self._exchange.refill_waits_s:
                     return False
         # The leader is too slow or has stopped answering.
+        return self._charge_share(org, job)
+
+    def _charge_share(self, org, job):
         return self._local_quota.charge_share_counted(
             org, job.cost, anyio.current_time()
         )
 
+    async def _await_quota_to_resume(self, org, job):
+        """Draw quota for a resumed stream; return whether it was charged.
+
+        The rate of its organisation may be unknown or its bucket empty only
+        because the leader has just changed.
+        """
+        timeout_s = job.received_at + RESUME_WAIT_S - anyio.current_time()
+        with anyio.move_on_after(max(QUOTA_TIMEOUT_S, timeout_s)):
+            while True:
+                await self._exchange.wait_for_exchange(timeout_s)
+                if self._local_quota.charge_counted(org, job.cost) or (
+                    not self._exchange.hears_leader
+                    and self._charge_share(org, job)
+                ):
+                    return True
+                await anyio.sleep(RESUME_QUOTA_INTERVAL_S)
+        return False
+
     def refund(self, job):
         """Refund the charge of a request that did not run."""
         if job.organisation is not None:
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -116,6 +116,11 @@
         """Whether part of the response has been sent to the caller."""
         return self.first_byte_at is not None
 
+    @property
+    def resumes_stream(self):
+        """Whether it goes on with a stream that its caller has begun."""
+        return self.req.resume_after is not None and self.route.may_resume
+
     @property
     def is_plain(self):
         """Whether the service runs no model engines."""
--- a/packages/gateway/src/wagtailtide_gateway/serving/resumption.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/resumption.py
@@ -45,7 +45,7 @@
         Raises:
             ServingError: It is not known which version began the stream.
         """
-        if job.req.resume_after is None or not job.route.may_resume:
+        if not job.resumes_stream:
             return
         arrived_at = anyio.current_time()
         version = self._recorded(job)
--- a/packages/gateway/tests/serving/test_access.py
+++ b/packages/gateway/tests/serving/test_access.py
@@ -44,7 +44,10 @@
     shared_state = types.SimpleNamespace(config=None, local_quota=local_quota)
     exchange = FakeExchange(local_quota, **exchange_options)
     job = types.SimpleNamespace(
-        organisation=builders.make_organisation(), cost=300.0
+        organisation=builders.make_organisation(),
+        cost=300.0,
+        resumes_stream=False,
+        received_at=anyio.current_time(),
     )
     charged = access.Access(builders.make_settings(), shared_state, exchange)
     return charged, exchange, job
@@ -99,3 +102,41 @@
             await charged.charge(job)
         self.assertIs(caught.exception.kind, kinds.ErrorKind.RATE_EXCEEDED)
         self.assertEqual(caught.exception.retry_after_s, 0.7)
+
+    @virtual_time.run_without_io
+    async def test_resumed_stream_waits_for_a_new_leader(self):
+        # Guards against refusing the streams that broke off when all
+        # instances were killed, most of which come back at once.
+        charged, exchange, job = make_access()
+        job.resumes_stream = True
+        exchange.hears_leader = False
+
+        async def lead():
+            await anyio.sleep(1.2)
+            exchange.local_quota.add_granted('club', 300.0)
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(lead)
+            await charged.charge(job)
+        self.assertLess(anyio.current_time(), access.RESUME_WAIT_S)
+
+    @virtual_time.run_without_io
+    async def test_resumed_stream_waits_while_a_new_bucket_fills(self):
+        # Guards against refusing them because the buckets of a new leader are
+        # empty at first.
+        charged, exchange, job = make_access(answer_s=0.01, granted=30.0)
+        job.resumes_stream = True
+        exchange.refill_waits_s = {'club': 0.7}
+        await charged.charge(job)
+        self.assertLess(anyio.current_time(), access.RESUME_WAIT_S)
+
+    @virtual_time.run_without_io
+    async def test_resumed_stream_is_refused_before_its_caller_leaves(self):
+        # Callers leave a stream that sends nothing for two seconds.
+        charged, exchange, job = make_access()
+        job.resumes_stream = True
+        exchange.hears_leader = False
+        with self.assertRaises(kinds.ServingError) as caught:
+            await charged.charge(job)
+        self.assertIs(caught.exception.kind, kinds.ErrorKind.RATE_UNCONFIRMED)
+        self.assertLess(anyio.current_time(), 2.0)
--- a/packages/gateway/tests/serving/test_resumption.py
+++ b/packages/gateway/tests/serving/test_resumption.py
@@ -126,6 +126,7 @@
         route=builders.make_route(may_resume=may_resume),
         service=types.SimpleNamespace(name='engines'),
         software_version=None,
+        resumes_stream=resume_after is not None and may_resume,
     )
 
 
