gateway: Take a server for slower from 1.6 times its peers' time on

Its first 12 s with logs show servers with a slowdown of 1.3 to 1.65 that nothing slowed: their batches held requests for larger models.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/concurrency_limit.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/concurrency_limit.py
@@ -3,8 +3,9 @@
 import math
 
 # Slowdown relative to the known one from which a server is taken to have
-# changed. Estimates of equal servers differ by up to about 0.1.
-SLOW_STEP = 1.25
+# changed. A server is up to 1.5 times slower than its peers without a fault
+# while its batch holds requests for larger models or long prompts.
+SLOW_STEP = 1.6
 
 # Relative slowdown up to which a limited server is taken to sustain its load.
 SUSTAINED = 1.15
