--- a/packages/gateway/src/wagtailtide_gateway/decisions/cold_servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/cold_servers.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import random
 
 # Share of the bound that permits may use. Turns start at random times, so
@@ -111,12 +112,16 @@
 
     def __init__(self, rule_of: Callable = lambda: None):
         self._rule_of = rule_of
-        self._phase = random.random()
         self._since = float('-inf')
         self._sent_at = float('-inf')
         self._until = float('-inf')
         self.own_until = float('-inf')
 
+    @functools.cached_property
+    def _phase(self):
+        """Random place of the turns of this instance; few servers need one."""
+        return random.random()
+
     @property
     def ends_at(self):
         """Time in seconds at which the limit ends."""
--- a/packages/gateway/tests/serving/test_recorded_choice.py
+++ b/packages/gateway/tests/serving/test_recorded_choice.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+from wagtailtide_gateway.control import engine_memory
 from wagtailtide_gateway.control import peers
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.decisions import reachability
@@ -58,7 +59,11 @@
     )
     exchange = types.SimpleNamespace(instances=12)
     found = availability.Availability(
-        builders.make_settings(), view, peers.PeerDirectory(), exchange
+        builders.make_settings(),
+        view,
+        peers.PeerDirectory(),
+        exchange,
+        engine_memory.EngineMemory(view, is_enabled=False),
     )
     candidates, best = found.best_free(make_job(rng), states)
     return [
