gateway: Reject a waiting request that has no time left

Cause: admission.decide compared the predicted wait with a share of the time left. If no wait is predicted (all servers exactly full, or only limited ones) and the time left is 0, the verdict was to wait; the wait of 0 s ended at once and the request checked again without end.

Change: without time left a request is rejected.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -148,13 +148,15 @@
     Args:
         pool: Capacity and load of the servers that can run the request.
         has_capacity: Whether the chosen server is below its load limit.
-        time_left_s: Seconds until the caller's deadline.
+        time_left_s: Seconds until the caller's deadline. With none left, a
+            request is refused even if no wait is predicted, because it would
+            check again at once, without end.
     """
     if has_capacity:
         return Decision(Verdict.SEND, 0.0)
     wait_s = predict_wait_s(pool)
     verdict = Verdict.REFUSE
-    if wait_s <= time_left_s * MAX_WAIT_SHARE:
+    if time_left_s > 0.0 and wait_s <= time_left_s * MAX_WAIT_SHARE:
         verdict = Verdict.WAIT
     return Decision(verdict, wait_s, retry_after(wait_s))
 
--- a/packages/gateway/tests/decisions/test_admission.py
+++ b/packages/gateway/tests/decisions/test_admission.py
@@ -34,6 +34,14 @@
         self.assertIs(found.verdict, admission.Verdict.REFUSE)
         self.assertAlmostEqual(found.retry_after_s, found.wait_s)
 
+    def test_request_without_time_left_is_refused(self):
+        # Guards against requests that check again at once, without end,
+        # because no wait is predicted.
+        pool = make_pool(load=0.0)
+        for time_left_s in (0.0, -1.0):
+            found = admission.decide(pool, False, time_left_s)
+            self.assertIs(found.verdict, admission.Verdict.REFUSE)
+
     def test_request_is_refused_if_model_load_exceeds_deadline(self):
         # Guards against requests that wait until after their caller has left.
         pool = make_pool(slots=0.0, ready_in_s=6.0)
