gateway: Keep writing the origins of streams after bad keys and lapsed leases

Cause: the key of a stream in a report was any integer, and one beyond 8 bytes raised OverflowError in the writer at each of its next writes, for as long as the record was kept. And if the lease lapsed between two writes of one batch, the whole batch counted as written, so the rest was missing when the lease was renewed with the same fencing token.

Change: such a report is malformed. A batch counts as written only if all of it was.

Both new tests failed before.

--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -369,6 +369,17 @@
         raise fields.BadMessage(f'expected a fencing token: {exc}') from exc
 
 
+def _stream_key(value):
+    """Return a value that has to be the key of a stream.
+
+    A larger one could not be written to the store.
+    """
+    key = fields.integer(value)
+    if not 0 <= key <= stream_origins.MAX_KEY:
+        raise ValueError(f'expected the key of a stream, got {key}')
+    return key
+
+
 def _versions_by_key(keys_by_version):
     return {
         key: version
@@ -404,7 +415,8 @@
 _INTEGERS_BY_NAME = fields.mapping(fields.text, fields.integer)
 _NUMBERS_BY_NAME = fields.mapping(fields.text, fields.number)
 _DURATIONS_BY_NAME = fields.mapping(fields.text, fields.duration)
-_KEYS_BY_VERSION = fields.mapping(fields.text, fields.sequence(fields.integer))
+_STREAM_KEYS = fields.sequence(_stream_key)
+_KEYS_BY_VERSION = fields.mapping(fields.text, _STREAM_KEYS)
 _MODEL_DURATIONS = fields.sequence(
     fields.row(_values, fields.text, fields.text, fields.duration)
 )
@@ -477,7 +489,7 @@
     fields.mapping(fields.text, _REPORTED_LIMIT),
     _INTEGERS_BY_NAME,
     _versions_by_key,
-    fields.sequence(fields.integer),
+    _STREAM_KEYS,
     fields.integer,
     _TEXTS,
     _INTEGERS_BY_NAME,
--- a/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/origin_store.py
@@ -201,8 +201,8 @@
             if not self._leadership.is_leader:
                 return IDLE_INTERVAL_S
             number, streams = self._new_streams()
-        await self._write(versions, streams)
-        self._versions, self._number = frozenset(versions), number
+        if await self._write(versions, streams):
+            self._versions, self._number = frozenset(versions), number
         return WRITE_INTERVAL_S
 
     def _start_term(self):
@@ -242,6 +242,10 @@
         self._is_listed = True
 
     async def _write(self, versions, streams):
+        """Write streams; return whether all of them have been written.
+
+        The rest is not if this instance no longer leads.
+        """
         now = anyio.current_time()
         while self._leadership.is_leader:
             segment = self._segment_for(now)
@@ -261,10 +265,11 @@
             segment.streams = contents
             self._slots[segment.name] = _Slot(obj.revision, now)
             if len(part) == len(streams):
-                return
+                return True
             streams = dict(list(streams.items())[room:])
             await anyio.sleep(WRITE_INTERVAL_S)
             now = anyio.current_time()
+        return False
 
     def _segment_for(self, now):
         segment = self._segment
--- a/packages/gateway/src/wagtailtide_gateway/control/stream_origins.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/stream_origins.py
@@ -16,6 +16,7 @@
 ORIGIN_TTL_S = 30.0
 
 KEY_BYTES = 8
+MAX_KEY = 256**KEY_BYTES - 1
 
 # Version of an attempt that was answered with several versions. Which of them
 # its caller has is not known, so no server may go on with the stream.
--- a/packages/gateway/tests/control/test_messages.py
+++ b/packages/gateway/tests/control/test_messages.py
@@ -254,6 +254,14 @@
                 cut = rng.choice((None, rng.randrange(len(data))))
                 self.check(decode, bytes(data[:cut]))
 
+    def test_stream_keys_that_no_build_makes_are_refused(self):
+        # Guards against a key that the writer of stream origins cannot encode
+        # and that it would meet again at each of its next writes.
+        for key in (-1, 2**64):
+            report = dataclasses.replace(REPORT, begun_streams={key: 'v1'})
+            with self.subTest(key=key), self.assertRaises(fields.BadMessage):
+                messages.decode_report(messages.encode_report(report))
+
     def test_deep_nesting_is_refused(self):
         with self.assertRaises(fields.BadMessage):
             messages.decode_report(b'\x81' * 100_000 + b'\x00')
--- a/packages/gateway/tests/control/test_origin_store.py
+++ b/packages/gateway/tests/control/test_origin_store.py
@@ -279,6 +279,22 @@
         self.assertEqual(len(stored_streams(store)), count)
         self.assertGreaterEqual(len(store.values(KIND)), 3)
 
+    @virtual_time.run_without_io
+    async def test_lease_that_lapses_between_two_writes_loses_no_record(self):
+        # Guards against records that count as written although the lease
+        # lapsed before, and was renewed with the same fencing token.
+        store = object_store.ObjectStore()
+        count = 2 * origin_store.MAX_STREAMS
+        async with Leader(store).running() as leader:
+            leader.begin(*range(count))
+            await anyio.sleep(0.5 * origin_store.WRITE_INTERVAL_S)
+            leader.is_leader = False
+            await anyio.sleep(1.0)
+            self.assertLess(len(stored_streams(store)), count)
+            leader.is_leader = True
+            await anyio.sleep(3.0)
+        self.assertEqual(len(stored_streams(store)), count)
+
     @virtual_time.run_without_io
     async def test_attempt_with_two_versions_is_stored_as_ambiguous(self):
         store = object_store.ObjectStore()
