--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -67,9 +67,11 @@
         for service in self._config.deployment.services.values():
             if service.engine is None:
                 continue
-            snapshot = self._snapshot(service, now)
+            # Sums over the reports of all instances, so made once.
+            usage = self._cluster.usage_by_model(service.name, now)
+            snapshot = self._snapshot(service, usage, now)
             for step in placement.plan(snapshot, service.engine.models):
-                self._start_step(tg, service, step, now)
+                self._start_step(tg, service, step, usage, now)
 
     def _withdraw_evacuated_loads(self):
         """Tell the instances not to wait for loads in evacuated zones.
@@ -89,9 +91,9 @@
             ):
                 self._cluster.set_loading(name, model, None)
 
-    def _snapshot(self, service, now):
+    def _snapshot(self, service, usage, now):
         copies, serving = collections.Counter(), collections.Counter()
-        views, demand = [], self._demand(service, now)
+        views, demand = [], self._demand(service, usage)
         engines = self._fleet.available_engines(service)
         limits = self._fleet.placement_limits(service)
         for server_id, engine in engines:
@@ -183,10 +185,9 @@
             loaded_at=engine.loaded_at,
         )
 
-    def _demand(self, service, now):
-        rows = self._cluster.usage_by_model(service.name, now)
-        rate = sum(row.rate_per_s for row in rows.values())
-        running = sum(row.running for row in rows.values())
+    def _demand(self, service, usage):
+        rate = sum(row.rate_per_s for row in usage.values())
+        running = sum(row.running for row in usage.values())
         service_s = self._servers.service_time_s(service.name, 1.5)
         if rate > 1.0 and running:
             service_s = max(0.2, min(running / rate, 4.0))
@@ -205,7 +206,7 @@
                 adapter_misses_per_s=row.adapter_misses_per_s,
                 rate_per_s=row.rate_per_s,
             )
-            for model, row in rows.items()
+            for model, row in usage.items()
         }
 
     def _store_loads_left(self, now):
@@ -214,7 +215,7 @@
             self._config.deployment, open_loads, now
         )
 
-    def _start_step(self, tg, service, step, now):
+    def _start_step(self, tg, service, step, usage, now):
         engine = self._fleet.engines[step.engine]
         model = service.engine.models[step.model]
         engine.busy = True
@@ -235,9 +236,7 @@
                 'victims': ','.join(step.victims),
                 'from_store': step.from_store,
                 'expected_s': round(expected_s, 2),
-                'demand': self._cluster.usage_by_model(service.name, now).get(
-                    step.model
-                ),
+                'demand': usage.get(step.model),
                 'fence': self._fleet.fence,
             },
         )
