gateway: Split deciding steps from counting ones

Decisions about a request also counted it, woke other requests or were logged, so they could not be made without a request. Each such step now has a part that only decides: Finder.preview, Scheduler.peek, Quarantine.find_error, RetrySchedule.predict, EngineMemory.skip_demand, access.make_routed_job, server_choice.cost_parts. Reading the mean size of requests or the permits of a server no longer changes them. Decisions are the same.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -71,6 +71,15 @@
                 'shorter prompt or allow less output',
             )
 
+    def skip_demand(self, job):
+        """Let `fitting` not count the tokens of a request as wanted.
+
+        For a request that is only explained. It holds until the end of the
+        present window of time.
+        """
+        job.memory_window = self._window()
+        job.memory_chances = {}
+
     def fitting(self, job, states, instances, service_s):
         """Return the ids of the servers that have memory for a request.
 
@@ -134,9 +143,10 @@
         """Count a request that is sent; return the tokens to release."""
         if not self._capacity(job):
             return 0
-        sizes = self._held.sizes(job.service.name, job.service.engine)
         if job.req.tokens is not None:
-            sizes.record(job.req.tokens)
+            self._held.record_size(
+                job.service.name, job.service.engine, job.req.tokens
+            )
         tokens = self._needed(job)
         self._held.add(_process(state), tokens)
         return tokens
--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -192,7 +192,19 @@
         """
         # Before any request has stated its size: the memory of a slot.
         default = engine.kv_capacity_tokens / engine.slots
-        return self._sizes.setdefault(service, RequestSizes(default))
+        return self._sizes.get(service) or RequestSizes(default)
+
+    def record_size(self, service, engine, tokens):
+        """Add a request that states its tokens to the sizes of a service.
+
+        Args:
+            service: Name of the service.
+            engine: Its Engine.
+            tokens: Tokens of the request.
+        """
+        sizes = self.sizes(service, engine)
+        sizes.record(tokens)
+        self._sizes[service] = sizes
 
     def own(self, process):
         """Return the tokens of this instance in a process of a server.
--- a/packages/gateway/src/wagtailtide_gateway/decisions/retry_schedule.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/retry_schedule.py
@@ -25,7 +25,14 @@
             retries_per_s: Retries a second that this instance may admit.
             now: Time in seconds.
         """
-        retry_at = max(ready_at, self._next_retry_at.get(key, ready_at))
-        retry_at = min(retry_at, now + MAX_RETRY_AFTER_S)
+        retry_at = self._retry_at(key, ready_at, now)
         self._next_retry_at[key] = retry_at + 1.0 / retries_per_s
         return retry_at - now
+
+    def predict(self, key, ready_at, retries_per_s, now):
+        """Return what `assign` would return, without assigning it."""
+        return self._retry_at(key, ready_at, now) - now
+
+    def _retry_at(self, key, ready_at, now):
+        retry_at = max(ready_at, self._next_retry_at.get(key, ready_at))
+        return min(retry_at, now + MAX_RETRY_AFTER_S)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
@@ -53,14 +53,32 @@
         preferred: Id of the server that probably has the prefix cached.
         random: Function that returns a number from 0 to 1.
     """
-    total = (candidate.load + 1) / candidate.slots * candidate.slowdown
-    total += FAILURE_COST * candidate.failure_rate
-    total += MAX_RANDOM_COST * random()
-    if candidate.zone != zone:
-        total += OTHER_ZONE_COST
-    if prefix_hash is not None and candidate.id == preferred:
-        total -= LIKELY_PREFIX_DISCOUNT
-    return total
+    load, failures, other_zone, prefix = cost_parts(
+        candidate, zone, prefix_hash, preferred
+    )
+    return load + failures + MAX_RANDOM_COST * random() + other_zone + prefix
+
+
+def cost_parts(candidate, zone, prefix_hash, preferred):
+    """Return what a cost consists of, apart from its random part.
+
+    Args:
+        candidate: The server.
+        zone: Availability zone of this instance.
+        prefix_hash: Hash of the prompt's shared prefix, or None.
+        preferred: Id of the server that probably has the prefix cached.
+
+    Returns:
+        The costs of the load, of failures and of another zone, and the cost
+        of the prefix, which is negative or 0.
+    """
+    has_prefix = prefix_hash is not None and candidate.id == preferred
+    return (
+        (candidate.load + 1) / candidate.slots * candidate.slowdown,
+        FAILURE_COST * candidate.failure_rate,
+        0.0 if candidate.zone == zone else OTHER_ZONE_COST,
+        -LIKELY_PREFIX_DISCOUNT if has_prefix else 0.0,
+    )
 
 
 def rendezvous_rank(prefix_hash, server_id):
@@ -72,13 +90,25 @@
     return zlib.crc32(server_id.encode(), prefix_hash)
 
 
+def preferred_server(server_ids, prefix_hash):
+    """Return the id of the server that probably has a prefix cached, or None.
+
+    Args:
+        server_ids: Ids of the servers that may be chosen.
+        prefix_hash: Hash of the prompt's shared prefix, or None.
+    """
+    if prefix_hash is None:
+        return None
+    return max(
+        server_ids,
+        key=lambda id_: rendezvous_rank(prefix_hash, id_),
+        default=None,
+    )
+
+
 def choose_server(candidates, zone, prefix_hash, random):
     """Return the candidate with the lowest cost, or None if there is none."""
-    preferred = None
-    if prefix_hash is not None and candidates:
-        preferred = max(
-            candidates, key=lambda c: rendezvous_rank(prefix_hash, c.id)
-        ).id
+    preferred = preferred_server([c.id for c in candidates], prefix_hash)
     return min(
         candidates,
         key=lambda c: cost(c, zone, prefix_hash, preferred, random),
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_limits.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_limits.py
@@ -178,9 +178,9 @@
             instances: As for `usable_per_s`.
             now: Time in seconds.
         """
-        self._drop_expired(now)
-        if self._expiries or instances is None:
-            return bool(self._expiries)
+        has_permit = any(expires_at > now for expires_at in self._expiries)
+        if has_permit or instances is None:
+            return has_permit
         if self.cold.is_limited(now) and not self.cold.is_turn(instances, now):
             return False
         return self.per_s is None or self._is_turn(instances, now)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/spread_choice.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/spread_choice.py
@@ -26,12 +26,9 @@
     free = [(c, left) for c in candidates if (left := room(c)) > 0.0]
     if not free:
         return None
-    preferred = None
-    if prefix_hash is not None:
-        preferred = max(
-            (c.id for c, _ in free),
-            key=lambda id_: server_choice.rendezvous_rank(prefix_hash, id_),
-        )
+    preferred = server_choice.preferred_server(
+        [c.id for c, _ in free], prefix_hash
+    )
     rows = []
     for candidate, left in free:
         speed = candidate.slots / candidate.slowdown
--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -72,36 +72,8 @@
                 'the path',
             )
         organisation = self._authenticate(deployment, route, req)
-        time_limit_s = min(
-            route.timeout_s or DEFAULT_DEADLINE_S,
-            req.deadline_s or DEFAULT_DEADLINE_S,
-        )
-        first_byte_s = time_limit_s
-        if route.kind is deployments.RouteKind.STREAM:
-            first_byte_s = min(time_limit_s, route.first_event_timeout_s)
-        priority = route.priority
-        if organisation is not None and organisation.priority is not None:
-            priority = organisation.priority
-        return jobs.Job(
-            req=req,
-            route=route,
-            service=self._pick_service(deployment, route),
-            organisation=organisation,
-            priority=priority,
-            cost=organisation.cost(req.tokens) if organisation else 0.0,
-            received_at=received_at,
-            deadline_at=received_at + time_limit_s - jobs.DEADLINE_MARGIN_S,
-            first_byte_due_at=received_at
-            + first_byte_s
-            - jobs.DEADLINE_MARGIN_S,
-            fingerprint=crashes.fingerprint(
-                organisation.name if organisation else '', req.path, req.body
-            ),
-            part_fingerprints=tuple(
-                map(prompt_parts.fingerprint, req.shared_parts)
-            ),
-            prefix_hash=_prefix_hash(req),
-        )
+        service = self._pick_service(deployment, route)
+        return make_routed_job(req, route, service, organisation, received_at)
 
     def require_current_key(self, job):
         """Reject a request if its key may have been withdrawn.
@@ -121,6 +93,14 @@
                 kinds.ErrorKind.KEY_INVALID,
                 'the API key was withdrawn; use a current one',
             )
+        self.require_confirmed_keys()
+
+    def require_confirmed_keys(self):
+        """Reject a request with a key if keys may have been withdrawn.
+
+        Raises:
+            ServingError: The configuration is too old to tell.
+        """
         age_s = self._config.age_s
         if not trust.may_trust_keys(age_s, self._cfg.key_withdrawal_s):
             raise kinds.ServingError(
@@ -252,6 +232,46 @@
             self._local_quota.refund(job.organisation, job.cost)
 
 
+def make_routed_job(req, route, service, organisation, received_at):
+    """Return the Job of a request whose route and service are known.
+
+    Args:
+        req: The CallerRequest.
+        route: Its Route.
+        service: Service that runs it.
+        organisation: The caller's Organisation, or None.
+        received_at: Time in seconds at which its head was complete.
+    """
+    time_limit_s = min(
+        route.timeout_s or DEFAULT_DEADLINE_S,
+        req.deadline_s or DEFAULT_DEADLINE_S,
+    )
+    first_byte_s = time_limit_s
+    if route.kind is deployments.RouteKind.STREAM:
+        first_byte_s = min(time_limit_s, route.first_event_timeout_s)
+    priority = route.priority
+    if organisation is not None and organisation.priority is not None:
+        priority = organisation.priority
+    return jobs.Job(
+        req=req,
+        route=route,
+        service=service,
+        organisation=organisation,
+        priority=priority,
+        cost=organisation.cost(req.tokens) if organisation else 0.0,
+        received_at=received_at,
+        deadline_at=received_at + time_limit_s - jobs.DEADLINE_MARGIN_S,
+        first_byte_due_at=received_at + first_byte_s - jobs.DEADLINE_MARGIN_S,
+        fingerprint=crashes.fingerprint(
+            organisation.name if organisation else '', req.path, req.body
+        ),
+        part_fingerprints=tuple(
+            map(prompt_parts.fingerprint, req.shared_parts)
+        ),
+        prefix_hash=_prefix_hash(req),
+    )
+
+
 def _prefix_hash(req):
     """Return a hash of the prompt prefix that other requests may share."""
     shared = req.prefix[:-1] or req.prefix
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -81,7 +81,7 @@
 
     def _known(self, job, now):
         """Return the servers that the request may use, paused ones too."""
-        if self._is_list_outdated(now):
+        if self.is_list_outdated(now):
             return []
         return [
             state
@@ -250,7 +250,7 @@
         Raises:
             ServingError: The service has no such model.
         """
-        if self._is_list_outdated(now):
+        if self.is_list_outdated(now):
             return LIST_REFRESH_S
         pause_s = self.pause_s(job, now)
         if pause_s is None:
@@ -286,7 +286,8 @@
         service_s = self._servers.service_time_s(job.service.name, default_s)
         return max(service_s, admission.MIN_SERVICE_S)
 
-    def _is_list_outdated(self, now):
+    def is_list_outdated(self, now):
+        """Return whether the list of servers is too old to send by it."""
         max_age_s = self._cfg.server_drain_s * MAX_LIST_AGE_SHARE
         return self._servers.is_outdated(max_age_s, now)
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -1,5 +1,7 @@
 """Selects a backend server for a request, queues it or rejects it."""
 
+import dataclasses
+
 import anyio
 from wagtailtide_core.errors import kinds
 
@@ -23,6 +25,23 @@
 STOPPING_RETRY_AFTER_S = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preview:
+    """What would become of a request that arrives now.
+
+    Attributes:
+        state: ServerState of the server that it would be sent to, or None.
+        decision: The Decision, None if it would be rejected before one.
+        error: ServingError that it would be rejected with, or None.
+        pool: ServerPool behind the decision, or None.
+    """
+
+    state: object | None
+    decision: admission.Decision | None
+    error: kinds.ServingError | None
+    pool: admission.ServerPool | None
+
+
 class Finder:
     """Applies admission to the state of this instance."""
 
@@ -71,14 +90,12 @@
                 is_overdue = wait_timeout_at is not None and (
                     now > wait_timeout_at
                 )
-                if not job.has_response_started:
-                    if self._stopping():
-                        raise _shutting_down_error()
-                    if (
-                        decision.verdict is admission.Verdict.REFUSE
-                        or is_overdue
-                    ):
-                        raise self._refusal(job, decision)
+                if not job.has_response_started and (
+                    is_overdue or self._is_refused(decision)
+                ):
+                    raise self._refusal(
+                        job, decision, self._retry_schedule.assign
+                    )
                 if waiter is None:
                     waiter = self._join_queue(job, decision)
                     timeout_s = WAIT_TIMEOUT_FACTOR * decision.wait_s
@@ -94,6 +111,37 @@
                 if job.req.model is not None:
                     self._demand.record_wait_end(*job.demand_key)
 
+    def preview(self, job):
+        """Return the Preview of a request that arrives now.
+
+        It decides as `find` does, but counts, queues and logs nothing.
+        """
+        state = decision = pool = error = None
+        self._shared_state.engine_memory.skip_demand(job)
+        try:
+            self._shared_state.engine_memory.require_possible(job)
+            error = self._quarantine.find_error(job)
+            if error is None:
+                state, pool = self._assess(job, None, is_preview=True)
+        except kinds.ServingError as exc:
+            error = exc
+        if error is None:
+            decision = _decision(job, state, pool)
+            if self._is_refused(decision):
+                error = self._refusal(
+                    job, decision, self._retry_schedule.predict
+                )
+        return Preview(state, decision, error, pool)
+
+    def _is_refused(self, decision):
+        """Return whether a request whose response has not begun is refused.
+
+        While this instance stops, none starts to wait.
+        """
+        return decision.verdict is admission.Verdict.REFUSE or (
+            self._stopping() and decision.verdict is admission.Verdict.WAIT
+        )
+
     def has_free_server(self, job):
         """Return whether a server that was not tried could run a request."""
         now = anyio.current_time()
@@ -175,6 +223,20 @@
         self._exchange.start_now()
 
     def _decide(self, job, waiter):
+        state, pool = self._assess(job, waiter)
+        return state, _decision(job, state, pool)
+
+    def _assess(self, job, waiter, is_preview=False):
+        """Return the server that a request may use now, and its ServerPool.
+
+        Args:
+            job: The Job.
+            waiter: Its waiter, None if it is not queued.
+            is_preview: Whether no other request is to be woken.
+
+        Returns:
+            A ServerState or None, and the ServerPool.
+        """
         now = anyio.current_time()
         unlimited, limited = self._availability.capable_by_limit(job, now)
         candidates, best = self._availability.best_free(job, unlimited)
@@ -207,12 +269,21 @@
                 pool, self._availability.other_server_in_s(job)
             )
         if self._scheduler is not None:
-            best, pool = self._scheduler.take(job, waiter, best, pool)
+            take = self._scheduler.peek if is_preview else self._scheduler.take
+            best, pool = take(job, waiter, best, pool)
             pool = self._scheduler.with_others(pool, job)
-        decision = admission.decide(pool, best is not None, job.wait_left_s)
-        return best, decision
+        return best, pool
+
+    def _refusal(self, job, decision, schedule):
+        """Return the ServingError of a request that is refused.
 
-    def _refusal(self, job, decision):
+        Args:
+            job: The Job.
+            decision: Its Decision.
+            schedule: Function of the RetrySchedule that gives Retry-After.
+        """
+        if self._stopping():
+            return _shutting_down_error()
         now = anyio.current_time()
         usable = self._availability.usable(job, now)
         unlimited, limited = self._availability.capable_by_limit(job, now)
@@ -225,7 +296,7 @@
         else:
             kind = kinds.ErrorKind.OVERLOADED
         retries_per_s = self._availability.retries_per_s(job, now)
-        retry_delay_s = self._retry_schedule.assign(
+        retry_delay_s = schedule(
             job.demand_key, now + decision.retry_after_s, retries_per_s, now
         )
         return kinds.ServingError(
@@ -236,6 +307,10 @@
         )
 
 
+def _decision(job, state, pool):
+    return admission.decide(pool, state is not None, job.wait_left_s)
+
+
 def _shutting_down_error():
     return kinds.ServingError(
         kinds.ErrorKind.SHUTTING_DOWN,
--- a/packages/gateway/src/wagtailtide_gateway/serving/quarantine.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/quarantine.py
@@ -36,18 +36,36 @@
             ServingError: It or a part of its prompt has crashed servers.
         """
         now = anyio.current_time()
-        verdict = self._crashes.verdict(job.fingerprint, now)
-        if verdict is crashes.Verdict.REFUSED:
+        error, group = self._find_error(job, now)
+        if error is None:
+            return
+        if group is not None:
+            self._log(job, group, now, 'request quarantined')
+        else:
             known = self._crashes.crashes_of(job.fingerprint, now)
             LOG.info(
                 'request quarantined',
                 extra={'request': job.req.attempt_id, 'crashes': len(known)},
             )
-            raise _quarantined_error('this request')
+        raise error
+
+    def find_error(self, job):
+        """Return the ServingError that `check` would raise, or None.
+
+        Nothing is logged.
+        """
+        return self._find_error(job, anyio.current_time())[0]
+
+    def _find_error(self, job, now):
+        """Return a ServingError and its BlamedGroup; None where not any."""
+        verdict = self._crashes.verdict(job.fingerprint, now)
+        if verdict is crashes.Verdict.REFUSED:
+            return _quarantined_error('this request'), None
         group = self._parts.find_group(job.part_fingerprints, now)
-        if group is not None and not self._may_try(group, now):
-            self._log(job, group, now, 'request quarantined')
-            raise _quarantined_error('requests with a part of its prompt')
+        if group is None or self._may_try(group, now):
+            return None, None
+        what = 'requests with a part of its prompt'
+        return _quarantined_error(what), group
 
     def admit(self, job):
         """Check that a request may be sent to a server now.
--- a/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -165,15 +165,25 @@
             The server or None, and the pool with the delay that it implies.
         """
         service, model = job.service.name, job.req.model
-        if not self.queues.may_take(service, model, self._ticket(job), waiter):
+        if not self._is_turn(job, waiter):
             if best is not None:
                 self.queues.wake_first(service, model)
-            ready_in_s = max(pool.ready_in_s, TURN_S)
-            return None, dataclasses.replace(pool, ready_in_s=ready_in_s)
+            return None, _after_turn(pool)
         if best is None and waiter is not None:
             self.queues.record_failure(service, waiter)
         return best, pool
 
+    def peek(self, job, waiter, best, pool):
+        """Return what `take` would return, without waking any request."""
+        if self._is_turn(job, waiter):
+            return best, pool
+        return None, _after_turn(pool)
+
+    def _is_turn(self, job, waiter):
+        return self.queues.may_take(
+            job.service.name, job.req.model, self._ticket(job), waiter
+        )
+
     def _ticket(self, job):
         target_s = job.route.latency_target_s
         return fair_queue.Ticket(
@@ -248,6 +258,12 @@
         return scheduling.part_ahead(self._relative_usage, waiting, _org(job))
 
 
+def _after_turn(pool):
+    """Return the pool for a request that another one precedes."""
+    ready_in_s = max(pool.ready_in_s, TURN_S)
+    return dataclasses.replace(pool, ready_in_s=ready_in_s)
+
+
 def _kind(job):
     return job.service.name, _priority(job)
 
