gateway, ctl: Explain where a request would be sent, without sending it

Operators could see the state of an instance in /dump, but not what it would do with a request. The administration path /explain and wagtailtidectl explain show verdict, server, cost of each candidate, reason for each excluded server and the age of each input. Nothing is counted, queued or logged.

--- a/packages/ctl/src/wagtailtide_ctl/arguments.py
+++ b/packages/ctl/src/wagtailtide_ctl/arguments.py
@@ -141,6 +141,73 @@
     json: JsonFlag = False
 
 
+@_command(
+    'explain',
+    'Show where a gateway instance would send a request now, and why, '
+    'without sending it.',
+    'wagtailtidectl explain --admin http://127.0.0.1:9464 --service engines '
+    '--model m1 --tokens 800,40 --deadline-ms 3000',
+)
+@dataclasses.dataclass
+class Explain:
+    """Explain the choice of a server for a request."""
+
+    admin: Annotated[
+        str, cappa.Arg(long='--admin', help='Admin URL of the instance.')
+    ]
+    service: Annotated[
+        str, cappa.Arg(long='--service', help='Service that runs it.')
+    ]
+    model: Annotated[
+        str | None,
+        cappa.Arg(
+            long='--model',
+            help='Model; needed unless the service runs no models.',
+        ),
+    ] = None
+    adapter: Annotated[
+        str | None, cappa.Arg(long='--adapter', help='Adapter of the model.')
+    ] = None
+    organisation: Annotated[
+        str | None,
+        cappa.Arg(
+            long='--organisation',
+            help='Organisation whose priority and share count.',
+        ),
+    ] = None
+    prefix: Annotated[
+        str | None,
+        cappa.Arg(
+            long='--prefix',
+            help='Segments of the prompt as ID:TOKENS,...; all but the last '
+            'are shared with other requests.',
+        ),
+    ] = None
+    tokens: Annotated[
+        str | None,
+        cappa.Arg(
+            long='--tokens',
+            help='Prompt tokens and maximum output tokens as IN,OUT.',
+        ),
+    ] = None
+    deadline_ms: Annotated[
+        float | None,
+        cappa.Arg(
+            long='--deadline-ms',
+            help="The caller's deadline in milliseconds; that of the route "
+            'if absent or longer.',
+        ),
+    ] = None
+    route: Annotated[
+        str | None,
+        cappa.Arg(
+            long='--route',
+            help='Route; the first one of the service if absent.',
+        ),
+    ] = None
+    json: JsonFlag = False
+
+
 @_command(
     'new',
     'Create a key. It is printed once; the document stores only its hash.',
@@ -214,5 +281,5 @@
     """Top-level command line."""
 
     command: cappa.Subcommands[
-        Check | Diff | Apply | Status | Dump | Key | Schema
+        Check | Diff | Apply | Status | Dump | Explain | Key | Schema
     ]
--- a/packages/ctl/src/wagtailtide_ctl/main.py
+++ b/packages/ctl/src/wagtailtide_ctl/main.py
@@ -11,6 +11,7 @@
 
 from wagtailtide_ctl import arguments
 from wagtailtide_ctl import documents
+from wagtailtide_ctl import explain
 from wagtailtide_ctl import instances
 from wagtailtide_ctl import keys
 from wagtailtide_ctl import platform as platform_api
@@ -29,6 +30,7 @@
 INSTANCE_COMMANDS = {
     arguments.Status: instances.status,
     arguments.Dump: instances.dump,
+    arguments.Explain: explain.explain,
 }
 ExitCode = results.ExitCode
 
--- a/packages/ctl/tests/test_main.py
+++ b/packages/ctl/tests/test_main.py
@@ -12,7 +12,7 @@
 from tests import harness
 
 ROOT = pathlib.Path(__file__).parents[3]
-COMMANDS = ('check', 'diff', 'apply', 'status', 'dump', 'schema')
+COMMANDS = ('check', 'diff', 'apply', 'status', 'dump', 'explain', 'schema')
 KEY_COMMANDS = ('key new', 'key withdraw')
 
 
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -29,6 +29,7 @@
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import capacity_recorder
 from wagtailtide_gateway.serving import crash_detector
+from wagtailtide_gateway.serving import explanation
 from wagtailtide_gateway.serving import forward_messages
 from wagtailtide_gateway.serving import forwarding
 from wagtailtide_gateway.serving import gateway
@@ -368,6 +369,9 @@
             await _respond(out, 200, self.metrics.expose())
         elif target == b'/dump':
             await _respond(out, 200, dump(self))
+        elif target.partition(b'?')[0] == explanation.PATH:
+            status, body = explanation.answer(self.gateway.explain, target)
+            await _respond(out, status, body)
         else:
             await _respond(out, 404, b'')
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -13,6 +13,7 @@
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import access
 from wagtailtide_gateway.serving import attempt as attempts
+from wagtailtide_gateway.serving import explanation
 from wagtailtide_gateway.serving import finder
 from wagtailtide_gateway.serving import forwarded_call
 from wagtailtide_gateway.serving import relay as relays
@@ -51,6 +52,9 @@
         metrics: The Metrics.
         origin_reader: OriginReader of the instance.
         recorder: CapacityRecorder, None if no capacity is learned.
+
+    Attributes:
+        explain: Function that explains what would become of a request.
     """
 
     def __init__(
@@ -92,6 +96,14 @@
         self._budget = retries.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        self.explain = explanation.make_explain(
+            cfg,
+            shared_state,
+            exchange,
+            self._access,
+            self._finder,
+            self._refuse_if_stopping,
+        )
         self._stopping_since = None
         self._is_cutting = False
         self._scopes = set()
