--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -136,7 +136,9 @@
         others = self._others
         return {
             'own_tokens': self._held.own(_process(state)),
-            'others_tokens': others and others.get(state.server.id, 0),
+            'others_tokens': (
+                None if others is None else others.get(state.server.id, 0)
+            ),
         }
 
     def record_start(self, job, state):
--- a/packages/gateway/src/wagtailtide_gateway/serving/explanation.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/explanation.py
@@ -313,7 +313,7 @@
             self._availability.service_time_s(job),
         )
         fitting = [s for s in states if s.server.id in fitting]
-        exclude(states, fitting, self._why_no_memory)
+        exclude(states, fitting, lambda s: self._why_no_memory(job, s))
         free = [
             s
             for s in fitting
@@ -347,18 +347,21 @@
         model, adapter = job.req.model, job.req.adapter
         if not job.is_plain and not state.can_serve(model, None, now):
             loading_s = self._exchange.loading_s.get(job.demand_key)
-            if loading_s is None:
-                return 'lacks_model', 'no load of the model is known'
-            return 'lacks_model', f'a server loads it, for {loading_s:.2f} s'
+            detail = 'no load of it is known'
+            if loading_s is not None:
+                detail = f'it is loaded, ready in {loading_s:.2f} s'
+            return 'lacks_model', detail
         if not job.is_plain and not state.can_serve(model, adapter, now):
-            return 'lacks_adapter', 'it has the model only'
+            return 'lacks_adapter', 'it has the model without it'
         return 'unreachable', 'by this instance; it reaches others'
 
-    def _why_no_memory(self, state):
+    def _why_no_memory(self, job, state):
         held = self._memory.held(state)
+        others = held['others_tokens']
         return 'memory', (
-            f'own tokens {held["own_tokens"]}, '
-            f'of others {held["others_tokens"]}'
+            f'holds {held["own_tokens"]} tokens of this instance and '
+            f'{"an unknown number" if others is None else others} of others, '
+            f'memory for {job.service.engine.kv_capacity_tokens}'
         )
 
 
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -101,6 +101,20 @@
     return deployment.Route(**fields | changes)
 
 
+def make_weighted(service, weight=1.0):
+    return deployment.WeightedService(service, weight)
+
+
+def make_service(name='engines', models=(), **changes):
+    """Return a Service; without engines if `models` is None."""
+    engine = None
+    if models is not None:
+        by_name = {model.name: model for model in models}
+        engine = deployment.Engine(24, 200_000.0, 4, 4.0, by_name)
+    fields = {'name': name, 'connection_limit': 100, 'engine': engine}
+    return deployment.Service(**fields | changes)
+
+
 def make_deployment(routes=(), version=1, **changes):
     fields = {
         'version': version,
--- a/packages/gateway/tests/decisions/test_server_choice.py
+++ b/packages/gateway/tests/decisions/test_server_choice.py
@@ -70,3 +70,23 @@
             random.Random(5).random,
         )
         self.assertEqual(found.id, 'b')
+
+    def test_parts_of_a_cost_add_up_to_it(self):
+        # Guards against an explanation with other costs than the choice.
+        for zone in ('z1', 'z2'):
+            for preferred in ('a', 'b'):
+                candidate = make_candidate('a', 5.0, failure_rate=0.25)
+                args = (candidate, zone, 77, preferred)
+                with self.subTest(zone=zone, preferred=preferred):
+                    self.assertAlmostEqual(
+                        sum(server_choice.cost_parts(*args)),
+                        server_choice.cost(*args, lambda: 0.0),
+                    )
+
+    def test_preferred_server_does_not_depend_on_the_order(self):
+        self.assertIsNone(server_choice.preferred_server(['a'], None))
+        self.assertIsNone(server_choice.preferred_server([], 77))
+        self.assertEqual(
+            server_choice.preferred_server(['a', 'b', 'c'], 77),
+            server_choice.preferred_server(['c', 'b', 'a'], 77),
+        )
