--- a/packages/ctl/tests/test_explain.py
+++ b/packages/ctl/tests/test_explain.py
@@ -1,6 +1,8 @@
 import contextlib
+import io
 import json
 
+from wagtailtide_ctl import main
 from wagtailtide_ctl import results
 from wagtailtide_testing import serving
 from wagtailtide_testing import virtual_time
@@ -208,6 +210,25 @@
                 self.assertEqual(code, Code.USAGE, text)
                 self.assertIn(message, text)
 
+    def test_errors_are_on_standard_error(self):
+        out, err = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+            self.assertRaises(SystemExit) as caught,
+        ):
+            main.main(
+                [
+                    'explain',
+                    f'--admin={UNREACHABLE}',
+                    '--service=engines',
+                    '--tokens=5',
+                ]
+            )
+        self.assertEqual(caught.exception.code, Code.USAGE)
+        self.assertEqual(out.getvalue(), '')
+        self.assertIn('--tokens', err.getvalue())
+
     def test_missing_arguments_exit_with_2(self):
         for argv in (
             ['--service=engines'],
--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -58,11 +58,7 @@
         """
         deployment = self._config.deployment
         if deployment is None:
-            raise kinds.ServingError(
-                kinds.ErrorKind.NOT_READY,
-                'this instance has not loaded a configuration yet; retry',
-                retry_after_s=RETRY_ELSEWHERE_AFTER_S,
-            )
+            raise no_config_error()
         route = deployment.route_for(req.host, req.path)
         if route is None:
             self._require_confirmed_config()
@@ -232,6 +228,15 @@
             self._local_quota.refund(job.organisation, job.cost)
 
 
+def no_config_error():
+    """Return the ServingError of requests before there is a configuration."""
+    return kinds.ServingError(
+        kinds.ErrorKind.NOT_READY,
+        'this instance has not loaded a configuration yet; retry',
+        retry_after_s=RETRY_ELSEWHERE_AFTER_S,
+    )
+
+
 def make_routed_job(req, route, service, organisation, received_at):
     """Return the Job of a request whose route and service are known.
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/explanation.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/explanation.py
@@ -61,7 +61,7 @@
         inputs = _inputs(shared_state, exchange, servers)
         deployment = shared_state.config.deployment
         if deployment is None:
-            preview = _rejected(_not_ready_error())
+            preview = _rejected(accesses.no_config_error())
             return head | _outcome(preview) | {'inputs': inputs}
         job = explained_request.make_job(query, deployment)
         # A draw does not change what the next requests draw.
@@ -99,14 +99,6 @@
     return finders.Preview(None, None, exc, None)
 
 
-def _not_ready_error():
-    return kinds.ServingError(
-        kinds.ErrorKind.NOT_READY,
-        'this instance has not loaded a configuration yet',
-        retry_after_s=accesses.RETRY_ELSEWHERE_AFTER_S,
-    )
-
-
 def _outcome(preview):
     exc, decision = preview.error, preview.decision
     verdict = 'reject'
