--- a/packages/ctl/src/wagtailtide_ctl/explain.py
+++ b/packages/ctl/src/wagtailtide_ctl/explain.py
@@ -1,5 +1,6 @@
 """Command that explains where an instance would send a request."""
 
+import datetime
 import http as http_
 import json
 
@@ -33,8 +34,17 @@
     'of failures',
     'of zone',
     'of prefix',
+    'process since',
+)
+EXCLUDED_COLUMNS = (
+    'server',
+    'zone',
+    'load',
+    'slots',
+    'process since',
+    'reason',
+    'detail',
 )
-EXCLUDED_COLUMNS = ('server', 'zone', 'load', 'slots', 'reason', 'detail')
 
 
 async def explain(args, http):
@@ -131,10 +141,7 @@
     excluded = value.get('excluded', ())
     yield f'excluded: {len(excluded)}'
     if excluded:
-        rows = [
-            tuple(_text(row[name]) for name in EXCLUDED_COLUMNS)
-            for row in excluded
-        ]
+        rows = [_excluded_row(row) for row in excluded]
         yield from _table(EXCLUDED_COLUMNS, rows)
     yield from _input_lines(value['inputs'])
 
@@ -190,9 +197,28 @@
             f'{cost[name]:.3f}'
             for name in ('total', 'load', 'failures', 'other_zone', 'prefix')
         ),
+        _time(row['process_start_ms']),
+    )
+
+
+def _excluded_row(row):
+    return (
+        row['server'],
+        row['zone'],
+        _text(row['load']),
+        _text(row['slots']),
+        _time(row['process_start_ms']),
+        row['reason'],
+        row['detail'],
     )
 
 
+def _time(unix_ms):
+    """Return a Unix time in milliseconds as text, in UTC."""
+    at = datetime.datetime.fromtimestamp(unix_ms / 1000, datetime.UTC)
+    return at.strftime('%Y-%m-%dT%H:%M:%SZ')
+
+
 def _text(value):
     return f'{value:g}' if isinstance(value, int | float) else str(value)
 
--- a/packages/ctl/tests/test_explain.py
+++ b/packages/ctl/tests/test_explain.py
@@ -27,6 +27,7 @@
         'slowdown': 1.25,
         'failure_rate': 0.0,
         'is_forwarded': False,
+        'process_start_ms': 1_772_000_000_500,
         'cost': {
             'load': 0.417,
             'failures': 0.0,
@@ -99,12 +100,14 @@
                 'reason: it is the only candidate',
                 'candidates: 1',
                 '  server  zone     load  slots  slowdown  cost   of load  '
-                'of failures  of zone  of prefix',
+                'of failures  of zone  of prefix  process since',
                 '  e1      gulberg  3     12     1.25      0.337  0.417    '
-                '0.000        0.040    -0.120',
+                '0.000        0.040    -0.120     2026-02-25T06:13:20Z',
                 'excluded: 1',
-                '  server  zone     load  slots  reason  detail',
-                '  e2      gulberg  3     12     paused  for 2.50 s',
+                '  server  zone     load  slots  process since         '
+                'reason  detail',
+                '  e2      gulberg  3     12     2026-02-25T06:13:20Z  '
+                'paused  for 2.50 s',
                 'list of servers: 0.20 s old',
                 'leader: answers; last update: 0.15 s old, 12 instances',
                 'configuration: version 7, 0.90 s old',
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_rows.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_rows.py
@@ -85,6 +85,7 @@
             'slowdown': rounded(candidate.slowdown),
             'failure_rate': rounded(candidate.failure_rate),
             'is_forwarded': self._is_unreachable(state),
+            'process_start_ms': state.server.residency.process_start_ms,
             'cost': costs | {'total': rounded(sum(parts))},
         }
 
@@ -187,7 +188,8 @@
     if free:
         return 'limited', 'a server without a limit is free'
     per_s = state.limit.present_per_s(now)
-    return 'limited', f'{per_s:.2f} requests a second; no permit now'
+    cold = 'cold, ' if state.limit.cold.is_limited(now) else ''
+    return 'limited', f'{cold}{per_s:.2f} requests a second; no permit now'
 
 
 def _why_full(state):
