gateway: Send requests that are large beside an engine in turns

In the first second of a burst of requests of 8,000 tokens an engine held 136,000 with memory for 69,660: the instances knew nothing of each other's demand yet, and all took the engine for empty. Later it held up to 1.03 times its memory, as chance lets more through than the mean of a few requests.

While its own demand for large requests rises, or the others want more than an engine has free, an instance sends a large request only in its turn. The leader numbers the instances and turns. Requests of the usual size follow the rule as before.

New bounds for 36 instances and for large requests among usual ones.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -6,21 +6,21 @@
 from wagtailtide_core.errors import kinds
 
 from wagtailtide_gateway.control import fields
+from wagtailtide_gateway.control import memory_reports
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.decisions import engine_memory
-
-# Reports count for this many seconds, as instances do.
-REPORT_TTL_S = engine_memory.MAX_AGE_S
+from wagtailtide_gateway.decisions import large_requests
+from wagtailtide_gateway.decisions import pace
 
 # Least time for which a request keeps its chances at the engines, in seconds.
 MIN_WINDOW_S = 0.5
 
-_decode = fields.row(
-    lambda *row: row,
-    fields.mapping(fields.text, fields.integer),
-    fields.sequence(
-        fields.row(lambda *row: row, fields.text, fields.text, fields.number)
-    ),
+# Requests count at the others after this many intervals at most: the report
+# waits for up to one, and so does the update.
+INTERVALS_UNTIL_KNOWN = 2.0
+
+_decode_turn = fields.row(
+    large_requests.Turn, fields.integer, fields.integer, fields.integer
 )
 
 
@@ -36,6 +36,8 @@
         self._servers = servers
         self._is_enabled = is_enabled
         self._held = engine_memory.HeldTokens()
+        self._large = large_requests.LargeRequests()
+        self._turn = None
         self._others = None
         self._others_at = float('-inf')
         self._interval_s = 0.0
@@ -43,17 +45,17 @@
         self._wanted_since = None
         self._own_rates = {}
         self._other_rates = {}
-        self._start_term()
+        self._reports = memory_reports.MemoryReports()
 
     def section(self):
         """Return the Section for the exchange."""
         return sections.Section(
             sections.Number.ENGINE_MEMORY,
             make_report=self._make_report,
-            receive=self._receive,
-            make_update=self._make_update,
+            receive=self._reports.receive,
+            make_update=self._reports.make_update,
             apply=self._apply,
-            start_term=self._start_term,
+            start_term=self._reports.start_term,
         )
 
     def require_possible(self, job):
@@ -83,8 +85,14 @@
         ids = {state.server.id for state in states}
         if not self._capacity(job) or not ids:
             return ids
+        period_s = self._period_s(instances)
         window = self._note_wanted(job)
-        shares = self._shares(job, states, max(0, instances - 1), service_s)
+        others = self._describe_others(max(0, instances - 1), service_s)
+        if others.instances and self._is_large(job):
+            fitting = self._fitting_large(job, states, others, period_s)
+            if fitting is not None:
+                return fitting
+        shares = self._shares(job, states, others, period_s)
         possible = {id_ for id_, share in shares.items() if share > 0.0}
         if all(shares[id_] == 1.0 for id_ in possible):
             return possible
@@ -99,30 +107,89 @@
         """Count a request as wanted; return the number of the window."""
         window = self._window()
         if job.memory_window != window:
+            if job.memory_window is None:
+                self._large.record_wanted(
+                    job.demand_key,
+                    self._needed(job),
+                    self._is_large(job),
+                    anyio.current_time(),
+                )
             # A request that waits is wanted again in each window.
             job.memory_window = window
             job.memory_chances = {}
             self._wanted[job.demand_key] += self._needed(job)
         return window
 
-    def _shares(self, job, states, others, service_s):
+    def _is_large(self, job):
+        return large_requests.is_large(
+            self._needed(job), self._capacity(job), job.service.engine.slots
+        )
+
+    def _period_s(self, instances):
+        """Return the seconds until the others know of a request."""
+        interval_s = pace.exchange_interval_s(instances)
+        return INTERVALS_UNTIL_KNOWN * max(self._interval_s, interval_s)
+
+    def _fitting_large(self, job, states, others, period_s):
+        """Return the ids of the servers that a large request may use.
+
+        None if the leader has given this instance no turn lately.
+        """
+        if self._turn is None or others.are_unknown:
+            return None
+        now = anyio.current_time()
+        shares = self._shares(job, states, others, period_s, False)
+        sizes = self._held.sizes(job.service.name, job.service.engine)
+        capacity = self._capacity(job)
+        hold = engine_memory.make_hold_function(others, sizes, capacity)
+        wanted = self._make_wanted_function(job.service.name, others.instances)
+        known, own = self._others, self._held.by_process()
+        engines = [
+            large_requests.Engine(
+                state.server.id,
+                process := _process(state),
+                shares[state.server.id],
+                capacity
+                - own.get(process, 0)
+                - hold(known.get(state.server.id, 0), state.others_load),
+                wanted(state.residency.models) * others.age_s / len(states),
+            )
+            for state in sorted(states, key=lambda state: state.server.id)
+        ]
+        return self._large.fitting(
+            self._needed(job),
+            engines,
+            self._turn,
+            self._large.rise(job.demand_key, period_s, now),
+            sizes.root_mean_square,
+            period_s,
+            now,
+        )
+
+    def _shares(self, job, states, others, period_s, assumes_rise=True):
         """Return the share of requests that may use each server, by id.
 
         Args:
             job: The Job.
             states: ServerState of each server.
-            others: Number of other instances.
-            service_s: Seconds that a request of the service takes.
+            others: Others.
+            period_s: Seconds until the others know of a request.
+            assumes_rise: Whether the demand of the others for large requests
+                is taken to have risen as that of this instance.
         """
+        assumed = 0.0
+        if assumes_rise and self._is_large(job):
+            assumed = others.instances * self._rise(job, others, period_s)
         share = engine_memory.make_share_function(
             self._needed(job),
-            self._describe_others(others, service_s),
+            others,
             self._held.sizes(job.service.name, job.service.engine),
             self._capacity(job),
+            assumed,
         )
         known = self._others or {}
         own = self._held.by_process()
-        wanted = self._make_wanted_function(job.service.name, others)
+        wanted = self._make_wanted_function(job.service.name, others.instances)
         shares = {}
         for state in states:
             server_id = state.server.id
@@ -134,6 +201,12 @@
             )
         return shares
 
+    def _rise(self, job, others, period_s):
+        """Return the rise in large requests that each other may have, too."""
+        rise = self._large.rise(job.demand_key, period_s, anyio.current_time())
+        # What is not known does not become known with time.
+        return max(rise, self._needed(job)) if others.are_unknown else rise
+
     def _capacity(self, job):
         """Return the tokens that an engine has memory for, 0 for no limit."""
         if not self._is_enabled or job.service.engine is None:
@@ -160,6 +233,8 @@
         if job.req.tokens is not None:
             sizes.record(job.req.tokens)
         tokens = self._needed(job)
+        if self._is_large(job):
+            self._large.record_sent(_process(state), anyio.current_time())
         self._held.add(_process(state), tokens)
         return tokens
 
@@ -223,7 +298,7 @@
                 key: tokens / elapsed_s for key, tokens in self._wanted.items()
             }
             self._wanted.clear()
-        return [self._own_tokens(), _rows(self._own_rates)]
+        return [self._own_tokens(), memory_reports.rows(self._own_rates)]
 
     def _own_tokens(self):
         own = {}
@@ -233,55 +308,23 @@
                 own[server_id] = tokens
         return own
 
-    def _receive(self, instance, value, now):
-        tokens, rows = _decode(value)
-        rates = {(service, model): rate for service, model, rate in rows}
-        if any(number < 0 for number in (*tokens.values(), *rates.values())):
-            raise ValueError('expected tokens of at least 0')
-        self._drop(instance)
-        self._reports[instance] = (now, tokens, rates)
-        self._total.update(tokens)
-        self._total_rates.update(rates)
-        for name, (reported_at, _, _) in list(self._reports.items()):
-            if now - reported_at > REPORT_TTL_S:
-                self._drop(name)
-
-    def _drop(self, instance):
-        _, tokens, rates = self._reports.pop(instance, (0.0, {}, {}))
-        self._total.subtract(tokens)
-        self._total_rates.subtract(rates)
-
-    def _make_update(self, instance, now):
-        _, tokens, rates = self._reports.get(instance, (now, {}, {}))
-        others = {s: n - tokens.get(s, 0) for s, n in self._total.items()}
-        wanted = {
-            key: rate - rates.get(key, 0.0)
-            for key, rate in self._total_rates.items()
-        }
-        return [{s: n for s, n in others.items() if n}, _rows(wanted)]
-
     def _apply(self, value, now):
         if value is None:
-            self._others = None
+            self._others = self._turn = None
             return
-        self._others, rows = _decode(value)
+        turn = _decode_turn(value[2]) if len(value) > 2 else None
+        self._others, rows = memory_reports.decode(value)
+        # Older builds send no turn.
+        self._turn = turn if turn is None or turn.instances > 0 else None
         self._other_rates = {
             (service, model): rate for service, model, rate in rows
         }
         if self._others_at > float('-inf'):
-            self._interval_s = min(now - self._others_at, REPORT_TTL_S)
+            self._interval_s = min(
+                now - self._others_at, memory_reports.REPORT_TTL_S
+            )
         self._others_at = now
 
-    def _start_term(self):
-        self._reports = {}
-        self._total = collections.Counter()
-        self._total_rates = collections.Counter()
-
-
-def _rows(rates):
-    """Return rates as rows; sums of floats that should be 0 may differ."""
-    return [[*key, rate] for key, rate in rates.items() if rate > 0.001]
-
 
 def _process(state):
     return state.server.id, state.server.residency.process_start_ms
--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -5,7 +5,8 @@
 they learn of each other's requests. If the others want more tokens in that
 time than the engine has free, a request may use the engine only by chance: the
 share is such that what all admit together stays within the free memory, three
-standard deviations included.
+standard deviations included. For requests that are large beside an engine,
+large_requests.py has a rule that does not depend on chance.
 """
 
 import collections
@@ -78,7 +79,7 @@
         self._square += weight * (tokens * tokens - self._square)
 
 
-def make_share_function(tokens, others, sizes, capacity):
+def make_share_function(tokens, others, sizes, capacity, least_wanted=0.0):
     """Return a function that tells the share of requests for an engine.
 
     What is alike for all engines is computed once here, because the function
@@ -89,6 +90,8 @@
         others: Others.
         sizes: RequestSizes of the service.
         capacity: Tokens that an engine has memory for.
+        least_wanted: Tokens that the others are taken to want until this
+            instance knows of their requests, at least.
 
     Returns:
         A function from the tokens of this instance in the engine, those that
@@ -99,24 +102,19 @@
     if tokens > capacity:
         return lambda own, known, load, wanted_per_s: 0.0
     size = max(sizes.root_mean_square, 1.0)
-    margin, mean_unknown = _margin(others, sizes, capacity)
-    has_others = others.instances > 0
-    age_s = others.age_s if has_others else 0.0
+    hold = make_hold_function(others, sizes, capacity)
+    age_s = others.age_s if others.instances else 0.0
     # Of what the others had, a part has ended since.
     ended = 1.0 - math.exp(-others.age_s / max(others.service_s, 0.001))
 
     def share(own, known, load, wanted_per_s):
-        held = own
-        if mean_unknown:
-            held += margin + max(known, load * mean_unknown)
-        elif has_others:
-            held += margin + known
+        held = own + hold(known, load)
         if held >= capacity:
             return 0.0
         # A request that would be alone in its engine needs no margin.
         if held + tokens > capacity and (own or known or load):
             return 0.0
-        wanted = wanted_per_s * age_s
+        wanted = max(wanted_per_s * age_s, least_wanted)
         if not wanted:
             return 1.0
         free = capacity - held + ended * known
@@ -128,23 +126,24 @@
     return share
 
 
-def _margin(others, sizes, capacity):
-    """Return the margin in an engine for what is not known of the others.
+def make_hold_function(others, sizes, capacity):
+    """Return a function that tells what the others hold, with a margin.
+
+    It takes the tokens that they reported for an engine and the number of
+    their requests there, and returns tokens.
 
     Args:
         others: Others.
         sizes: RequestSizes of the service.
         capacity: Tokens that an engine has memory for.
-
-    Returns:
-        The margin in tokens, and the tokens as which each request of the
-        others counts, 0 if what they reported is recent.
     """
     if not others.instances:
-        return 0.0, 0.0
+        return lambda known, load: 0.0
     if others.are_unknown:
-        return UNKNOWN_MARGIN_PART * capacity, max(sizes.mean, 1.0)
-    return MARGIN_PART * capacity, 0.0
+        margin, mean = UNKNOWN_MARGIN_PART * capacity, sizes.mean
+        return lambda known, load: max(known, load * mean) + margin
+    margin = MARGIN_PART * capacity
+    return lambda known, load: known + margin
 
 
 def chances(request, server_ids, window):
--- a/packages/gateway/tests/control/test_engine_memory.py
+++ b/packages/gateway/tests/control/test_engine_memory.py
@@ -5,6 +5,7 @@
 import anyio
 from wagtailtide_core.errors import kinds
 from wagtailtide_gateway.control import engine_memory
+from wagtailtide_gateway.control import memory_reports
 from wagtailtide_gateway.control import servers
 from wagtailtide_testing import virtual_time
 
@@ -38,6 +39,107 @@
     return leader.section().make_update('front-2', now)
 
 
+async def make_memory_with_turn(rank, instances=124, engines=56):
+    """Return an EngineMemory that knows the others as idle; its servers."""
+    states = [
+        servers.ServerState(
+            builders.make_server(
+                f's{index:02}', residency=builders.make_residency(['m1'], 1)
+            )
+        )
+        for index in range(engines)
+    ]
+    view = types.SimpleNamespace(states={s.server.id: s for s in states})
+    memory = engine_memory.EngineMemory(view)
+    memory.section().apply(
+        [{}, [], [rank, instances, 0]], anyio.current_time()
+    )
+    return memory, states
+
+
+class LargeRequestTest(unittest.TestCase):
+    """A fleet of 124 instances and 56 engines that was idle."""
+
+    async def wait_s(self, rank, tokens):
+        """Return the seconds that the first request of an instance waits."""
+        memory, states = await make_memory_with_turn(rank)
+        job, started_at = make_job(tokens), anyio.current_time()
+        while not memory.fitting(job, states, 124, 1.5):
+            await anyio.sleep(0.25)
+            memory.section().apply([{}, [], [rank, 124, 0]], started_at)
+        return anyio.current_time() - started_at
+
+    @virtual_time.run_without_io
+    async def test_single_large_request_does_not_wait(self):
+        for rank in range(0, 124, 7):
+            self.assertEqual(await self.wait_s(rank, 11_000), 0.0)
+
+    @virtual_time.run_without_io
+    async def test_larger_one_waits_until_the_others_would_be_known(self):
+        # 60,000 of 100,000 tokens: another one would exceed the memory.
+        waits = [await self.wait_s(rank, 60_000) for rank in range(124)]
+        self.assertLessEqual(max(waits), 2.0 * 124 / 120 + 0.25)
+        self.assertGreater(max(waits), 2.0)
+
+    @virtual_time.run_without_io
+    async def test_requests_of_the_usual_size_use_any_engine_at_once(self):
+        # Guards against requests of the deployments that wait for a turn.
+        memory, states = await make_memory_with_turn(0)
+        memory.fitting(make_job(60_000), states, 124, 1.5)
+        for _ in range(50):
+            job = make_job(1_600)
+            self.assertEqual(len(memory.fitting(job, states, 124, 1.5)), 56)
+
+    @virtual_time.run_without_io
+    async def test_one_request_uses_an_engine_until_it_is_known(self):
+        memory, states = await make_memory_with_turn(0)
+        by_id = {state.server.id: state for state in states}
+        sent = []
+        while fitting := memory.fitting(make_job(11_000), states, 124, 1.5):
+            sent.append(min(fitting))
+            memory.record_start(make_job(11_000), by_id[sent[-1]])
+        self.assertEqual(len(sent), len(set(sent)))
+        self.assertLess(len(sent), 5)
+
+    @virtual_time.run_without_io
+    async def test_chance_decides_without_a_turn(self):
+        # As with a leader of an older build. On average an instance must
+        # find memory at few engines, else all send to all.
+        memory, states = await make_memory_with_turn(0)
+        memory.section().apply([{}, []], anyio.current_time())
+        fitting = memory.fitting(make_job(11_000), states, 124, 1.5)
+        self.assertLessEqual(len(fitting), 2)
+
+    @virtual_time.run_without_io
+    async def test_leader_gives_turns_once_it_knows_the_instances(self):
+        # Guards against a new leader that takes the first instance that
+        # reports for the only one.
+        leader, _ = make_memory()
+        memories = {f'front-{n}': make_memory()[0] for n in (2, 1, 3)}
+        for name, memory in memories.items():
+            exchange(leader, memory, name)
+        self.assertEqual(len(exchange(leader, memories['front-1'])), 2)
+        await anyio.sleep(memory_reports.REPORT_TTL_S)
+        for name, memory in memories.items():
+            exchange(leader, memory, name)
+        now = anyio.current_time()
+        turns = [
+            leader.section().make_update(name, now)[2] for name in memories
+        ]
+        self.assertEqual([turn[0] for turn in turns], [1, 0, 2])
+        self.assertEqual({turn[1] for turn in turns}, {3})
+
+    @virtual_time.run_without_io
+    async def test_malformed_turn_is_refused(self):
+        memory, _ = make_memory()
+        for turn in ([0, 1], [0.5, 1, 1], 'abc', [0, 'x', 1]):
+            with (
+                self.subTest(turn=turn),
+                self.assertRaises((TypeError, ValueError)),
+            ):
+                memory.section().apply([{}, [], turn], anyio.current_time())
+
+
 class EngineMemoryTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_tokens_of_one_instance_reach_the_others(self):
@@ -120,7 +222,7 @@
         leader, _ = make_memory()
         memory.record_start(make_job(), state)
         exchange(leader, memory)
-        await anyio.sleep(engine_memory.REPORT_TTL_S + 0.1)
+        await anyio.sleep(memory_reports.REPORT_TTL_S + 0.1)
         other, _ = make_memory()
         self.assertEqual(exchange(leader, other, 'front-3'), [{}, []])
 
--- a/packages/gateway/tests/decisions/memory_fleet.py
+++ b/packages/gateway/tests/decisions/memory_fleet.py
@@ -5,8 +5,12 @@
 import itertools
 import random
 
+from wagtailtide_gateway.control import engine_memory as engine_memory_control
+from wagtailtide_gateway.control import memory_reports
 from wagtailtide_gateway.decisions import admission
 from wagtailtide_gateway.decisions import engine_memory
+from wagtailtide_gateway.decisions import large_requests
+from wagtailtide_gateway.decisions import pace
 from wagtailtide_gateway.decisions import server_choice
 
 CAPACITY = 69_660
@@ -70,6 +74,9 @@
         ]
         self._ids = range(load.engines)
         self._wanted = [0] * load.instances
+        self._large = [
+            large_requests.LargeRequests() for _ in range(load.instances)
+        ]
         self._rates = [0.0] * load.instances
         self._known_rates = [0.0] * load.instances
         self._sums = [0] * load.engines
@@ -112,21 +119,34 @@
         self._wanted[instance] += tokens
         number = self.served + self.refused
         chances = engine_memory.chances(number, self._ids, 0)
+        others = engine_memory.Others(
+            True, age_s, self.load.instances - 1, self.load.service_s
+        )
         share = engine_memory.make_share_function(
             tokens,
-            engine_memory.Others(
-                True, age_s, self.load.instances - 1, self.load.service_s
-            ),
+            others,
             self._sizes,
             CAPACITY,
         )
         rate, loads = self._known_rates[instance], self._known_loads[instance]
-        fitting = [
-            engine
+        shares = [
+            share(own[engine], known[engine], loads[engine], rate)
             for engine in self._ids
-            if chances[engine]
-            < share(own[engine], known[engine], loads[engine], rate)
         ]
+        fitting = [e for e in self._ids if chances[e] < shares[e]]
+        is_large = large_requests.is_large(tokens, CAPACITY, SLOTS)
+        self._large[instance].record_wanted('m1', tokens, is_large, now)
+        if is_large and self.load.instances > 1:
+            hold = engine_memory.make_hold_function(
+                others, self._sizes, CAPACITY
+            )
+            free = [
+                CAPACITY - own[engine] - hold(known[engine], loads[engine])
+                for engine in self._ids
+            ]
+            fitting = self._fitting_large(
+                instance, tokens, shares, free, rate * age_s, now
+            )
         best = server_choice.choose_server(
             [self._candidate(instance, engine) for engine in fitting],
             'z1',
@@ -137,9 +157,37 @@
             self.refused += 1
             return None
         self.served += 1
+        if is_large:
+            self._large[instance].record_sent(int(best.id), now)
         self._add(instance, int(best.id), tokens, 1)
         return instance, int(best.id), tokens
 
+    def _fitting_large(self, instance, tokens, shares, free, wanted, now):
+        large, count = self._large[instance], self.load.engines
+        interval_s = pace.exchange_interval_s(self.load.instances)
+        period_s = engine_memory_control.INTERVALS_UNTIL_KNOWN * interval_s
+        half_s = memory_reports.INTERVALS_OF_HALF_TURN * interval_s
+        return large.fitting(
+            tokens,
+            [
+                large_requests.Engine(
+                    engine,
+                    engine,
+                    shares[engine],
+                    free[engine],
+                    wanted / count,
+                )
+                for engine in self._ids
+            ],
+            large_requests.Turn(
+                instance, self.load.instances, int(now / half_s)
+            ),
+            large.rise('m1', period_s, now),
+            self._sizes.root_mean_square,
+            period_s,
+            now,
+        )
+
     def _candidate(self, instance, engine):
         return server_choice.Candidate(
             id=str(engine),
--- a/packages/gateway/tests/decisions/test_engine_memory.py
+++ b/packages/gateway/tests/decisions/test_engine_memory.py
@@ -64,6 +64,18 @@
         for _ in self.check_bound(sizes=(8_000,), arrivals_per_s=300.0):
             pass
 
+    def test_engines_hold_large_requests_of_few_instances(self):
+        fleet = {'instances': 36, 'engines': 30}
+        for _ in self.check_bound(
+            sizes=(8_000,), arrivals_per_s=150.0, **fleet
+        ):
+            pass
+
+    def test_engines_hold_large_requests_among_usual_ones(self):
+        sizes = (1_100,) * 9 + (8_000,)
+        for _ in self.check_bound(sizes=sizes, arrivals_per_s=400.0):
+            pass
+
 
 class FitsTest(unittest.TestCase):
     def test_tokens_of_this_instance_count_at_once(self):
