gateway: Bound what slow uploads and slow servers hold in memory

Each body of a request could take 4 MB for as long as its caller liked, all together had no bound, and the kernel kept up to 4 MB for a server that reads slowly and 6 MB of what was received.

Tests: SlowReaderTest of test_incoming never sent anything, because it did not start its response, and so could not fail; it does now, and passes.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -9,6 +9,7 @@
 from anyio import lowlevel
 import h11
 
+from wagtailtide_gateway.http import body_memory
 from wagtailtide_gateway.http import sockets
 from wagtailtide_gateway.model import deployment
 
@@ -18,6 +19,10 @@
 # bytes are buffered; a disconnect is then not noticed.
 MAX_PIPELINED_BYTES = 65_536
 
+# A body has to arrive within the idle timeout and the time that it takes at
+# this rate. A caller could otherwise hold its memory with a byte a second.
+MIN_BODY_BYTES_PER_S = 10_000
+
 # Delay before connections are accepted again after an error.
 ACCEPT_RETRY_DELAY_S = 0.1
 
@@ -164,12 +169,14 @@
         handle: Coroutine function from (IncomingRequest, Responder).
         limits: CallerLimits.
         stopping: Function that returns whether the process is stopping.
+        bodies: BodyMemory of the instance.
 
     Attributes:
         busy: Whether a request is being received or handled.
     """
 
-    def __init__(self, stream, handle, limits, stopping):
+    def __init__(self, stream, handle, limits, stopping, bodies=None):
+        self._bodies = bodies or body_memory.BodyMemory()
         self._stream = stream
         self._handle = handle
         self._limits = limits
@@ -203,9 +210,12 @@
 
     async def _serve_one(self):
         self.busy = False
-        incoming = await self._read_request()
-        if incoming is None:
-            return False
+        with self._bodies.claim() as claim:
+            incoming = await self._read_request(claim)
+            return incoming is not None and await self._respond(incoming)
+
+    async def _respond(self, incoming):
+        """Handle a request; return whether the connection goes on."""
         keep_alive = not self._stopping()
         responder = Responder(self._h11, self._stream, keep_alive)
         async with anyio.create_task_group() as tg:
@@ -236,7 +246,7 @@
                 scope.cancel()
                 return
 
-    async def _read_request(self):
+    async def _read_request(self, claim):
         if not self._h11.trailing_data[0]:
             with anyio.move_on_after(self._limits.idle_timeout_s):
                 await self._receive_input()
@@ -256,7 +266,7 @@
         if not isinstance(request, h11.Request):
             return None
         received_at = anyio.current_time()
-        body = await self._read_body()
+        body = await self._read_body(claim, _stated_length(request))
         if body is None:
             return None
         return IncomingRequest(
@@ -267,27 +277,52 @@
             received_at,
         )
 
-    async def _read_body(self):
-        parts, size = [], 0
+    async def _read_body(self, claim, expected):
         if self._h11.they_are_waiting_for_100_continue:
             out = self._h11.send(
                 h11.InformationalResponse(status_code=100, headers=())
             )
             await self._stream.send(out)
+        parts = []
+        try:
+            with self._bodies.arriving(claim):
+                return await self._read_parts(claim, parts, expected)
+        except body_memory.OutOfMemory as exc:
+            status = 408 if exc.is_slow else 503
+            raise BadRequest(f'{exc}; retry the request', status) from exc
+        finally:
+            # The exception must not keep the parts.
+            parts.clear()
+
+    async def _read_parts(self, claim, parts, expected):
+        """Return the body, None if the connection ended before."""
+        limits = self._limits
+        started_at = anyio.current_time()
+        expected = min(expected, limits.max_body_bytes)
         while True:
-            event = await self._next_event()
+            allowed_s = limits.idle_timeout_s
+            allowed_s += claim.size / MIN_BODY_BYTES_PER_S
+            left_s = started_at + allowed_s - anyio.current_time()
+            with anyio.move_on_after(max(0.0, left_s)) as scope:
+                event = await self._next_event()
+            if scope.cancelled_caught:
+                raise BadRequest(
+                    f'expected the complete body within {allowed_s:.0f} s; '
+                    'retry the request',
+                    408,
+                )
             if isinstance(event, h11.EndOfMessage):
                 return b''.join(parts)
             if not isinstance(event, h11.Data):
                 return None
-            size += len(event.data)
-            if size > self._limits.max_body_bytes:
+            size = len(event.data)
+            if claim.size + size > limits.max_body_bytes:
                 raise BadRequest(
                     'expected a body of at most '
-                    f'{self._limits.max_body_bytes} bytes; send a smaller '
-                    'one',
+                    f'{limits.max_body_bytes} bytes; send a smaller one',
                     413,
                 )
+            await self._bodies.grow(claim, size, expected)
             parts.append(bytes(event.data))
 
     async def _receive_input(self):
@@ -325,6 +360,14 @@
             await responder.respond(exc.status, headers, body)
 
 
+def _stated_length(request):
+    """Return the Content-Length of a request, 0 without one."""
+    for name, value in request.headers:
+        if name == b'content-length':
+            return int(value)
+    return 0
+
+
 def _describe_end(exc):
     """Return how a connection ended, for the log.
 
@@ -351,9 +394,18 @@
         handle: Coroutine function from (IncomingRequest, Responder).
         stopping: Function that returns whether the process is stopping.
         limits: Function that returns the CallerLimits in force.
+        bodies: BodyMemory of the instance, None for one of its own.
     """
 
-    def __init__(self, address, handle, stopping, limits=_default_limits):
+    def __init__(
+        self,
+        address,
+        handle,
+        stopping,
+        limits=_default_limits,
+        bodies=None,
+    ):
+        self._bodies = bodies or body_memory.BodyMemory()
         self._address = address
         self._handle = handle
         self._stopping = stopping
@@ -386,9 +438,13 @@
 
     async def _serve_connection(self, stream):
         sockets.enable_keepalive(stream)
-        sockets.limit_send_buffer(stream)
+        sockets.limit_buffers(stream)
         conn = CallerConnection(
-            stream, self._handle, self._limits(), self._stopping
+            stream,
+            self._handle,
+            self._limits(),
+            self._stopping,
+            self._bodies,
         )
         self._open.add(conn)
         try:
--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -328,6 +328,7 @@
                 fate.Progress.CONNECTING,
             ) from exc
         sockets.enable_keepalive(stream)
+        sockets.limit_buffers(stream)
         self.opened_count += 1
         return Connection(stream, address, anyio.current_time())
 
--- a/packages/gateway/src/wagtailtide_gateway/http/sockets.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/sockets.py
@@ -18,14 +18,16 @@
 
 # Bytes that the kernel keeps for a peer that reads slowly; it allows for as
 # many again for its own data. Unlimited it keeps up to 4 MB, and the smallest
-# instance has 152 MB for all peers. It covers 20 ms at 100 Mbit/s.
-SEND_BUFFER_BYTES = 262_144
+# instance has 152 MB for all peers. It covers 20 ms at 100 Mbit/s. The same
+# for what has been received and is not read yet, of which it keeps up to 6 MB.
+BUFFER_BYTES = 262_144
 
 
-def limit_send_buffer(stream):
-    """Limit what the kernel keeps for a peer that reads slowly."""
+def limit_buffers(stream):
+    """Limit what the kernel keeps in both directions of a connection."""
     sock = stream.extra(SocketAttribute.raw_socket)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
 
 
 def enable_keepalive(stream):
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -24,6 +24,7 @@
 from wagtailtide_gateway.control import sync
 from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.decisions import trust
+from wagtailtide_gateway.http import body_memory
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import deployment
@@ -193,11 +194,13 @@
             self._origin_reader,
             recorder,
         )
+        self._bodies = body_memory.BodyMemory()
         self._callers = incoming.Listener(
             cfg.callers,
             self.gateway.handle,
             lambda: self.gateway.is_stopping,
             self._caller_limits,
+            self._bodies,
         )
         self._readiness = self._listener(cfg.readiness, self._handle_readiness)
         self._peers = self._listener(cfg.peers, self._handle_peer)
@@ -210,6 +213,8 @@
             'duty_held': lambda: int(self.leadership.is_leader),
             'backend_servers': lambda: len(self.shared_state.servers.states),
             'slowed_backend_servers': self._count_slowed,
+            'body_bytes': lambda: self._bodies.held,
+            'bodies_ended': lambda: self._bodies.ended_count,
         }
         self._add_zone_metrics(self.shared_state.evacuations)
 
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -101,6 +101,7 @@
             if request.target == b'/echo':
                 await echo(request, out)
                 return
+            out.start(200, [])
             try:
                 while True:
                     await out.send(bytes(16_384))
@@ -127,6 +128,45 @@
         self.assertLess(sum(sent), 1_500_000)
 
 
+class SlowBodyTest(unittest.TestCase):
+    HEAD = b'POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 60\r\n\r\n'
+
+    async def reply_to(self, pause_s):
+        """Return the response to a body of a byte at a time, and seconds."""
+        async with listening() as connect:
+            stream = await connect()
+            started_at = anyio.current_time()
+            with contextlib.suppress(
+                anyio.BrokenResourceError, anyio.EndOfStream
+            ):
+                await stream.send(self.HEAD)
+                with anyio.move_on_after(60.0):
+                    async with anyio.create_task_group() as tg:
+                        tg.start_soon(self._send_slowly, stream, pause_s)
+                        data = await stream.receive()
+                        tg.cancel_scope.cancel()
+                    return data, anyio.current_time() - started_at
+            return b'', anyio.current_time() - started_at
+
+    async def _send_slowly(self, stream, pause_s):
+        with contextlib.suppress(anyio.BrokenResourceError):
+            for _ in range(60):
+                await stream.send(b'x')
+                await anyio.sleep(pause_s)
+
+    @virtual_time.run_in_virtual_time
+    async def test_body_that_arrives_too_slowly_is_ended(self):
+        # Guards against uploads that hold memory for as long as they like.
+        data, seconds = await self.reply_to(0.4)
+        self.assertIn(b' 408 ', data)
+        self.assertAlmostEqual(seconds, LIMITS.idle_timeout_s, delta=0.5)
+
+    @virtual_time.run_in_virtual_time
+    async def test_body_within_the_idle_timeout_is_taken(self):
+        data, _ = await self.reply_to(0.05)
+        self.assertIn(b' 200 ', data)
+
+
 class MalformedRequestTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_malformed_request_is_rejected_and_the_connection_closed(
--- a/packages/gateway/tests/http/test_outgoing.py
+++ b/packages/gateway/tests/http/test_outgoing.py
@@ -1,9 +1,11 @@
 import contextlib
+import socket
 import unittest
 
 import anyio
 from wagtailtide_core.retries import fate
 from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.http import sockets
 from wagtailtide_gateway.model import backend
 from wagtailtide_testing import virtual_time
 
@@ -112,6 +114,22 @@
         self.assertEqual(pool.opened_count, 2)
 
 
+class BufferTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_kernel_keeps_little_for_a_server_that_reads_nothing(self):
+        # Guards against 4 MB for each body at servers that read slowly.
+        pool = outgoing.ConnectionPool()
+        async with serving(lambda stream: anyio.sleep(60.0)) as address:
+            conn = await pool.acquire(address)
+            sock = conn._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            with anyio.move_on_after(1.0):
+                await conn.request(b'POST', b'/', HEADERS, bytes(4_000_000))
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                size = sock.getsockopt(socket.SOL_SOCKET, option)
+                self.assertLessEqual(size, 2 * sockets.BUFFER_BYTES)
+            await conn.close()
+
+
 class ConnectionBrokenTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_progress_shows_whether_the_request_may_have_run(self):
