--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -5,7 +5,8 @@
 they learn of each other's requests. If the others want more tokens in that
 time than the engine has free, a request may use the engine only by chance: the
 share is such that what all admit together stays within the free memory, three
-standard deviations included.
+standard deviations included. For requests that are large beside an engine,
+large_requests.py has a rule that does not depend on chance.
 """
 
 import collections
@@ -31,29 +32,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Others:
-    """What the other instances have in a server, and what they want.
+    """What is known of the other instances, alike for all engines.
 
     Attributes:
-        tokens: Tokens that they reported, None if that is not known.
-        load: Number of their requests.
+        are_reported: Whether the tokens that they have in engines are known.
         age_s: Seconds since they reported, at most.
         instances: Number of other instances.
-        wanted_per_s: Tokens a second of their requests that the server could
-            run.
         service_s: Seconds that a request runs.
     """
 
-    tokens: int | None
-    load: int
+    are_reported: bool
     age_s: float
     instances: int
-    wanted_per_s: float
     service_s: float
 
     @property
-    def is_unknown(self):
-        """Whether the tokens are not known, or only from long ago."""
-        return self.tokens is None or self.age_s > MAX_AGE_S
+    def are_unknown(self):
+        """Whether their tokens are not known, or only from long ago."""
+        return not self.are_reported or self.age_s > MAX_AGE_S
 
 
 class RequestSizes:
@@ -83,69 +79,71 @@
         self._square += weight * (tokens * tokens - self._square)
 
 
-def admitted_share(own, others, sizes, capacity):
-    """Return the share of requests that may use an engine, 0 to 1.
+def make_share_function(tokens, others, sizes, capacity, least_wanted=0.0):
+    """Return a function that tells the share of requests for an engine.
+
+    What is alike for all engines is computed once here, because the function
+    is called for each engine in each decision.
 
     Args:
-        own: Tokens of this instance in the engine.
-        others: Others, what the other instances have there.
+        tokens: Tokens that each request needs.
+        others: Others.
         sizes: RequestSizes of the service.
-        capacity: Tokens that the engine has memory for.
+        capacity: Tokens that an engine has memory for.
+        least_wanted: Tokens that the others are taken to want until this
+            instance knows of their requests, at least.
+
+    Returns:
+        A function from the tokens of this instance in the engine, those that
+        the others reported, the number of the others' requests there and the
+        tokens a second that they want of it, to the share of requests that
+        may use the engine: from 0, if it lacks memory, to 1.
     """
-    wanted = others.wanted_per_s * others.age_s
-    free = capacity - own - held_by_others(others, sizes, capacity)
-    if free <= 0:
-        return 0.0
-    if not others.instances or not wanted:
-        return 1.0
+    if tokens > capacity:
+        return lambda own, known, load, wanted_per_s: 0.0
+    size = max(sizes.root_mean_square, 1.0)
+    hold = make_hold_function(others, sizes, capacity)
+    age_s = others.age_s if others.instances else 0.0
     # Of what the others had, a part has ended since.
     ended = 1.0 - math.exp(-others.age_s / max(others.service_s, 0.001))
-    free += ended * (others.tokens or 0)
-    size = max(sizes.root_mean_square, 1.0)
-    # The mean of which the mean and its deviations fill the free memory.
-    root = math.sqrt(DEVIATIONS**2 + 4.0 * free / size)
-    mean = ((root - DEVIATIONS) / 2.0) ** 2
-    return min(1.0, mean * size / wanted)
-
 
-def held_by_others(others, sizes, capacity):
-    """Return the tokens of other instances in an engine, with a margin.
+    def share(own, known, load, wanted_per_s):
+        held = own + hold(known, load)
+        if held >= capacity:
+            return 0.0
+        # A request that would be alone in its engine needs no margin.
+        if held + tokens > capacity and (own or known or load):
+            return 0.0
+        wanted = max(wanted_per_s * age_s, least_wanted)
+        if not wanted:
+            return 1.0
+        free = capacity - held + ended * known
+        # The mean of which the mean and its deviations fill the free memory.
+        root = math.sqrt(DEVIATIONS * DEVIATIONS + 4.0 * free / size)
+        admitted = ((root - DEVIATIONS) / 2.0) ** 2 * size
+        return admitted / wanted if admitted < wanted else 1.0
 
-    Args:
-        others: Others.
-        sizes: RequestSizes of the service.
-        capacity: Tokens that the engine has memory for.
-    """
-    if not others.instances:
-        return 0.0
-    known = others.tokens or 0
-    if others.is_unknown:
-        known = max(known, others.load * sizes.mean)
-        return known + UNKNOWN_MARGIN_PART * capacity
-    return known + MARGIN_PART * capacity
+    return share
 
 
-def fits(tokens, own, others, sizes, capacity, chance):
-    """Return whether a request may use an engine beside what it holds.
+def make_hold_function(others, sizes, capacity):
+    """Return a function that tells what the others hold, with a margin.
 
-    A request that would be alone in its engine needs no margin.
+    It takes the tokens that they reported for an engine and the number of
+    their requests there, and returns tokens.
 
     Args:
-        tokens: Tokens that the request needs.
-        own: Tokens of this instance in the engine.
-        others: Others, what the other instances have there.
+        others: Others.
         sizes: RequestSizes of the service.
-        capacity: Tokens that the engine has memory for.
-        chance: Number from 0 to 1 for this request and engine that stays the
-            same until the others learn of requests.
+        capacity: Tokens that an engine has memory for.
     """
-    if tokens > capacity:
-        return False
-    if chance >= admitted_share(own, others, sizes, capacity):
-        return False
-    held = own + held_by_others(others, sizes, capacity)
-    is_empty = not own and not others.tokens and not others.load
-    return is_empty or held + tokens <= capacity
+    if not others.instances:
+        return lambda known, load: 0.0
+    if others.are_unknown:
+        margin, mean = UNKNOWN_MARGIN_PART * capacity, sizes.mean
+        return lambda known, load: max(known, load * mean) + margin
+    margin = MARGIN_PART * capacity
+    return lambda known, load: known + margin
 
 
 def chances(request, server_ids, window):
@@ -212,7 +210,7 @@
         Args:
             process: Id of the server and start of the process.
         """
-        return self._held[process]
+        return self._held.get(process, 0)
 
     def add(self, process, tokens):
         """Add the tokens of a request that is sent, or remove them."""
@@ -221,5 +219,5 @@
             del self._held[process]
 
     def by_process(self):
-        """Return the tokens by process."""
-        return dict(self._held)
+        """Return the tokens by process; not to be changed."""
+        return self._held
