gateway: Count requests in engines by priority and share slots between classes

Engines admit more urgent requests first and preempt less urgent ones, but the gateway counted all of them alike, so urgent requests waited in the instances. A request is delayed only by requests that are as urgent; less urgent ones leave room for those that wait or arrive, and keep a part. Loads as old as a request takes are estimated from what is usual for a server, and requests beside other classes are admitted by chance, so that all instances together stay within the room.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/admission.py
@@ -50,6 +50,8 @@
         limited_waiting: Requests of other instances that wait for these.
         others_ahead: Requests that wait at other instances ahead of this one,
             as reported; None if it is not known.
+        not_ahead: Those of the requests ahead that do not use these slots,
+            because the slots are kept for less urgent ones.
     """
 
     slots: float
@@ -61,6 +63,7 @@
     limited_per_s: float = 0.0
     limited_waiting: int = 0
     others_ahead: float | None = None
+    not_ahead: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,7 +119,8 @@
         if pool.others_ahead is None:
             backlog += pool.waiting_ahead * pool.instances
         else:
-            backlog += pool.waiting_ahead + pool.others_ahead
+            ahead = pool.waiting_ahead + pool.others_ahead
+            backlog += max(0.0, ahead - pool.not_ahead)
     else:
         backlog = 1 + pool.waiting_ahead + pool.limited_waiting
     return pool.ready_in_s + backlog / starts_per_s
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
@@ -20,6 +20,10 @@
 # chosen only if the others are full.
 FAILURE_COST = 1.5
 
+# Cost of a less urgent request in a server, relative to that of one that is as
+# urgent: it is preempted, and its prompt is processed again.
+LESS_URGENT_COST = 0.25
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -29,10 +33,13 @@
         id: Identifier of the server.
         zone: Availability zone of the server.
         slots: Requests that the server runs at once without waiting.
-        load: Estimated number of requests in the server, from all instances.
+        load: Estimated number of requests in the server, from all instances,
+            without those that are known to be less urgent than the request.
         failure_rate: Recent share of failed requests, 0 to 1.
         slowdown: Time that the server takes for a request divided by the time
             of its peers; 1 unless it is learned.
+        less_urgent: Requests in the server that are known to be less urgent.
+        ahead: Requests in the server that are more urgent, 0 if not known.
     """
 
     id: str
@@ -41,6 +48,8 @@
     load: float
     failure_rate: float
     slowdown: float = 1.0
+    less_urgent: float = 0.0
+    ahead: float = 0.0
 
 
 def cost(candidate, zone, prefix_hash, preferred, random):
@@ -53,7 +62,8 @@
         preferred: Id of the server that probably has the prefix cached.
         random: Function that returns a number from 0 to 1.
     """
-    total = (candidate.load + 1) / candidate.slots * candidate.slowdown
+    load = candidate.load + LESS_URGENT_COST * candidate.less_urgent
+    total = (load + 1) / candidate.slots * candidate.slowdown
     total += FAILURE_COST * candidate.failure_rate
     total += MAX_RANDOM_COST * random()
     if candidate.zone != zone:
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -1,5 +1,6 @@
 """Servers that are able to run a request, as this instance knows them."""
 
+import functools
 import math
 import random
 
@@ -45,9 +46,11 @@
         peers: PeerDirectory of the instance.
         exchange: Exchange with the leader.
         memory: EngineMemory of the instance.
+        classes: ClassShares, None if all requests count alike.
     """
 
-    def __init__(self, cfg, servers, peers, exchange, memory):
+    def __init__(self, cfg, servers, peers, exchange, memory, classes=None):
+        self._classes = classes
         self._memory = memory
         self._cfg = cfg
         self._peers = peers
@@ -132,44 +135,57 @@
             The Candidate objects and a ServerState or None.
         """
         now = anyio.current_time()
-        candidates = [self._candidate(state, now) for state in capable]
+        view = self._class_view(job, now)
+        candidates = [self._candidate(s, now, view) for s in capable]
+        service_s = self.service_time_s(job)
         fitting = self._memory.fitting(
-            job,
-            capable,
-            self._exchange.instances,
-            self.service_time_s(job),
+            job, capable, self._exchange.instances, service_s
         )
         usable = [c for c in candidates if c.id in fitting]
+        room = functools.partial(
+            spread_choice.room,
+            priority=job.priority,
+            target_s=job.route.latency_target_s,
+            service_s=service_s,
+        )
+        if view is not None:
+            rooms = view.rooms(job, usable, now)
+            usable = [c for c in usable if rooms.get(c.id, 0.0) > 0.0]
+            room = functools.partial(_room_in, rooms)
+        best = self._choose(job, usable, room, service_s)
+        return candidates, next(
+            (s for s in capable if best and s.server.id == best.id), None
+        )
+
+    def _choose(self, job, candidates, room, service_s):
+        """Return the Candidate for a request, or None if all are full."""
         if self._cfg.learns_capacity:
-            best = self._spread(job, usable)
-            return candidates, next(
-                (s for s in capable if best and s.server.id == best.id), None
+            return spread_choice.choose(
+                candidates,
+                self._cfg.zone,
+                job.prefix_hash,
+                random.random,
+                self._exchange.interval_s / service_s,
+                room,
             )
         best = server_choice.choose_server(
-            usable, self._cfg.zone, job.prefix_hash, random.random
+            candidates, self._cfg.zone, job.prefix_hash, random.random
         )
-        if best is None or best.load >= admission.load_limit(
-            job.priority,
-            best.slots,
-            job.route.latency_target_s,
-            self.service_time_s(job),
-        ):
-            return candidates, None
-        return candidates, next(s for s in capable if s.server.id == best.id)
-
-    def _spread(self, job, candidates):
-        service_s = self.service_time_s(job)
-        return spread_choice.choose(
-            candidates,
-            self._cfg.zone,
-            job.prefix_hash,
-            random.random,
-            self._exchange.interval_s / service_s,
-            lambda c: spread_choice.room(
-                c, job.priority, job.route.latency_target_s, service_s
-            ),
+        return best if best is not None and room(best) > 0.0 else None
+
+    def _class_view(self, job, now):
+        """Return the ClassView of a request, None if classes do not count."""
+        if self._classes is None or job.is_plain:
+            return None
+        return self._classes.view(
+            job, self._exchange.instances, self.service_time_s(job), now
         )
 
+    def class_pool(self, job, pool, candidates):
+        """Return the part of an admission.ServerPool for a request's class."""
+        view = self._class_view(job, anyio.current_time())
+        return pool if view is None else view.pool(pool, candidates)
+
     def best_permitted(self, job, limited, now):
         """Return the best limited server that may get a request, or None."""
         instances = self._exchange.leaderless_instances
@@ -290,15 +306,20 @@
         max_age_s = self._cfg.server_drain_s * MAX_LIST_AGE_SHARE
         return self._servers.is_outdated(max_age_s, now)
 
-    def _candidate(self, state, now):
+    def _candidate(self, state, now, view):
         server = state.server
+        load, less_urgent, ahead = state.load, 0.0, 0.0
+        if view is not None:
+            load, less_urgent, ahead = view.loads_of(state)
         return server_choice.Candidate(
             id=server.id,
             zone=server.zone,
             slots=state.sustained_slots,
-            load=state.load,
+            load=load,
             failure_rate=self._servers.health.failure_rate(server.id, now),
             slowdown=state.capacity.slowdown,
+            less_urgent=less_urgent,
+            ahead=ahead,
         )
 
     def _load_s(self, model, usable):
@@ -310,3 +331,7 @@
             elif model.name in residency.on_disk:
                 times.append(model.disk_load_s)
         return min(times)
+
+
+def _room_in(rooms, candidate):
+    return rooms[candidate.id]
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -40,6 +40,7 @@
             shared_state.peers,
             exchange,
             shared_state.engine_memory,
+            shared_state.class_shares,
         )
         self._retry_schedule = retry_schedule.RetrySchedule()
         self._scheduler = shared_state.scheduler
@@ -202,6 +203,7 @@
             limited_per_s=self._availability.limited_per_s(limited, now),
             limited_waiting=self._availability.limited_waiting(limited),
         )
+        pool = self._availability.class_pool(job, pool, candidates)
         if limited and not unlimited:
             pool = admission.with_other_server(
                 pool, self._availability.other_server_in_s(job)
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -415,6 +415,9 @@
         self._quarantine.record_started(job, state.server.id)
         if self._shared_state.scheduler is not None:
             self._shared_state.scheduler.record_start(job)
+            self._shared_state.class_shares.loads.record_start(
+                state, job.priority
+            )
         if job.req.model is not None:
             self._shared_state.demand.record_start(*job.demand_key)
 
@@ -434,6 +437,9 @@
             self._shared_state.demand.record_end(*job.demand_key)
         if self._shared_state.scheduler is not None:
             self._shared_state.scheduler.record_end(job, not failure)
+            self._shared_state.class_shares.loads.record_end(
+                state, job.priority
+            )
         broken = bool(failure) and failure.broken
         self._quarantine.record_ended(job, server_id, now if broken else None)
         health = self._shared_state.servers.health
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -66,6 +66,8 @@
             counted as wanted.
         memory_chances: Its chances to use engines whose memory is scarce, by
             server id, in this window.
+        class_chance: Time until which it keeps its chance among the requests
+            of its priority, and the chance, 0 to 1.
     """
 
     req: request.CallerRequest
@@ -95,6 +97,7 @@
     held_tokens: int = 0
     memory_window: int | None = None
     memory_chances: dict = dataclasses.field(default_factory=dict)
+    class_chance: tuple[float, float] = (float('-inf'), 0.0)
 
     @property
     def time_left_s(self):
--- a/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -9,6 +9,7 @@
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.control import waiting_work
 from wagtailtide_gateway.decisions import admission
+from wagtailtide_gateway.decisions import class_capacity
 from wagtailtide_gateway.decisions import pace
 from wagtailtide_gateway.decisions import scheduling
 from wagtailtide_gateway.serving import fair_queue
@@ -20,6 +21,10 @@
 # none, a request whose time is over would check again at once, without end.
 TURN_S = 0.005
 
+# Arrivals a second below which a class has no demand: its rate decays, but
+# never to zero.
+_LEAST_RATE_PER_S = 0.05
+
 # Work in seconds expected of a request before one of its kind has ended.
 DEFAULT_WORK_S = 1.0
 
@@ -243,6 +248,35 @@
         part = self._part_ahead(job, now)
         return sum(counts[:-1]) + part * counts[-1]
 
+    def demands(self, service, model, instances, now):
+        """Return the class_capacity.Demand for a model by priority.
+
+        It is that of all instances, as far as it is known.
+
+        Args:
+            service: Name of the service.
+            model: Name of the model, '' without one.
+            instances: Number of all instances.
+            now: Time in seconds.
+        """
+        found = {}
+        for priority in range(LOWEST_PRIORITY + 1):
+            key = (service, model, priority)
+            rate = self._arrivals.value(key, now) / scheduling.RATE_PERIOD_S
+            rate += self._view.arrivals_per_s(key, now)
+            waiting = self._waiting[key]
+            waiting += self._view.waiting(key, instances, now) or 0.0
+            if rate > _LEAST_RATE_PER_S or waiting:
+                service_s = self.service_time_s(service, priority)
+                found[priority] = class_capacity.Demand(
+                    rate, waiting, service_s
+                )
+        return found
+
+    def service_time_s(self, service, priority, default_s=DEFAULT_WORK_S):
+        """Return the mean seconds in a server of a priority's requests."""
+        return self._estimates.seconds((service, priority), default_s)
+
     def _part_ahead(self, job, now):
         waiting = self._view.org_waiting(_priority(job), now)
         return scheduling.part_ahead(self._relative_usage, waiting, _org(job))
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -7,6 +7,7 @@
 from wagtailtide_core.quarantine import crashes
 from wagtailtide_core.quarantine import prompt_parts
 
+from wagtailtide_gateway.control import class_loads
 from wagtailtide_gateway.control import config
 from wagtailtide_gateway.control import demand
 from wagtailtide_gateway.control import digests
@@ -19,6 +20,7 @@
 from wagtailtide_gateway.control import servers
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import quota
+from wagtailtide_gateway.serving import class_shares
 from wagtailtide_gateway.serving import scheduler
 from wagtailtide_gateway.serving import wait_queue
 
@@ -57,6 +59,7 @@
         sections: Sections, what single features exchange with the leader.
         engine_memory: EngineMemory, tokens of requests in engines.
         scheduler: Scheduler of the waiting requests, None if it is off.
+        class_shares: ClassShares of the instance, None if it is off.
     """
 
     def __init__(
@@ -67,7 +70,7 @@
         limits_engine_memory=False,
         schedules_shares=False,
     ):
-        self.scheduler = None
+        self.scheduler = self.class_shares = None
         self.wait_queues = wait_queue.WaitQueues()
         if schedules_shares:
             self.scheduler = scheduler.Scheduler(
@@ -100,6 +103,9 @@
             self.sections.add(self.engine_memory.section())
         if self.scheduler is not None:
             self.sections.add(self.scheduler.section())
+            loads = class_loads.ClassLoads(self.servers)
+            self.class_shares = class_shares.ClassShares(loads, self.scheduler)
+            self.sections.add(loads.section())
         self.peers = peers.PeerDirectory()
         self.part_crashes = prompt_parts.PartQuarantine()
         self._unreported_crashes = []
--- a/packages/gateway/tests/serving/scheduling_fleet.py
+++ b/packages/gateway/tests/serving/scheduling_fleet.py
@@ -37,6 +37,10 @@
     'backlog': (2, 2.507, 0.9),
 }
 
+# Time in seconds in which an engine processes the prompt of a preempted
+# request again: 826 tokens at 0.2 ms (docs/measurements.md).
+PROMPT_S = 0.165
+
 _NUMBERS = itertools.count()
 
 
@@ -75,36 +79,95 @@
         )
 
 
+@dataclasses.dataclass(eq=False)
+class _Run:
+    """A request in an engine.
+
+    Attributes:
+        priority: Its priority.
+        number: Place in the order of arrival.
+        left_s: Seconds in a slot that it still needs.
+        started: Event that is set when it gets a slot.
+        preempted: Event that is set when it loses its slot.
+    """
+
+    priority: int
+    number: int
+    left_s: float
+    started: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    preempted: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def __lt__(self, other):
+        return (self.priority, self.number) < (other.priority, other.number)
+
+
 class Engine:
-    """An engine that runs requests in slots, the most urgent first."""
+    """An engine that runs requests in slots, the most urgent first.
+
+    A request that finds no free slot takes that of the newest of the least
+    urgent ones, if these are less urgent than it is.
+
+    Attributes:
+        preemptions: Number of requests that lost their slots.
+        most: Largest number of requests held at once.
+    """
 
     def __init__(self, slots):
-        self._free = slots
+        self._slots = slots
+        self._running = []
         self._queue = []
+        self.preemptions = 0
+        self.most = 0
 
     async def run(self, priority, service_s):
         """Run a request; return the seconds that it waited for a slot."""
         arrived_at = anyio.current_time()
-        if not self._free:
-            started = anyio.Event()
-            row = (priority, next(_NUMBERS), started)
-            heapq.heappush(self._queue, row)
-            try:
-                await started.wait()
-            except BaseException:
-                if row in self._queue:
-                    self._queue.remove(row)
-                    heapq.heapify(self._queue)
-                raise
-        else:
-            self._free -= 1
-        waited_s = anyio.current_time() - arrived_at
-        await anyio.sleep(service_s)
-        if self._queue:
-            heapq.heappop(self._queue)[2].set()
+        run = _Run(priority, next(_NUMBERS), service_s)
+        waited_s = None
+        try:
+            while True:
+                self._admit(run)
+                await run.started.wait()
+                started_at = anyio.current_time()
+                if waited_s is None:
+                    waited_s = started_at - arrived_at
+                with anyio.move_on_after(run.left_s):
+                    await run.preempted.wait()
+                if not run.preempted.is_set():
+                    return waited_s
+                # Its prompt is processed again.
+                run.left_s -= anyio.current_time() - started_at
+                run.left_s = max(run.left_s, 0.0) + PROMPT_S
+                run.started, run.preempted = anyio.Event(), anyio.Event()
+        finally:
+            self._remove(run)
+
+    def _admit(self, run):
+        if len(self._running) < self._slots:
+            self._start(run)
         else:
-            self._free += 1
-        return waited_s
+            newest = max(self._running)
+            if newest.priority > run.priority:
+                self.preemptions += 1
+                self._running.remove(newest)
+                newest.preempted.set()
+                self._start(run)
+            else:
+                heapq.heappush(self._queue, run)
+        self.most = max(self.most, len(self._running) + len(self._queue))
+
+    def _start(self, run):
+        self._running.append(run)
+        run.started.set()
+
+    def _remove(self, run):
+        if run in self._queue:
+            self._queue.remove(run)
+            heapq.heapify(self._queue)
+        if run in self._running:
+            self._running.remove(run)
+            if self._queue:
+                self._start(heapq.heappop(self._queue))
 
 
 class Instance:
@@ -157,6 +220,7 @@
         schedules_shares: Whether the instances schedule by shares.
         older: Number of instances of a build without sections.
         seed: Seed of the phases of the exchanges and of the load.
+        deadlines_s: Deadline of the requests in seconds, by class.
 
     Attributes:
         outcomes: Outcome of each request.
@@ -172,7 +236,9 @@
         schedules_shares=True,
         older=0,
         seed=1,
+        deadlines_s=None,
     ):
+        self.deadlines_s = deadlines_s or dict.fromkeys(CLASSES, 4.0)
         self.size = size
         self.slots = slots
         self.rng = random.Random(seed)
@@ -258,7 +324,8 @@
             'waited_s': 0.0,
             'limited_servers': 0,
             'send_count': 0,
-            'first_byte_due_at': now + 4.0,
+            'class_chance': (float('-inf'), 0.0),
+            'first_byte_due_at': now + self.deadlines_s[kind],
         }
         return _Job(**fields | changes)
 
@@ -290,6 +357,9 @@
         state.own_load += 1
         if scheduler is not None:
             scheduler.record_start(job)
+            instance.shared.class_shares.loads.record_start(
+                state, job.priority
+            )
         queued_s = await self.engines[state.server.id].run(
             job.priority, service_s
         )
@@ -298,6 +368,7 @@
         elapsed_s = anyio.current_time() - started_at
         if scheduler is not None:
             scheduler.record_end(job, True)
+            instance.shared.class_shares.loads.record_end(state, job.priority)
         instance.shared.servers.record_service_time(SERVICE.name, elapsed_s)
         instance.shared.wait_queues.wake(SERVICE.name)
 
