gateway: Limit the starts of loads from the weight store, not only their plans

Cause: the leader counted a load when it planned it, but it starts later, once other models have been unloaded from its engine.

Change: the start of each planned load is reserved in a window of its own, and a load waits for it. A delay is logged.

Result: the new test of ModelOrders sent the load at once before.

--- a/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/model_orders.py
@@ -29,7 +29,11 @@
 
 
 class ModelOrders:
-    """Plans the placement of models on engines and sends the orders."""
+    """Plans the placement of models on engines and sends the orders.
+
+    Attributes:
+        store_load_limiter: StoreLoadLimiter of all services.
+    """
 
     def __init__(self, config, servers, fleet, cluster, client, cfg):
         self._config = config
@@ -37,7 +41,7 @@
         self._fleet = fleet
         self._cluster = cluster
         self._client = client
-        self._store_load_limiter = store_loads.StoreLoadLimiter(
+        self.store_load_limiter = store_loads.StoreLoadLimiter(
             cfg.load_window_s
         )
 
@@ -49,7 +53,7 @@
                 least.
             now: Time in seconds.
         """
-        self._store_load_limiter.start_term(
+        self.store_load_limiter.start_term(
             self._config.deployment, self._fleet.fence, previous_term_s, now
         )
 
@@ -211,7 +215,7 @@
 
     def _store_loads_left(self, now):
         open_loads = sum(e.from_store for e in self._fleet.engines.values())
-        return self._store_load_limiter.remaining(
+        return self.store_load_limiter.remaining(
             self._config.deployment, open_loads, now
         )
 
@@ -223,7 +227,7 @@
         engine.victims = frozenset(step.victims)
         engine.from_store = step.from_store
         if step.from_store:
-            self._store_load_limiter.record_load(now)
+            self.store_load_limiter.record_plan(now)
         view = self._view(service, step.engine, engine)
         load_s = placement.load_time_s(model, view)
         expected_s = load_s + UNLOAD_S * len(step.victims)
@@ -273,10 +277,29 @@
                 service, step.engine, engine, False, victim, 0.1
             ):
                 return False
+        if step.from_store:
+            await self._wait_to_start_load(step)
         return await self._order_model(
             service, step.engine, engine, True, step.model, load_s
         )
 
+    async def _wait_to_start_load(self, step):
+        """Wait until the weight store allows a planned load to start."""
+        delay_s = self.store_load_limiter.reserve_start(
+            self._config.deployment, anyio.current_time()
+        )
+        if delay_s > 0.0:
+            LOG.info(
+                'load from the weight store delayed',
+                extra={
+                    'server': step.engine,
+                    'model': step.model,
+                    'delay_s': round(delay_s, 2),
+                    'fence': self._fleet.fence,
+                },
+            )
+            await anyio.sleep(delay_s)
+
     def _withdraw_models(self, server_id, engine, victims):
         """Tell the instances to stop using models that will be unloaded."""
         models = {
--- a/packages/gateway/src/wagtailtide_gateway/control/store_loads.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/store_loads.py
@@ -1,6 +1,6 @@
-"""Limit on loads from the weight store in a sliding window."""
+"""Limits on loads from the weight store in a sliding window."""
 
-import collections
+import bisect
 import math
 
 # Share of the weight store's rate that is used. The number of loads that it
@@ -13,15 +13,20 @@
 
 
 class StoreLoadLimiter:
-    """Limits the loads that start within a sliding window.
+    """Limits the loads that are planned and that start within a window.
+
+    A planned load starts later, once other models have been unloaded from its
+    engine. Loads that were planned in different windows may be ready to start
+    in the same one, so their starts are limited too.
 
     Args:
-        window_s: Length of the window in seconds.
+        window_s: Length of the sliding window in seconds.
     """
 
     def __init__(self, window_s):
         self._window_s = window_s
-        self._started_at = collections.deque()
+        self._planned_at = []
+        self._starts_at = []
 
     def start_term(self, deployment, fence, previous_term_s, now):
         """Start a leadership term.
@@ -38,28 +43,45 @@
                 least.
             now: Time in seconds.
         """
-        self._started_at.clear()
+        assumed = 0
         if fence > 1:
             extra = EXTRA_LOADS if previous_term_s >= self._window_s else 0
             assumed = self._allowed(deployment) - extra
-            self._started_at.extend([now] * assumed)
+        self._planned_at = [now] * assumed
+        self._starts_at = [now] * assumed
+
+    def record_plan(self, now):
+        """Record a load that is planned now."""
+        self._planned_at.append(now)
 
-    def record_load(self, now):
-        """Record a load that starts now."""
-        self._started_at.append(now)
+    def reserve_start(self, deployment, now):
+        """Return the seconds until a planned load may start, and count it.
+
+        Args:
+            deployment: The Deployment, for the rates of its services.
+            now: Time in seconds.
+        """
+        self._drop_expired(self._starts_at, now)
+        allowed, start_at = self._allowed(deployment), now
+        if len(self._starts_at) >= allowed:
+            start_at = self._starts_at[-allowed] + self._window_s
+        bisect.insort(self._starts_at, start_at)
+        return start_at - now
 
     def remaining(self, deployment, open_loads, now):
-        """Return the number of loads that may start now.
+        """Return the number of loads that may be planned now.
 
         Args:
             deployment: The Deployment, for the rates of its services.
             open_loads: Number of loads in progress.
             now: Time in seconds.
         """
-        while self._started_at and self._started_at[0] <= now - self._window_s:
-            self._started_at.popleft()
+        self._drop_expired(self._planned_at, now)
         allowed = self._allowed(deployment)
-        return allowed - max(len(self._started_at), open_loads)
+        return allowed - max(len(self._planned_at), open_loads)
+
+    def _drop_expired(self, times, now):
+        del times[: bisect.bisect_right(times, now - self._window_s)]
 
     def _allowed(self, deployment):
         rates = [
--- a/packages/gateway/tests/control/test_model_orders.py
+++ b/packages/gateway/tests/control/test_model_orders.py
@@ -81,6 +81,24 @@
         self.assertEqual({'b', 'c'}, published_models)
         self.assertFalse(fixture.fleet.engines['e1'].busy)
 
+    @virtual_time.run_without_io
+    async def test_load_waits_while_the_window_of_the_weight_store_is_full(
+        self,
+    ):
+        # Guards against loads that were planned in several windows and start
+        # in the same one, because their engines had to unload models first.
+        models = {name: builders.make_model(name) for name in 'abd'}
+        spec = deployment.Engine(24, 200_000.0, 2, 2.0, models)
+        fixture, orders = make_fixture('a', 'b', engine=spec)
+        begun_at = anyio.current_time()
+        for _ in range(10):
+            orders.store_load_limiter.reserve_start(
+                fixture.config.deployment, begun_at
+            )
+        await plan_for(fixture, orders, 'd', 10.0)
+        loads_at = [at for at, _, load, *_ in fixture.client.sent if load]
+        self.assertEqual([begun_at + 5.0], loads_at)
+
     @virtual_time.run_without_io
     async def test_nothing_is_loaded_if_the_unload_is_refused(self):
         # Guards against overcommitting the memory of an engine, which crashes
