gateway: Hear the winner of the lease at once; shorter Retry-After on a stop

Cause of test_mixed_builds.test_callers_of_both_builds_are_served, from the logs of failures beside load: two instances start together, the one that loses the race for the lease ('duty not taken') does not read who won until its next poll, 0.35 to 0.65 s later, and then reports with its next exchange. It is ready all the time, knows no share of any rate, and refuses every call with rate_unconfirmed. In a failed run its first call came 0.39 s after the lost race. It now reads the lease again at once.

Cause of test_rollout_and_its_return_cut_no_caller: the leader stops right after an instance has joined, whose share of the rates is still 0. Its calls are refused with a Retry-After of the rest of the lease (3 s) + 1 s + 0.3 to 1.5 s, up to 5.5 s, more than the 5 s for which the test's callers come back, although another instance leads within about a second. Retry-After no longer includes the rest of a lease that was given up.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -114,6 +114,14 @@
         """Seconds since the last update of a leader."""
         return anyio.current_time() - self._last_update_at
 
+    @property
+    def lease_s(self):
+        """Duration of the leader's lease in seconds, 0.0 if it was given up.
+
+        Another instance takes a lease that was given up over at once.
+        """
+        return 0.0 if self._leadership.is_given_up else self._cfg.lease_s
+
     @property
     def leaderless_instances(self):
         """Number of instances that share limits while no leader answers.
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -94,6 +94,20 @@
             return 0.0
         return lease.leading_capacity(self._cfg.cpu_cores, self._cfg.link_mbps)
 
+    @property
+    def is_given_up(self):
+        """Whether the lease was given up and not taken over yet."""
+        return self._is_resigned or (
+            self.record is not None and not self.record.holder
+        )
+
+    @property
+    def _is_resigned(self):
+        return (
+            self.record is not None
+            and self.record.fence <= self._others_resigned_fence
+        )
+
     def note_response(self, instances):
         """Record that the leader answered.
 
@@ -298,16 +312,12 @@
             return
         received_at = self._clock()
         self._observer.observe(self.record, sent_at, received_at)
-        resigned = (
-            self.record is not None
-            and self.record.fence <= self._others_resigned_fence
-        )
         reason = self._observer.takeover_reason(
             self._cfg.lease_s,
             self._cfg.instance,
             capacity=self.capacity,
             refused=self._connection_refused,
-            resigned=resigned,
+            resigned=self._is_resigned,
         )
         if reason is not None:
             await self._take_over(reason)
@@ -330,6 +340,10 @@
             await self._write(record)
         except (stores.StoreUnavailable, stores.Conflict) as exc:
             LOG.info('duty not taken', extra={'reason': str(exc)})
+            if isinstance(exc, stores.Conflict):
+                # Another instance was faster. Reports go to it at once, not
+                # only after the next poll.
+                await self._refresh_record()
             return
         if previous is not None:
             self.previous_term_s = previous.renewals * lease.RENEW_INTERVAL_S
--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -195,7 +195,7 @@
                 f'what is left of the rate of organisation {org.name} is not '
                 'known at the moment; retry after the time in Retry-After',
                 retry_after_s=quota.unconfirmed_retry_s(
-                    self._exchange.silent_s, self._cfg.lease_s
+                    self._exchange.silent_s, self._exchange.lease_s
                 ),
             )
         raise kinds.ServingError(
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -87,7 +87,7 @@
             lambda: self.is_stopping,
         )
         self._resumption = resumption.Resumption(
-            cfg, shared_state, exchange, origin_reader
+            shared_state, exchange, origin_reader
         )
         self._budget = retries.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
--- a/packages/gateway/src/wagtailtide_gateway/serving/resumption.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/resumption.py
@@ -32,8 +32,7 @@
         reader: OriginReader, which reads the store.
     """
 
-    def __init__(self, cfg, shared_state, exchange, reader):
-        self._cfg = cfg
+    def __init__(self, shared_state, exchange, reader):
         self._servers = shared_state.servers
         self._origins = shared_state.stream_origins
         self._exchange = exchange
@@ -120,7 +119,7 @@
         retry_after_s = RETRY_AFTER_S
         if not self._exchange.hears_leader:
             retry_after_s = quota.unconfirmed_retry_s(
-                self._exchange.silent_s, self._cfg.lease_s
+                self._exchange.silent_s, self._exchange.lease_s
             )
         return kinds.ServingError(
             kinds.ErrorKind.RESUME_UNCONFIRMED,
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -45,6 +45,8 @@
         holders: Holder of each stored version of the lease, in order.
         write_delay_s: Time after which the answer to a write arrives, by
             instance, in seconds.
+        read_delay_s: Time after which the answer to a read of the lease
+            arrives, in seconds.
         lost_answers: Number of next writes that take effect and are not
             answered.
         down: Names of instances that get no answer.
@@ -58,6 +60,7 @@
         self.reads = 0
         self.holders = []
         self.write_delay_s = {}
+        self.read_delay_s = 0.0
         self.lost_answers = 0
         self.down = set()
         self.lists = collections.Counter()
@@ -89,7 +92,10 @@
     async def get(self, kind, name):
         self._store.reads += 1
         await self._require_answer()
-        return self._store.obj
+        found = self._store.obj
+        if self._store.read_delay_s:
+            await anyio.sleep(self._store.read_delay_s)
+        return found
 
     async def create(self, kind, name, value):
         return await self._write(value, None)
--- a/packages/gateway/tests/control/test_leadership.py
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -93,6 +93,46 @@
                 await wait_until(lambda: other.leadership.is_leader)
             tg.cancel_scope.cancel()
 
+    @virtual_time.run_without_io
+    async def test_instance_that_was_not_first_hears_the_leader_at_once(self):
+        # Guards against an instance that serves callers, but refuses those
+        # whose rate it does not know, until it reads the lease again: it did
+        # not learn which instance had been faster.
+        fake_store, _, members = make_members('first', 'second')
+        fake_store.read_delay_s = election_fixture.ROUND_TRIP_S
+        async with anyio.create_task_group() as tg:
+            for member in members:
+                tg.start_soon(member.run)
+            # Until the second exchange; the first one is before the election.
+            await anyio.sleep(pace.EXCHANGE_INTERVAL_S + 0.05)
+            hear = [member.exchange.hears_leader for member in members]
+            tg.cancel_scope.cancel()
+        self.assertEqual(hear, [True, True])
+
+    @virtual_time.run_without_io
+    async def test_callers_are_told_to_return_after_a_planned_stop(self):
+        # Guards against a Retry-After that includes the rest of a lease which
+        # its holder has given up: 4.4 s instead of about 2 s.
+        _, _, members = make_members('stopping', 'other')
+        stopping, other = members
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(stopping.run)
+            await wait_until(lambda: stopping.leadership.is_leader)
+            tg.start_soon(other.exchange.run)
+            await other.leadership._poll()
+            await wait_until(lambda: other.exchange.hears_leader)
+            lease_s = other.exchange.lease_s
+            await stopping.leadership.release_lease()
+            await wait_until(lambda: not other.exchange.hears_leader)
+            released_s = other.exchange.lease_s
+            tg.start_soon(other.leadership.run)
+            await wait_until(lambda: other.leadership.is_leader)
+            renewed_s = other.exchange.lease_s
+            tg.cancel_scope.cancel()
+        self.assertGreater(lease_s, 0.0)
+        self.assertEqual(released_s, 0.0)
+        self.assertEqual(renewed_s, lease_s)
+
     @virtual_time.run_without_io
     async def test_lease_taken_during_a_stop_is_given_up(self):
         fake_store, _, members = make_members('stopping')
--- a/packages/gateway/tests/serving/test_access.py
+++ b/packages/gateway/tests/serving/test_access.py
@@ -21,6 +21,7 @@
     """
 
     silent_s = 1.0
+    lease_s = 3.0
 
     def __init__(self, local_quota, answer_s=None, granted=0.0):
         self.refill_waits_s = {}
--- a/packages/gateway/tests/serving/test_resumption.py
+++ b/packages/gateway/tests/serving/test_resumption.py
@@ -85,6 +85,7 @@
     """
 
     silent_s = 0.5
+    lease_s = 3.0
 
     def __init__(self, origins, known_after=None, hears_leader=True):
         self._origins = origins
@@ -111,9 +112,7 @@
         servers=servers, stream_origins=origins
     )
     reader = FakeReader(servers, origins, **(reader_options or {}))
-    resumed = resumption.Resumption(
-        builders.make_settings(), shared_state, exchange, reader
-    )
+    resumed = resumption.Resumption(shared_state, exchange, reader)
     resumed.reader = reader
     return resumed, origins, exchange
 
