testing: Keep the ports of stopped instances and stand-ins reserved

An instance of the soak that restarts binds the ports that it had before.

Ports are reserved by a socket that is bound and does not listen (wagtailtide_testing.ports). The kernel gives its port to nobody who asks for any free one and uses it for no outgoing connection; servers that set SO_REUSEADDR, as ours do, can listen on it repeatedly. The fleet reserves the ports of an instance before its first start until it ends; stand-ins and the processes of the demo and of the benchmark do the same.

--- a/packages/bench/src/wagtailtide_bench/processes.py
+++ b/packages/bench/src/wagtailtide_bench/processes.py
@@ -56,7 +56,7 @@
         'wagtailtide_testing.standins.platform', 'platform'
     )
     url = f'http://{platform}'
-    free = demo_processes.free_ports(3 * count)
+    free = processes.reserve_ports(3 * count)
     ports = [free[i : i + 3] for i in range(0, len(free), 3)]
     names = [f'gate-{i}' for i in range(count)]
     zones = [ZONES[i % len(ZONES)] for i in range(count)]
--- a/packages/testing/src/wagtailtide_testing/demo_deployment.py
+++ b/packages/testing/src/wagtailtide_testing/demo_deployment.py
@@ -95,7 +95,7 @@
     Returns:
         Ports for callers, admin and peers of each instance.
     """
-    available_ports = demo_processes.free_ports(3 * len(INSTANCES))
+    available_ports = processes.reserve_ports(3 * len(INSTANCES))
     ports = [
         available_ports[i : i + 3] for i in range(0, len(available_ports), 3)
     ]
--- a/packages/testing/src/wagtailtide_testing/demo_processes.py
+++ b/packages/testing/src/wagtailtide_testing/demo_processes.py
@@ -3,12 +3,14 @@
 import contextlib
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
 import anyio
 
+from wagtailtide_testing import ports
+from wagtailtide_testing import serving
+
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 20.0
 LOG_TAIL_LINES = 15
@@ -50,6 +52,13 @@
     def __init__(self, directory):
         self.directory = pathlib.Path(directory)
         self._running = []
+        self._reservations = contextlib.ExitStack()
+
+    def reserve_ports(self, count):
+        """Return unused loopback ports, reserved until `stop_all`."""
+        return self._reservations.enter_context(
+            ports.reserve(serving.HOST, count)
+        )
 
     async def start(self, name, command, stdout=None):
         """Start a process.
@@ -110,6 +119,7 @@
             problem = await _stop(started)
             if problem:
                 problems.append(f'{started.name}: {problem}')
+        self._reservations.close()
         return problems
 
     def log_tails(self):
@@ -147,17 +157,3 @@
     if result.returncode:
         raise DemoError(f'wagtailtidectl {args[0]} failed: {output}')
     return output
-
-
-def free_ports(count):
-    """Return unused loopback ports.
-
-    They are not reserved: another process may use them meanwhile.
-    """
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(('127.0.0.1', 0))
-            ports.append(sock.getsockname()[1])
-        return ports
--- a/packages/testing/src/wagtailtide_testing/fleet.py
+++ b/packages/testing/src/wagtailtide_testing/fleet.py
@@ -17,6 +17,7 @@
 
 from wagtailtide_testing import builders
 from wagtailtide_testing import fleet_network
+from wagtailtide_testing import ports
 from wagtailtide_testing import serving
 from wagtailtide_testing.standins import engine
 from wagtailtide_testing.standins import ledger
@@ -26,6 +27,7 @@
 REGION = 'punjab'
 MODEL = builders.make_model()
 SERVICE = 'lahore'
+LISTENERS = ('callers', 'admin', 'peers')
 
 
 class RecordingEngine(engine.Engine):
@@ -81,7 +83,8 @@
         inst: Latest `Instance` object.
         instances: All its `Instance` objects, oldest first.
         state: running, paused, stopping, stopped or crashed.
-        addresses: Addresses of callers, admin and peers; kept by a restart.
+        addresses: Addresses of callers, admin and peers; kept by a restart,
+            and reserved meanwhile.
         scope: Cancels the tasks of the latest `Instance`.
         ended: Event that is set when these tasks have ended.
     """
@@ -135,12 +138,14 @@
         self._servers = []
         self._platform_url = None
         self._tasks = None
+        self._reservations = contextlib.ExitStack()
 
     @contextlib.asynccontextmanager
     async def running(self, instances=3):
         """Run the fleet while the context is active."""
         async with contextlib.AsyncExitStack() as stack:
             stack.enter_context(self.network.installed())
+            stack.enter_context(self._reservations)
             await self._start_standins(stack)
             self.publish(
                 builders.make_document(
@@ -220,30 +225,32 @@
 
     async def start(self, name, zone=None):
         """Start an instance, or restart it on the same addresses."""
-        node = self.nodes.setdefault(name, Node(name, zone))
+        if name not in self.nodes:
+            self.nodes[name] = Node(name, zone, addresses=self._reserve())
+        node = self.nodes[name]
         if node.ended is not None:
             # The addresses are in use until the tasks have ended.
             await node.ended.wait()
         self.network.restore(name)
         node.scope, node.ended = anyio.CancelScope(), anyio.Event()
         await self._tasks.start(self._run, node)
-        inst = node.inst
-        node.addresses = {
-            'callers': inst.callers_address,
-            'admin': inst.admin_address,
-            'peers': inst.plane.view.local_member.address,
-        }
         for address in node.addresses.values():
             self.network.nodes[int(address.rpartition(':')[2])] = name
         node.state = 'running'
         self._update_instance_list()
         return node
 
+    def _reserve(self):
+        reserved = self._reservations.enter_context(
+            ports.reserve(serving.HOST, len(LISTENERS))
+        )
+        return {
+            listener: f'{serving.HOST}:{port}'
+            for listener, port in zip(LISTENERS, reserved, strict=True)
+        }
+
     async def _run(self, node, task_status):
         fleet_network.CURRENT_NODE.set(node.name)
-        default_addresses = dict.fromkeys(
-            ('callers', 'admin', 'peers'), '127.0.0.1:0'
-        )
         cfg = settings.parse(
             {
                 'name': node.name,
@@ -253,10 +260,10 @@
                 'seed_peers': [
                     n.addresses['peers']
                     for n in self.nodes.values()
-                    if n is not node and n.addresses
+                    if n is not node
                 ],
                 'balancer_lag_s': 1.0,
-                **{**default_addresses, **node.addresses},
+                **node.addresses,
             }
         )
         try:
@@ -307,6 +314,6 @@
                 'state': listed_states.get(n.state, 'live'),
             }
             for n in self.nodes.values()
-            if n.addresses and n.state not in ('crashed', 'stopped')
+            if n.state not in ('crashed', 'stopped')
         ]
         self.platform.set_list('instances', items, anyio.current_time())
--- a/packages/testing/src/wagtailtide_testing/serving.py
+++ b/packages/testing/src/wagtailtide_testing/serving.py
@@ -17,6 +17,8 @@
 from hypercorn.trio import worker_context
 import trio
 
+from wagtailtide_testing import ports
+
 HOST = '127.0.0.1'
 
 # Longer than any client in this repository keeps an idle connection, so that
@@ -61,10 +63,10 @@
     """Server of an app that can be stopped and restarted on its port.
 
     Attributes:
-        port: Port; if it is 0, the first start chooses one.
+        port: Port that it listens on.
     """
 
-    def __init__(self, app, nursery, port=0):
+    def __init__(self, app, nursery, port):
         self._app = utils.wrap_app(app, 16 * 1024 * 1024, 'asgi')
         self._nursery = nursery
         self._cfg = hypercorn_config.Config()
@@ -90,7 +92,6 @@
             OSError: The port is in use.
         """
         listeners = await trio.open_tcp_listeners(self.port, host=HOST)
-        self.port = listeners[0].socket.getsockname()[1]
         self._scope = trio.CancelScope()
         self._stopped = trio.Event()
         self._nursery.start_soon(self._serve, listeners)
@@ -127,12 +128,16 @@
 
     Args:
         app: ASGI app.
-        port: Loopback port; 0 lets the kernel choose one.
+        port: Loopback port; 0 lets the kernel choose one, which stays reserved
+            while the server is stopped.
 
     Yields:
         The started `RestartableServer`.
     """
-    async with trio.open_nursery() as nursery:
+    async with contextlib.AsyncExitStack() as stack:
+        if not port:
+            (port,) = stack.enter_context(ports.reserve(HOST, 1))
+        nursery = await stack.enter_async_context(trio.open_nursery())
         served = RestartableServer(app, nursery, port)
         await served.start()
         try:
