gateway: Compare servers with what their batches explain

A server whose batch held requests for larger models counted as slow. Each instance now reports, in section 7, which models its running requests in a server are for; the leader learns what a batch adds to the pace of a model.

--- a/packages/gateway/src/wagtailtide_gateway/control/sections.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sections.py
@@ -33,6 +33,7 @@
     ENGINE_MEMORY = 3
     SERVER_PERFORMANCE = 4
     COLD_SERVERS = 5
+    SERVER_BATCHES = 7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/control/server_performance.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/server_performance.py
@@ -39,11 +39,16 @@
         servers: ServerView of the instance.
         take: Function that removes and returns the instance's Observation
             objects by server id.
+        take_batches: Function that removes and returns the seconds of the
+            instance's running requests by server id and model.
     """
 
-    def __init__(self, servers, take):
+    def __init__(self, servers, take, take_batches=dict):
         self._servers = servers
         self._take = take
+        self._take_batches = take_batches
+        self._batches = {}
+        self._reported_at = None
         self._own = server_capacity.Estimator(OWN_WINDOW_S)
         self._shared = server_capacity.Estimator()
         self._evaluated_at = -math.inf
@@ -62,6 +67,14 @@
             start_term=self.start_term,
         )
 
+    def batch_section(self):
+        """Return the Section with what the servers' batches consist of."""
+        return sections.Section(
+            number=sections.Number.SERVER_BATCHES,
+            make_report=self.make_batch_report,
+            receive=self.receive_batches,
+        )
+
     def make_report(self):
         """Return what this instance has observed, by server."""
         now = anyio.current_time()
@@ -72,6 +85,7 @@
             if state is not None:
                 for observation in observations:
                     self._own.add(server_id, state.server.service, observation)
+        self._add_own_batches(now)
         own = self._own.evaluate(now)
         if now - self._applied_at > HOLD_S:
             self._set(own, 'own')
@@ -82,6 +96,42 @@
             for server_id, observations in observed.items()
         } or None
 
+    def _add_own_batches(self, now):
+        """Count this instance's requests; those of others are unknown."""
+        self._batches = self._take_batches()
+        last, self._reported_at = self._reported_at, now
+        if last is None:
+            return
+        for server_id, batch in self._batches.items():
+            state = self._servers.states.get(server_id)
+            if state is not None:
+                others_s = state.others_load * (now - last)
+                self._own.add_batch(
+                    server_id, state.server.service, {**batch, None: others_s}
+                )
+
+    def make_batch_report(self):
+        """Return the running requests since the last report, by server.
+
+        They are those up to the last `make_report`.
+        """
+        return {
+            server_id: row
+            for server_id, batch in self._batches.items()
+            if (row := _encode_batch(batch))
+        } or None
+
+    def receive_batches(self, instance, value, now):
+        """Add the running requests of an instance; called on the leader."""
+        del instance, now
+        decoded = [
+            (self._servers.states[server_id].server, _decode_batch(row))
+            for server_id, row in value.items()
+            if server_id in self._servers.states
+        ]
+        for server, batch in decoded:
+            self._shared.add_batch(server.id, server.service, batch)
+
     def receive(self, instance, value, now):
         """Add the observations of an instance; called on the leader."""
         del instance, now
@@ -224,6 +274,34 @@
     return found
 
 
+def _encode_batch(batch):
+    """Return the running requests of a server, times in milliseconds."""
+    return [
+        value
+        for model, seconds in batch.items()
+        if (ms := round(1_000 * seconds)) > 0
+        for value in (model, ms)
+    ]
+
+
+def _decode_batch(row):
+    """Return the seconds of running requests by model.
+
+    Raises:
+        BadMessage: The row is malformed.
+    """
+    if not isinstance(row, list) or len(row) % 2:
+        raise fields.BadMessage(
+            f'expected a list of pairs of a model and a time, got {row!r}'
+        )
+    batch = {}
+    for model, ms in zip(row[::2], row[1::2], strict=True):
+        if not isinstance(model, str):
+            raise fields.BadMessage(f'expected a model name, got {model!r}')
+        batch[model] = _in_range(ms, 0, _MAX_NUMBER) / 1_000
+    return batch
+
+
 def _in_range(value, low, high):
     if not isinstance(value, int) or not low <= value <= high:
         raise fields.BadMessage(
--- a/packages/gateway/src/wagtailtide_gateway/decisions/concurrency_limit.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/concurrency_limit.py
@@ -3,9 +3,9 @@
 import math
 
 # Slowdown relative to the known one from which a server is taken to have
-# changed. A server is up to 1.5 times slower than its peers without a fault
-# while its batch holds requests for larger models or long prompts.
-SLOW_STEP = 1.6
+# changed. With 1.6 a server that slows beyond a third of its slots costs 0.026
+# of the requests, 0.02 is the bound.
+SLOW_STEP = 1.25
 
 # Relative slowdown up to which a limited server is taken to sustain its load.
 SUSTAINED = 1.15
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -235,9 +235,10 @@
         recorder = capacity_recorder.CapacityRecorder()
         self._tasks.append(recorder.watch_hold_ups)
         performance = server_performance.ServerPerformance(
-            self.shared_state.servers, recorder.take
+            self.shared_state.servers, recorder.take, recorder.batches.take
         )
         self.shared_state.sections.add(performance.section())
+        self.shared_state.sections.add(performance.batch_section())
         return recorder
 
     def _summarise_cluster(self):
--- a/packages/gateway/src/wagtailtide_gateway/serving/capacity_recorder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/capacity_recorder.py
@@ -3,6 +3,7 @@
 import anyio
 
 from wagtailtide_gateway.decisions import server_capacity
+from wagtailtide_gateway.serving import batch_sums
 
 # Tokens that a first event costs in addition to those of its prompt: about
 # 10 ms for the request's way and its first step, at 38 tokens a ms.
@@ -104,6 +105,9 @@
 
     def end(self, now):
         """Record that the attempt has ended, for whatever reason."""
+        self._recorder.batches.note_end(
+            self._state.server.id, self._model, now
+        )
         if self._last_at is not None:
             self._flush(now)
         elif now - self._started_at >= MIN_UNANSWERED_S:
@@ -131,29 +135,56 @@
             self._units, self._seconds = 0, 0.0
 
 
+class ForwardedTracker:
+    """Follows a stream that another instance forwards.
+
+    It is part of the server's batch, but its times show that instance too.
+    """
+
+    def __init__(self, recorder, state, req):
+        self._recorder = recorder
+        self._server_id = state.server.id
+        self._model = req.model
+
+    def note_events(self, count, now):
+        """Ignore the events."""
+
+    def note_written(self, now):
+        """Ignore the write."""
+
+    def end(self, now):
+        """Record that the attempt has ended, for whatever reason."""
+        self._recorder.batches.note_end(self._server_id, self._model, now)
+
+
 class CapacityRecorder:
     """Sums of what the streams of this instance show of the servers.
 
     Attributes:
+        batches: BatchSums of the requests in the servers.
         held_up_at: Time in seconds at which this process was last held up.
     """
 
     def __init__(self):
         self.held_up_at = float('-inf')
+        self.batches = batch_sums.BatchSums()
         self._sums = {}
         self._uses = {}
 
     def start(self, job, state, peer):
-        """Return the Tracker of an attempt, or None if it shows nothing.
+        """Return what follows an attempt, or None for a plain request.
 
         Args:
             job: The Job.
             state: ServerState of the server.
             peer: Name of the instance that forwards it, or None.
         """
-        if job.is_plain or peer is not None:
+        if job.is_plain:
             return None
         now = anyio.current_time()
+        self.batches.note_start(state.server.id, job.req.model, now)
+        if peer is not None:
+            return ForwardedTracker(self, state, job.req)
         is_clean = self._note_use(job.req, state, now)
         return Tracker(self, state, job.req, is_clean, now)
 
--- a/packages/gateway/tests/control/test_server_performance.py
+++ b/packages/gateway/tests/control/test_server_performance.py
@@ -14,14 +14,14 @@
 SLOW = server_capacity.Capacity(0.5, 2.0)
 
 
-def make_performance(observed=None, count=3):
+def make_performance(observed=None, count=3, batches=None):
     states = {
         f's{i}': servers.ServerState(builders.make_server(f's{i}'))
         for i in range(count)
     }
     view = types.SimpleNamespace(states=states)
     return view, server_performance.ServerPerformance(
-        view, lambda: dict(observed or {})
+        view, lambda: dict(observed or {}), lambda: dict(batches or {})
     )
 
 
@@ -137,8 +137,48 @@
             [record.slowdown for record in logs.records], [1.8, 1.0]
         )
 
-    def test_section_has_its_number(self):
+    @virtual_time.run_without_io
+    async def test_leader_gets_what_the_batches_consist_of(self):
+        # Guards against a leader that sees mixed batches as slow servers.
+        rows = {'s0': {'m1': 0.5, 'm9': 0.5}, 's1': {'m1': 1.0}}
+        view, instance = make_performance(batches=rows)
+        received = []
+        instance._shared.add_batch = lambda *args: received.append(args)
+        await anyio.sleep(0.25)
+        instance.make_report()
+        report = instance.make_batch_report()
+        self.assertEqual(report['s0'], ['m1', 500, 'm9', 500])
+        instance.receive_batches('front-2', {**report, 'gone': ['m', 1]}, 0.0)
+        service = view.states['s0'].server.service
+        self.assertEqual(
+            received, [(s, service, batch) for s, batch in rows.items()]
+        )
+
+    @virtual_time.run_without_io
+    async def test_malformed_batches_change_nothing(self):
+        _, instance = make_performance()
+        received = []
+        instance._shared.add_batch = lambda *args: received.append(args)
+        for row in (
+            ['m1'],
+            ['m1', -1],
+            ['m1', 1.5],
+            ['m1', 10**30],
+            [7, 5],
+            'm1',
+            None,
+        ):
+            with self.subTest(row=row), self.assertRaises(fields.BadMessage):
+                instance.receive_batches(
+                    'front-2', {'s1': ['m1', 5], 's0': row}, 0.0
+                )
+        self.assertEqual(received, [])
+
+    def test_sections_have_their_numbers(self):
         _, instance = make_performance()
+        self.assertIs(
+            instance.batch_section().number, sections.Number.SERVER_BATCHES
+        )
         self.assertIs(
             instance.section().number, sections.Number.SERVER_PERFORMANCE
         )
--- a/packages/gateway/tests/decisions/capacity_fleet.py
+++ b/packages/gateway/tests/decisions/capacity_fleet.py
@@ -91,16 +91,21 @@
         self.events = 0
         self.first_at = None
 
-    def run(self, now, slowness, factor):
-        """Run for one tick; return whether the stream has ended."""
+    def run(self, now, slowness, step_s):
+        """Run for one tick; return whether the stream has ended.
+
+        Args:
+            now: Time in seconds.
+            slowness: How much longer the prompt takes than on a normal server.
+            step_s: Duration of its steps in seconds.
+        """
         used_s = min(TICK_S, self.prefill_s * slowness)
         self.prefill_s = max(0.0, self.prefill_s - used_s / slowness)
         left_s = TICK_S - used_s
-        return left_s > 0.0 and self._advance(now - left_s, left_s, factor)
+        return left_s > 0.0 and self._advance(now - left_s, left_s, step_s)
 
-    def _advance(self, start, seconds, factor):
+    def _advance(self, start, seconds, step_s):
         """Run for some time; return whether the stream has ended."""
-        step_s = STEP_S * self.kind.pace * factor
         steps = self.steps + seconds / step_s
         while (self.events + 1) * TOKENS_PER_EVENT <= steps:
             self.events += 1
@@ -117,12 +122,26 @@
         return False
 
 
+def own_paces(paces):
+    """Return the paces of streams that do not affect each other."""
+    return paces
+
+
 class Engine:
-    """A simulated server. Streams are slower while it reads prompts."""
+    """A simulated server. Streams are slower while it reads prompts.
+
+    Args:
+        slots: Number of its slots.
+        slowness: Function of the time and the number of running requests, see
+            Fleet.
+        mix: Function that returns the pace of each stream of a batch, from
+            the paces that they have without the others.
+    """
 
-    def __init__(self, slots, slowness):
+    def __init__(self, slots, slowness, mix=own_paces):
         self.slots = slots
         self.slowness = slowness
+        self.mix = mix
         self.running = []
         self.queue = []
         self.peak = 0
@@ -137,7 +156,12 @@
         reading = sum(s.prefill_s > 0.0 for s in self.running)
         factor = slowness * (1.0 + BATCH_SHARE * count / self.slots)
         factor *= 1.0 + READING_DRAG * reading
-        ended = [s for s in self.running if s.run(now, slowness, factor)]
+        paces = self.mix([s.kind.pace for s in self.running])
+        ended = [
+            stream
+            for stream, pace in zip(self.running, paces, strict=True)
+            if stream.run(now, slowness, STEP_S * pace * factor)
+        ]
         for stream in ended:
             self.running.remove(stream)
             stream.at_end(stream, now)
@@ -148,14 +172,23 @@
 
     def __init__(self, fleet, number):
         self.fleet = fleet
-        residency = builders.make_residency(['m1', 'm2', 'm3'])
         self.states = {
             f's{i}': servers.ServerState(
                 builders.make_server(
-                    f's{i}', slots=fleet.slots, residency=residency
+                    f's{i}',
+                    slots=fleet.slots,
+                    residency=builders.make_residency(models),
                 )
             )
-            for i in range(len(fleet.engines))
+            for i, models in enumerate(fleet.models)
+        }
+        self.capable = {
+            kind.model: [
+                state
+                for state in self.states.values()
+                if kind.model in state.server.residency.models
+            ]
+            for kind in fleet.kinds
         }
         self.view = types.SimpleNamespace(
             states=self.states,
@@ -165,7 +198,7 @@
         )
         self.recorder = capacity_recorder.CapacityRecorder()
         self.performance = server_performance.ServerPerformance(
-            self.view, self.recorder.take
+            self.view, self.recorder.take, self.recorder.batches.take
         )
         self.availability = availability.Availability(
             builders.make_settings(learns_capacity=fleet.mode != 'off'),
@@ -183,8 +216,7 @@
     def try_send(self, kind, arrived_at, now):
         """Send a request; return whether a server took it."""
         job = make_job(kind)
-        capable = list(self.states.values())
-        _, state = self.availability.best_free(job, capable)
+        _, state = self.availability.best_free(job, self.capable[kind.model])
         if state is None:
             return False
         index = int(state.server.id[1:])
@@ -235,6 +267,10 @@
             besides, with the index of the server or None.
         leaders: Function of the time that returns the number of the leader,
             or None.
+        kinds: The Kinds of requests.
+        models: Function that returns the names of the models in a server, by
+            its index; None if all are in each server.
+        mix: How the models of a batch slow each other, see Engine.
     """
 
     def __init__(
@@ -249,6 +285,9 @@
         seed=1,
         extra=lambda t: (),
         leaders=lambda t: 0,
+        kinds=KINDS,
+        models=None,
+        mix=own_paces,
     ):
         self.mode = mode
         self.known = known
@@ -257,7 +296,13 @@
         self.interval_s = pace.exchange_interval_s(instances)
         self.random = random.Random(seed)
         self.start = anyio.current_time()
-        self.service_s = sum(k.weight * k.slot_s for k in KINDS)
+        self.kinds = kinds
+        self.weights = [kind.weight for kind in kinds]
+        all_models = list(dict.fromkeys(kind.model for kind in kinds))
+        self.models = [
+            all_models if models is None else models(i) for i in range(engines)
+        ]
+        self.service_s = sum(k.weight * k.slot_s for k in kinds)
         self.rate_per_s = load * engines * slots / self.service_s
         self.extra = extra
         self.leaders = leaders
@@ -266,6 +311,7 @@
             Engine(
                 slots,
                 lambda now, count, i=i: slowness(i, now - self.start, count),
+                mix,
             )
             for i in range(engines)
         ]
@@ -275,7 +321,7 @@
         self.sent = []
         self.results = []
         self.estimates = []
-        self.section_sizes = [0, 0]
+        self.section_sizes = [0, 0, 0]
 
     async def run(self, seconds):
         """Replay for some time."""
@@ -302,7 +348,7 @@
         return self.instances[-1]
 
     def _draw(self):
-        return self.random.choices(KINDS, [k.weight for k in KINDS])[0]
+        return self.random.choices(self.kinds, self.weights)[0]
 
     def _arrive(self, kind, arrived_at, now):
         instance = self.random.choice(self.instances)
@@ -352,13 +398,14 @@
             if now < instance.next_exchange_at:
                 continue
             instance.next_exchange_at += self.interval_s
-            report = None
+            report = batches = None
             if self.mode == 'learned':
                 report = instance.performance.make_report()
+                batches = instance.performance.make_batch_report()
             if leader is not None:
-                self._exchange_with(number, instance, report, now)
+                self._exchange_with(number, instance, report, batches, now)
 
-    def _exchange_with(self, number, instance, report, now):
+    def _exchange_with(self, number, instance, report, batches, now):
         own = [s.own_load for s in instance.states.values()]
         self.loads[number] = own
         totals = [
@@ -375,11 +422,14 @@
         if report is not None:
             performance.receive('x', report, now)
             self._note_size(0, report)
+        if batches is not None:
+            performance.receive_batches('x', batches, now)
+            self._note_size(2, batches)
         self._note_size(1, update)
         instance.performance.apply(update, now)
 
     def _note_size(self, index, value):
-        """Record the largest size in bytes of a report or an update."""
+        """Record the largest size in bytes of a message."""
         size = len(cbor2.dumps(value))
         self.section_sizes[index] = max(self.section_sizes[index], size)
 
--- a/packages/gateway/tests/decisions/test_server_capacity.py
+++ b/packages/gateway/tests/decisions/test_server_capacity.py
@@ -160,10 +160,11 @@
             engines=60,
             slots=12,
         )
-        report, update = fleet.section_sizes
+        report, update, batches = fleet.section_sizes
         self.assertLessEqual(report, 1_500)
         self.assertLessEqual(update, 600)
-        self.assertLess(124 * (report + update), 300_000)
+        self.assertLessEqual(batches, 600)
+        self.assertLess(124 * (report + update + batches), 300_000)
 
 
 class EstimatorTest(unittest.TestCase):
--- a/packages/gateway/tests/serving/test_capacity_recorder.py
+++ b/packages/gateway/tests/serving/test_capacity_recorder.py
@@ -202,3 +202,30 @@
         with anyio.move_on_after(5.0):
             await recorder.watch_hold_ups()
         self.assertEqual(recorder.held_up_at, float('-inf'))
+
+
+class BatchSumsTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_running_requests_are_summed_by_model(self):
+        recorder = capacity_recorder.CapacityRecorder()
+        state = make_state()
+        first = recorder.start(make_job(), state, None)
+        await anyio.sleep(1.0)
+        # One that another instance forwards is in the batch, too.
+        forwarded = recorder.start(make_job(), state, 'front-2')
+        forwarded.note_events(1, anyio.current_time())
+        forwarded.note_written(anyio.current_time())
+        await anyio.sleep(0.5)
+        self.assertEqual(recorder.batches.take(), {'s1': {'m1': 2.0}})
+        first.end(anyio.current_time())
+        await anyio.sleep(0.25)
+        forwarded.end(anyio.current_time())
+        await anyio.sleep(1.0)
+        self.assertEqual(recorder.batches.take(), {'s1': {'m1': 0.25}})
+        # Guards against rows that stay for ever.
+        self.assertEqual(recorder.batches.take(), {})
+
+    def test_plain_requests_are_not_followed(self):
+        recorder = capacity_recorder.CapacityRecorder()
+        job = make_job(is_plain=True)
+        self.assertIsNone(recorder.start(job, make_state(), None))
