--- a/packages/gateway/src/wagtailtide_gateway/control/sections.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sections.py
@@ -34,6 +34,7 @@
     SERVER_PERFORMANCE = 4
     COLD_SERVERS = 5
     CLASS_LOADS = 6
+    SERVER_BATCHES = 7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
