gateway: Keep the known tokens of engines until a new leader has all reports

The first sums of a new leader lack the instances that have not reported to it, but counted as complete and fresh: of 12 instances that hold 96,000 of 100,000 tokens in an engine, 4 could send 8,000 more after a change. The number of instances that the update states starts from one then, too.

Section 3 of an update now has the number of instances that report. Until it is that of the last complete sums, or the leader gives turns, new sums only add to the last ones. Builds that do not know the number ignore it; they need a turn before it, so that a leader without turns sends one of no instances, which they take for none.

Tests: two expected updates of section 3 have the two new values.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -5,8 +5,8 @@
 import anyio
 from wagtailtide_core.errors import kinds
 
-from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import memory_reports
+from wagtailtide_gateway.control import others_tokens
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.decisions import large_requests
@@ -19,10 +19,6 @@
 # waits for up to one, and so does the update.
 INTERVALS_UNTIL_KNOWN = 2.0
 
-_decode_turn = fields.row(
-    large_requests.Turn, fields.integer, fields.integer, fields.integer
-)
-
 
 class EngineMemory:
     """Tells which engines have memory for a request.
@@ -37,14 +33,10 @@
         self._is_enabled = is_enabled
         self._held = engine_memory.HeldTokens()
         self._large = large_requests.LargeRequests()
-        self._turn = None
-        self._others = None
-        self._others_at = float('-inf')
-        self._interval_s = 0.0
+        self._others = others_tokens.OthersTokens()
         self._wanted = collections.Counter()
         self._wanted_since = None
         self._own_rates = {}
-        self._other_rates = {}
         self._reports = memory_reports.MemoryReports()
 
     def section(self):
@@ -54,7 +46,7 @@
             make_report=self._make_report,
             receive=self._reports.receive,
             make_update=self._reports.make_update,
-            apply=self._apply,
+            apply=self._others.apply,
             start_term=self._reports.start_term,
         )
 
@@ -85,6 +77,8 @@
         ids = {state.server.id for state in states}
         if not self._capacity(job) or not ids:
             return ids
+        # A new leader states only those that have reported to it yet.
+        instances = max(instances, self._others.reporting)
         period_s = self._period_s(instances)
         window = self._note_wanted(job)
         others = self._describe_others(max(0, instances - 1), service_s)
@@ -128,14 +122,14 @@
     def _period_s(self, instances):
         """Return the seconds until the others know of a request."""
         interval_s = pace.exchange_interval_s(instances)
-        return INTERVALS_UNTIL_KNOWN * max(self._interval_s, interval_s)
+        return INTERVALS_UNTIL_KNOWN * max(self._others.interval_s, interval_s)
 
     def _fitting_large(self, job, states, others, period_s):
         """Return the ids of the servers that a large request may use.
 
         None if the leader has given this instance no turn lately.
         """
-        if self._turn is None or others.are_unknown:
+        if self._others.turn is None or others.are_unknown:
             return None
         now = anyio.current_time()
         shares = self._shares(job, states, others, period_s, False)
@@ -143,7 +137,7 @@
         capacity = self._capacity(job)
         hold = engine_memory.make_hold_function(others, sizes, capacity)
         wanted = self._make_wanted_function(job.service.name, others.instances)
-        known, own = self._others, self._held.by_process()
+        known, own = self._others.tokens, self._held.by_process()
         engines = [
             large_requests.Engine(
                 state.server.id,
@@ -159,7 +153,7 @@
         return self._large.fitting(
             self._needed(job),
             engines,
-            self._turn,
+            self._others.turn,
             self._large.rise(job.demand_key, period_s, now),
             sizes.root_mean_square,
             period_s,
@@ -187,7 +181,7 @@
             self._capacity(job),
             assumed,
         )
-        known = self._others or {}
+        known = self._others.tokens
         own = self._held.by_process()
         wanted = self._make_wanted_function(job.service.name, others.instances)
         shares = {}
@@ -214,7 +208,7 @@
         return job.service.engine.kv_capacity_tokens
 
     def _window(self):
-        window_s = max(2.0 * self._interval_s, MIN_WINDOW_S)
+        window_s = max(2.0 * self._others.interval_s, MIN_WINDOW_S)
         return int(anyio.current_time() / window_s)
 
     def held(self, state):
@@ -222,7 +216,9 @@
         others = self._others
         return {
             'own_tokens': self._held.own(_process(state)),
-            'others_tokens': others and others.get(state.server.id, 0),
+            'others_tokens': others.tokens.get(state.server.id, 0)
+            if others.is_known
+            else None,
         }
 
     def record_start(self, job, state):
@@ -251,9 +247,11 @@
 
     def _describe_others(self, others, service_s):
         # The reports of the others were up to an interval old at the leader.
-        age_s = anyio.current_time() - self._others_at + self._interval_s
+        age_s = (
+            anyio.current_time() - self._others.at + self._others.interval_s
+        )
         return engine_memory.Others(
-            self._others is not None,
+            self._others.is_known,
             min(age_s, engine_memory.MAX_AGE_S + MIN_WINDOW_S),
             others,
             service_s,
@@ -269,8 +267,8 @@
             service: Name of the service.
             others: Number of other instances.
         """
-        rates, factor = self._other_rates, 1.0
-        if self._others is None:
+        rates, factor = self._others.rates, 1.0
+        if not self._others.is_known:
             rates, factor = self._own_rates, others
         by_model = {
             model: factor * rate
@@ -308,23 +306,6 @@
                 own[server_id] = tokens
         return own
 
-    def _apply(self, value, now):
-        if value is None:
-            self._others = self._turn = None
-            return
-        turn = _decode_turn(value[2]) if len(value) > 2 else None
-        self._others, rows = memory_reports.decode(value)
-        # Older builds send no turn.
-        self._turn = turn if turn is None or turn.instances > 0 else None
-        self._other_rates = {
-            (service, model): rate for service, model, rate in rows
-        }
-        if self._others_at > float('-inf'):
-            self._interval_s = min(
-                now - self._others_at, memory_reports.REPORT_TTL_S
-            )
-        self._others_at = now
-
 
 def _process(state):
     return state.server.id, state.server.residency.process_start_ms
--- a/packages/gateway/src/wagtailtide_gateway/control/memory_reports.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/memory_reports.py
@@ -22,6 +22,11 @@
 )
 
 
+# Turn while the leader does not know the instances. Builds that know turns but
+# no value after them take it for none.
+_NO_TURN = [0, 0, 0]
+
+
 class MemoryReports:
     """Reports of all instances, on the leader."""
 
@@ -61,7 +66,11 @@
         self._total_rates.subtract(rates)
 
     def make_update(self, instance, now):
-        """Return the update for an instance: the sums of the others."""
+        """Return the update for an instance.
+
+        It has the sums of the others, the instance's turn and the number of
+        instances that report.
+        """
         _, tokens, rates = self._reports.get(instance, (now, {}, {}))
         others = {s: n - tokens.get(s, 0) for s, n in self._total.items()}
         wanted = {
@@ -70,16 +79,16 @@
         }
         update = [{s: n for s, n in others.items() if n}, rows(wanted)]
         turn = self._make_turn(instance, now)
-        return update if turn is None else [*update, turn]
+        return [*update, turn, len(self._reports)]
 
     def _make_turn(self, instance, now):
-        """Return the row of an instance's Turn, or None.
+        """Return the row of an instance's Turn.
 
         A new leader does not know yet how many instances there are.
         """
         since = self._term_since
         if instance not in self._reports or now - since < REPORT_TTL_S:
-            return None
+            return _NO_TURN
         instances = len(self._reports)
         half_s = INTERVALS_OF_HALF_TURN * pace.exchange_interval_s(instances)
         rank = sorted(self._reports).index(instance)
--- a/packages/gateway/tests/control/test_engine_memory.py
+++ b/packages/gateway/tests/control/test_engine_memory.py
@@ -118,7 +118,7 @@
         memories = {f'front-{n}': make_memory()[0] for n in (2, 1, 3)}
         for name, memory in memories.items():
             exchange(leader, memory, name)
-        self.assertEqual(len(exchange(leader, memories['front-1'])), 2)
+        self.assertEqual(exchange(leader, memories['front-1'])[2], [0, 0, 0])
         await anyio.sleep(memory_reports.REPORT_TTL_S)
         for name, memory in memories.items():
             exchange(leader, memory, name)
@@ -140,6 +140,106 @@
                 memory.section().apply([{}, [], turn], anyio.current_time())
 
 
+class LeaderChangeTest(unittest.TestCase):
+    """A fleet of 12 instances that hold 8,000 tokens each in one engine.
+
+    Guards against a new leader whose sums lack most instances: the engine
+    has 96,000 of 100,000 tokens, and more requests crash it.
+    """
+
+    def make_fleet(self):
+        fleet = {f'front-{number:02}': make_memory() for number in range(12)}
+        for memory, state in fleet.values():
+            memory.record_start(make_job(8_000), state)
+        return fleet
+
+    async def count_fitting(self, fleet, leader, states_instances=True):
+        """Exchange with a leader; return how many may send more after it.
+
+        Args:
+            fleet: EngineMemory and ServerState by instance.
+            leader: EngineMemory of the leader.
+            states_instances: Whether the leader states how many instances
+                report, as older builds do not.
+        """
+        count = 0
+        for number, (name, (memory, state)) in enumerate(fleet.items()):
+            await anyio.sleep(0.25 / len(fleet))
+            now = anyio.current_time()
+            section = leader.section()
+            section.receive(name, memory.section().make_report(), now)
+            value = section.make_update(name, now)
+            value = value if states_instances else value[:3]
+            memory.section().apply(value, now)
+            # The leader counts the instances from one, too.
+            job = make_job(8_000)
+            count += bool(memory.fitting(job, [state], number + 1, 1.5))
+        return count
+
+    async def settle(self, fleet, leader):
+        for _ in range(12):
+            await self.count_fitting(fleet, leader)
+
+    @virtual_time.run_without_io
+    async def test_full_engine_gets_no_more_after_a_change(self):
+        fleet = self.make_fleet()
+        await self.settle(fleet, make_memory()[0])
+        new = make_memory()[0]
+        for _ in range(12):
+            self.assertEqual(await self.count_fitting(fleet, new), 0)
+
+    @virtual_time.run_without_io
+    async def test_sums_count_once_as_many_report_as_before(self):
+        # Guards against a change that keeps the last tokens for seconds.
+        fleet = self.make_fleet()
+        await self.settle(fleet, make_memory()[0])
+        for memory, state in fleet.values():
+            memory.record_end(state, 8_000)
+        new = make_memory()[0]
+        await self.count_fitting(fleet, new)
+        await self.count_fitting(fleet, new)
+        for memory, state in fleet.values():
+            self.assertEqual(memory.held(state)['others_tokens'], 0)
+            self.assertFalse(memory._describe_others(11, 1.5).are_unknown)
+
+    @virtual_time.run_without_io
+    async def test_instances_lost_with_the_leader_are_not_awaited(self):
+        fleet = self.make_fleet()
+        await self.settle(fleet, make_memory()[0])
+        for name in list(fleet)[6:]:
+            del fleet[name]
+        new = make_memory()[0]
+        self.assertEqual(await self.count_fitting(fleet, new), 0)
+        await anyio.sleep(memory_reports.REPORT_TTL_S)
+        self.assertEqual(await self.count_fitting(fleet, new), 6)
+
+    @virtual_time.run_without_io
+    async def test_leader_of_an_older_build_is_taken_as_complete(self):
+        fleet = self.make_fleet()
+        await self.count_fitting(fleet, make_memory()[0], False)
+        memory, state = fleet['front-11']
+        self.assertEqual(memory.held(state)['others_tokens'], 88_000)
+        self.assertFalse(memory._describe_others(11, 1.5).are_unknown)
+
+    @virtual_time.run_without_io
+    async def test_first_sums_of_a_leader_are_not_taken_as_complete(self):
+        # An instance that starts at a change knows no earlier sums.
+        memory, _ = make_memory()
+        memory.section().apply(
+            [{'s1': 8_000}, [], [0, 0, 0], 2], anyio.current_time()
+        )
+        self.assertTrue(memory._describe_others(11, 1.5).are_unknown)
+
+    @virtual_time.run_without_io
+    async def test_malformed_number_of_instances_is_refused(self):
+        memory, state = make_memory()
+        memory.section().apply([{'s1': 5}, []], anyio.current_time())
+        for number in ('x', 0.5, None):
+            with self.subTest(number=number), self.assertRaises(TypeError):
+                memory.section().apply([{}, [], [0, 1, 1], number], 1.0)
+        self.assertEqual(memory.held(state)['others_tokens'], 5)
+
+
 class EngineMemoryTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_tokens_of_one_instance_reach_the_others(self):
@@ -224,7 +324,9 @@
         exchange(leader, memory)
         await anyio.sleep(memory_reports.REPORT_TTL_S + 0.1)
         other, _ = make_memory()
-        self.assertEqual(exchange(leader, other, 'front-3'), [{}, []])
+        self.assertEqual(
+            exchange(leader, other, 'front-3'), [{}, [], [0, 0, 0], 1]
+        )
 
     @virtual_time.run_without_io
     async def test_malformed_section_leaves_the_reports_as_they_were(self):
