gateway: Let the last known tokens of engines decay without a leader

The last known tokens of the others never decayed, and also counted for a new process of the server. With 80,000 of 100,000 tokens known and a margin of 25%, not even 1,000 tokens fitted after 600 s without a leader.

Once their age makes them unknown (2.5 s), they decay with the time that a request of the service runs. They are kept by process of the server. What the others want is then at least what this instance wants for each of them, as without any leader: the tokens that decay are no bound for it any more.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -33,7 +33,7 @@
         self._is_enabled = is_enabled
         self._held = engine_memory.HeldTokens()
         self._large = large_requests.LargeRequests()
-        self._others = others_tokens.OthersTokens()
+        self._others = others_tokens.OthersTokens(self._process_of)
         self._wanted = collections.Counter()
         self._wanted_since = None
         self._own_rates = {}
@@ -136,8 +136,9 @@
         sizes = self._held.sizes(job.service.name, job.service.engine)
         capacity = self._capacity(job)
         hold = engine_memory.make_hold_function(others, sizes, capacity)
-        wanted = self._make_wanted_function(job.service.name, others.instances)
-        known, own = self._others.tokens, self._held.by_process()
+        wanted = self._make_wanted_function(job.service.name, others)
+        known = self._others.tokens(others.service_s)
+        own = self._held.by_process()
         engines = [
             large_requests.Engine(
                 state.server.id,
@@ -145,7 +146,7 @@
                 shares[state.server.id],
                 capacity
                 - own.get(process, 0)
-                - hold(known.get(state.server.id, 0), state.others_load),
+                - hold(known.get(process, 0), state.others_load),
                 wanted(state.residency.models) * others.age_s / len(states),
             )
             for state in sorted(states, key=lambda state: state.server.id)
@@ -181,15 +182,15 @@
             self._capacity(job),
             assumed,
         )
-        known = self._others.tokens
+        known = self._others.tokens(others.service_s)
         own = self._held.by_process()
-        wanted = self._make_wanted_function(job.service.name, others.instances)
+        wanted = self._make_wanted_function(job.service.name, others)
         shares = {}
         for state in states:
-            server_id = state.server.id
-            shares[server_id] = share(
-                own.get(_process(state), 0),
-                known.get(server_id, 0),
+            process = _process(state)
+            shares[state.server.id] = share(
+                own.get(process, 0),
+                known.get(process, 0),
                 state.others_load,
                 wanted(state.residency.models),
             )
@@ -216,7 +217,7 @@
         others = self._others
         return {
             'own_tokens': self._held.own(_process(state)),
-            'others_tokens': others.tokens.get(state.server.id, 0)
+            'others_tokens': others.tokens().get(_process(state), 0)
             if others.is_known
             else None,
         }
@@ -261,17 +262,21 @@
         """Return a function that tells what others want of some models.
 
         It returns tokens a second. Without a leader, as many for each other
-        instance as for this one.
+        instance as for this one, but not less than was last known.
 
         Args:
             service: Name of the service.
-            others: Number of other instances.
+            others: Others.
         """
-        rates, factor = self._others.rates, 1.0
-        if not self._others.is_known:
-            rates, factor = self._own_rates, others
+        rates = self._others.rates
+        if others.are_unknown:
+            assumed = {
+                key: others.instances * rate
+                for key, rate in self._own_rates.items()
+            }
+            rates = others_tokens.larger(rates, assumed)
         by_model = {
-            model: factor * rate
+            model: rate
             for (name, model), rate in rates.items()
             if name == service
         }
@@ -300,12 +305,16 @@
 
     def _own_tokens(self):
         own = {}
-        for (server_id, start_ms), tokens in self._held.by_process().items():
-            state = self._servers.states.get(server_id)
-            if state is not None and _process(state)[1] == start_ms:
+        for process, tokens in self._held.by_process().items():
+            server_id, _ = process
+            if self._process_of(server_id) == process:
                 own[server_id] = tokens
         return own
 
+    def _process_of(self, server_id):
+        state = self._servers.states.get(server_id)
+        return None if state is None else _process(state)
+
 
 def _process(state):
     return state.server.id, state.server.residency.process_start_ms
--- a/packages/gateway/src/wagtailtide_gateway/control/others_tokens.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/others_tokens.py
@@ -1,7 +1,10 @@
 """What an instance knows of the tokens that the others hold in engines."""
 
+import anyio
+
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import memory_reports
+from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.decisions import large_requests
 
 _decode_turn = fields.row(
@@ -9,6 +12,25 @@
 )
 
 
+class _Sums:
+    """Tokens by process of a server, from one update.
+
+    Args:
+        by_server: Tokens by server.
+        at: Time in seconds of the report that the leader answered.
+
+    Attributes:
+        at: This time.
+        tokens: Tokens by process.
+        unlisted: Tokens by server that have no known process.
+    """
+
+    def __init__(self, by_server, at):
+        self.at = at
+        self.tokens = {}
+        self.unlisted = by_server
+
+
 class OthersTokens:
     """Tokens that the others hold in engines and want, from the leader.
 
@@ -16,6 +38,10 @@
     as many report as before, or it knows the instances, its sums only add to
     the last complete ones, whose age goes on.
 
+    Args:
+        process_of: Function from the id of a server to the id of its process,
+            None if the instance does not know the server.
+
     Attributes:
         is_known: Whether the leader states the tokens.
         at: Time in seconds of the report that the leader last answered with
@@ -25,17 +51,18 @@
             not known.
         turn: Turn of this instance for large requests, or None.
         rates: Tokens a second that the others want, by service and model.
-        tokens: Tokens of the others by server.
     """
 
-    def __init__(self):
+    def __init__(self, process_of):
+        self._process_of = process_of
         self.is_known = False
         self.at = float('-inf')
         self.interval_s = 0.0
         self.reporting = 0
         self.turn = None
         self.rates = {}
-        self.tokens = {}
+        self._complete = _Sums({}, self.at)
+        self._partial = None
 
     def apply(self, value, now):
         """Apply the leader's value.
@@ -48,7 +75,7 @@
             BadMessage, TypeError, ValueError: It is malformed.
         """
         if value is None:
-            self.is_known, self.turn, self.tokens = False, None, {}
+            self.is_known, self.turn = False, None
             return
         # Older builds send no turn, or no number of instances.
         turn = _decode_turn(value[2]) if len(value) > 2 else None
@@ -57,11 +84,48 @@
         rates = {(service, model): rate for service, model, rate in rows}
         # A new leader sends a turn of no instances.
         self.turn = turn if turn is None or turn.instances > 0 else None
+        sums = _Sums(tokens, now)
+        self._resolve(sums)
         if self._is_complete(reporting):
-            self._apply_complete(tokens, rates, reporting or 0, now)
+            self._apply_complete(sums, rates, reporting or 0, now)
         else:
-            self.tokens = _larger(self.tokens, tokens)
-            self.rates = _larger(self.rates, rates)
+            self._partial = sums
+            self.rates = larger(self.rates, rates)
+
+    def tokens(self, service_s=None):
+        """Return the tokens of the others by process; not to be changed.
+
+        Those of long ago have ended in part, as no leader states what has
+        come since then.
+
+        Args:
+            service_s: Seconds that a request runs, None for the tokens as
+                they were stated.
+        """
+        if self._partial is None:
+            return self._left(self._complete, service_s)
+        return larger(
+            self._left(self._complete, service_s),
+            self._left(self._partial, service_s),
+        )
+
+    def _left(self, sums, service_s):
+        if sums.unlisted:
+            self._resolve(sums)
+        if service_s is None or not sums.tokens:
+            return sums.tokens
+        age_s = anyio.current_time() - sums.at
+        if age_s <= engine_memory.MAX_AGE_S:
+            return sums.tokens
+        left = engine_memory.left_part(age_s, service_s)
+        return {process: left * n for process, n in sums.tokens.items()}
+
+    def _resolve(self, sums):
+        """Assign tokens to the present processes of their servers."""
+        for server_id in list(sums.unlisted):
+            process = self._process_of(server_id)
+            if process is not None:
+                sums.tokens[process] = sums.unlisted.pop(server_id)
 
     def _is_complete(self, reporting):
         """Return whether sums have the tokens of all instances.
@@ -75,16 +139,17 @@
             return True
         return 0 < self.reporting <= reporting
 
-    def _apply_complete(self, tokens, rates, reporting, now):
+    def _apply_complete(self, sums, rates, reporting, now):
         self.is_known = True
-        self.tokens, self.rates = tokens, rates
+        self._complete, self._partial = sums, None
+        self.rates = rates
         self.reporting = reporting
         if self.at > float('-inf'):
             self.interval_s = min(now - self.at, memory_reports.REPORT_TTL_S)
         self.at = now
 
 
-def _larger(first, second):
+def larger(first, second):
     """Return the larger value of each key of two dictionaries."""
     return {
         key: max(first.get(key, 0), second.get(key, 0))
--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -104,8 +104,10 @@
     size = max(sizes.root_mean_square, 1.0)
     hold = make_hold_function(others, sizes, capacity)
     age_s = others.age_s if others.instances else 0.0
-    # Of what the others had, a part has ended since.
-    ended = 1.0 - math.exp(-others.age_s / max(others.service_s, 0.001))
+    # Of what the others had, a part has ended since. That of long ago is
+    # stated without what has ended after MAX_AGE_S, see left_part().
+    ended_s = min(others.age_s, MAX_AGE_S)
+    ended = 1.0 - math.exp(-ended_s / max(others.service_s, 0.001))
 
     def share(own, known, load, wanted_per_s):
         held = own + hold(known, load)
@@ -146,6 +148,20 @@
     return lambda known, load: known + margin
 
 
+def left_part(age_s, service_s):
+    """Return the part of what the others had that may not have ended.
+
+    Nothing is taken off before its age makes it unknown, as until then the
+    others may have sent as much again.
+
+    Args:
+        age_s: Seconds since they reported it.
+        service_s: Seconds that a request runs.
+    """
+    unknown_s = max(0.0, age_s - MAX_AGE_S)
+    return math.exp(-unknown_s / max(service_s, 0.001))
+
+
 def chances(request, server_ids, window):
     """Return the chance of a request at each of some engines, 0 to 1.
 
--- a/packages/gateway/tests/control/test_engine_memory.py
+++ b/packages/gateway/tests/control/test_engine_memory.py
@@ -240,6 +240,79 @@
         self.assertEqual(memory.held(state)['others_tokens'], 5)
 
 
+class SilentLeaderTest(unittest.TestCase):
+    """An engine with 80,000 of 100,000 tokens when the leader is lost."""
+
+    def make_memory(self, tokens=80_000):
+        memory, state = make_memory()
+        memory.section().apply([{'s1': tokens}, []], anyio.current_time())
+        return memory, state
+
+    def fits(self, memory, state, tokens=1_000):
+        return bool(memory.fitting(make_job(tokens), [state], 12, 1.5))
+
+    @virtual_time.run_without_io
+    async def test_tokens_of_long_ago_have_ended(self):
+        # Guards against an engine that gets nothing until a leader is back.
+        memory, state = self.make_memory()
+        await anyio.sleep(600.0)
+        self.assertTrue(self.fits(memory, state))
+        # The margin of what is unknown, 25,000 tokens, stays.
+        memory.record_start(make_job(70_000), state)
+        self.assertTrue(self.fits(memory, state, 5_000))
+        self.assertFalse(self.fits(memory, state, 5_001))
+
+    @virtual_time.run_without_io
+    async def test_tokens_end_gradually_once_they_are_unknown(self):
+        memory, state = self.make_memory()
+        await anyio.sleep(2.55)
+        self.assertFalse(self.fits(memory, state))
+        await anyio.sleep(1.45)
+        # 80,000 x exp(-1.5 / 1.5) are 29,430 and the margin 25,000.
+        memory.record_start(make_job(40_000), state)
+        self.assertTrue(self.fits(memory, state, 5_500))
+        self.assertFalse(self.fits(memory, state, 5_600))
+
+    @virtual_time.run_without_io
+    async def test_tokens_stay_while_they_are_known(self):
+        memory, state = self.make_memory(90_000)
+        await anyio.sleep(2.4)
+        self.assertTrue(self.fits(memory, state, 5_000))
+        self.assertFalse(self.fits(memory, state, 5_001))
+
+    @virtual_time.run_without_io
+    async def test_restarted_server_has_no_tokens_of_its_last_process(self):
+        memory, state = self.make_memory(90_000)
+        self.assertFalse(self.fits(memory, state, 9_000))
+        new = builders.make_residency(['m1'], 2)
+        state.server = builders.make_server(residency=new)
+        self.assertTrue(self.fits(memory, state, 9_000))
+        self.assertEqual(memory.held(state)['others_tokens'], 0)
+
+    @virtual_time.run_without_io
+    async def test_tokens_in_a_server_that_is_listed_later_count(self):
+        memory, state = make_memory()
+        states = memory._servers.states
+        states.clear()
+        memory.section().apply([{'s1': 90_000}, []], anyio.current_time())
+        states['s1'] = state
+        self.assertFalse(self.fits(memory, state, 9_000))
+
+    @virtual_time.run_without_io
+    async def test_others_are_taken_to_want_as_much_without_a_leader(self):
+        # Guards against instances that all take the engine for empty.
+        memory, state = self.make_memory()
+        await anyio.sleep(600.0)
+        memory.section().make_report()
+        for _ in range(12):
+            self.fits(memory, state, 8_000)
+        await anyio.sleep(0.5)
+        memory.section().make_report()
+        others = memory._describe_others(11, 1.5)
+        shares = memory._shares(make_job(8_000), [state], others, 0.5)
+        self.assertLess(shares['s1'], 0.1)
+
+
 class EngineMemoryTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_tokens_of_one_instance_reach_the_others(self):
