platform: Count engines of less than one slot as engines of one

With "slots": 0 in the configuration, HeldTokens.sizes divided by zero for each request of the service. The configuration is decoded as a server's entry is, where such values become 1, and the division does not depend on it.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -205,7 +205,7 @@
             engine: Its Engine.
         """
         # Before any request has stated its size: the memory of a slot.
-        default = engine.kv_capacity_tokens / engine.slots
+        default = engine.kv_capacity_tokens / max(1, engine.slots)
         return self._sizes.setdefault(service, RequestSizes(default))
 
     def own(self, process):
--- a/packages/gateway/tests/decisions/test_engine_memory.py
+++ b/packages/gateway/tests/decisions/test_engine_memory.py
@@ -1,3 +1,4 @@
+import types
 import unittest
 
 from wagtailtide_gateway.decisions import engine_memory
@@ -132,3 +133,9 @@
     def test_unknown_size_is_never_zero(self):
         self.assertEqual(make_sizes().mean, 5_000)
         self.assertEqual(make_sizes(1_000, 3_000).mean, 2_000)
+
+    def test_engine_without_slots_counts_as_one_of_a_single_slot(self):
+        # Guards against a division by zero for each request of the service.
+        engine = types.SimpleNamespace(kv_capacity_tokens=5_000, slots=0)
+        sizes = engine_memory.HeldTokens().sizes('engines', engine)
+        self.assertEqual(sizes.mean, 5_000)
