gateway: Keep the chances of a request for each set of engines

A decision asks for the memory of servers without a limit and then of those with one. The chances were kept for one set only, so that all engines were hashed again at each recheck.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -90,11 +90,13 @@
         possible = {id_ for id_, share in shares.items() if share > 0.0}
         if all(shares[id_] == 1.0 for id_ in possible):
             return possible
-        if job.memory_chances.keys() != ids:
-            job.memory_chances = engine_memory.chances(
+        # Servers with and those without a limit are asked for in turn.
+        key = frozenset(ids)
+        chances = job.memory_chances.get(key)
+        if chances is None:
+            chances = job.memory_chances[key] = engine_memory.chances(
                 job.req.attempt_id, ids, window
             )
-        chances = job.memory_chances
         return {id_ for id_ in possible if chances[id_] < shares[id_]}
 
     def _note_wanted(self, job):
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -64,8 +64,8 @@
         held_tokens: Tokens that count for it in the server that it is in.
         memory_window: Number of the window in which its tokens were last
             counted as wanted.
-        memory_chances: Its chances to use engines whose memory is scarce, by
-            server id, in this window.
+        memory_chances: Its chances to use engines whose memory is scarce, in
+            this window: by server id, for each set of servers.
     """
 
     req: request.CallerRequest
--- a/packages/gateway/tests/control/test_engine_memory.py
+++ b/packages/gateway/tests/control/test_engine_memory.py
@@ -389,6 +389,26 @@
         self.assertEqual(fitting, {'s1'})
         hash_.assert_not_called()
 
+    @virtual_time.run_without_io
+    async def test_chances_are_kept_for_each_set_of_servers(self):
+        # Guards against hashing again at each recheck where some servers
+        # have a limit: a decision asks for these and for the others in turn.
+        memory, states = await make_memory_with_turn(0, engines=6)
+        wanted = [['engines', 'm1', 1_000_000.0]]
+        memory.section().apply([{}, wanted], anyio.current_time())
+        await anyio.sleep(0.2)
+        job, sets = make_job(1_000), (states[:4], states[4:])
+        chances = engine_memory.engine_memory.chances
+        with mock.patch.object(
+            engine_memory.engine_memory, 'chances', side_effect=chances
+        ) as count:
+            found = [
+                [memory.fitting(job, part, 124, 1.5) for part in sets]
+                for _ in range(5)
+            ]
+        self.assertEqual(count.call_count, 2)
+        self.assertEqual(found, [found[0]] * 5)
+
     @virtual_time.run_without_io
     async def test_silent_instance_is_forgotten(self):
         memory, state = make_memory()
