tests: Replay a change of leader for the memory of engines

The replay gets what an instance knows from the control code, MemoryReports and OthersTokens, in place of sums of its own, so that a leader may begin with no report.

LeaderChangeTest keeps the bound of the memory of an engine.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -139,7 +139,7 @@
         capacity = self._capacity(job)
         hold = engine_memory.make_hold_function(others, sizes, capacity)
         wanted = self._make_wanted_function(job.service.name, others)
-        known = self._others.tokens(others.service_s)
+        known = self._others.tokens(others.service_s, now)
         own = self._held.by_process()
         engines = [
             large_requests.Engine(
@@ -184,7 +184,7 @@
             self._capacity(job),
             assumed,
         )
-        known = self._others.tokens(others.service_s)
+        known = self._others.tokens(others.service_s, anyio.current_time())
         own = self._held.by_process()
         wanted = self._make_wanted_function(job.service.name, others)
         shares = {}
@@ -216,10 +216,11 @@
 
     def held(self, state):
         """Return the tokens in a server, for the state dump."""
-        others = self._others
+        others, process = self._others, _process(state)
+        known = others.tokens(None, anyio.current_time())
         return {
-            'own_tokens': self._held.own(_process(state)),
-            'others_tokens': others.tokens().get(_process(state), 0)
+            'own_tokens': self._held.own(process),
+            'others_tokens': known.get(process, 0)
             if others.is_known
             else None,
         }
--- a/packages/gateway/src/wagtailtide_gateway/control/others_tokens.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/others_tokens.py
@@ -1,7 +1,5 @@
 """What an instance knows of the tokens that the others hold in engines."""
 
-import anyio
-
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import memory_reports
 from wagtailtide_gateway.decisions import engine_memory
@@ -92,7 +90,7 @@
             self._partial = sums
             self.rates = larger(self.rates, rates)
 
-    def tokens(self, service_s=None):
+    def tokens(self, service_s, now):
         """Return the tokens of the others by process; not to be changed.
 
         Those of long ago have ended in part, as no leader states what has
@@ -101,20 +99,21 @@
         Args:
             service_s: Seconds that a request runs, None for the tokens as
                 they were stated.
+            now: Time in seconds.
         """
         if self._partial is None:
-            return self._left(self._complete, service_s)
+            return self._left(self._complete, service_s, now)
         return larger(
-            self._left(self._complete, service_s),
-            self._left(self._partial, service_s),
+            self._left(self._complete, service_s, now),
+            self._left(self._partial, service_s, now),
         )
 
-    def _left(self, sums, service_s):
+    def _left(self, sums, service_s, now):
         if sums.unlisted:
             self._resolve(sums)
         if service_s is None or not sums.tokens:
             return sums.tokens
-        age_s = anyio.current_time() - sums.at
+        age_s = now - sums.at
         if age_s <= engine_memory.MAX_AGE_S:
             return sums.tokens
         left = engine_memory.left_part(age_s, service_s)
--- a/packages/gateway/tests/decisions/memory_fleet.py
+++ b/packages/gateway/tests/decisions/memory_fleet.py
@@ -3,10 +3,12 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 from wagtailtide_gateway.control import engine_memory as engine_memory_control
 from wagtailtide_gateway.control import memory_reports
+from wagtailtide_gateway.control import others_tokens
 from wagtailtide_gateway.decisions import admission
 from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.decisions import large_requests
@@ -32,6 +34,8 @@
         arrivals_per_s: Requests a second at all instances.
         service_s: Mean seconds that a request runs.
         duration_s: Simulated seconds.
+        leader_lost_at_s: Second at which the leader is lost.
+        leaderless_s: Seconds until there is another one.
     """
 
     instances: int = 124
@@ -41,6 +45,8 @@
     arrivals_per_s: float = 500.0
     service_s: float = 1.5
     duration_s: float = 10.0
+    leader_lost_at_s: float = math.inf
+    leaderless_s: float = 0.0
 
 
 class Replay:
@@ -64,11 +70,13 @@
         self._loads = [0] * load.engines
         self._own = [[0] * load.engines for _ in range(load.instances)]
         self._own_loads = [[0] * load.engines for _ in range(load.instances)]
-        # What each instance knows of all others, and since when.
-        self._known = [[0] * load.engines for _ in range(load.instances)]
+        # What each instance knows of all others.
+        self._others = [
+            others_tokens.OthersTokens(lambda server_id: server_id)
+            for _ in range(load.instances)
+        ]
         self._known_loads = [[0] * load.engines for _ in range(load.instances)]
-        self._known_at = [0.0] * load.instances
-        self._reported = [[0] * load.engines for _ in range(load.instances)]
+        self._reported_at = [0.0] * load.instances
         self._reported_loads = [
             [0] * load.engines for _ in range(load.instances)
         ]
@@ -78,10 +86,23 @@
             large_requests.LargeRequests() for _ in range(load.instances)
         ]
         self._rates = [0.0] * load.instances
-        self._known_rates = [0.0] * load.instances
-        self._sums = [0] * load.engines
+        self._leader = memory_reports.MemoryReports()
+        self._is_leader_lost = False
         self._load_sums = [0] * load.engines
         self._sizes = engine_memory.RequestSizes(CAPACITY / SLOTS)
+        self._period_s = (
+            engine_memory_control.INTERVALS_UNTIL_KNOWN
+            * pace.exchange_interval_s(load.instances)
+        )
+        self._start_idle()
+
+    def _start_idle(self):
+        """Let the leader know all instances, as idle ones, for a while."""
+        for at in (-memory_reports.REPORT_TTL_S, 0.0):
+            for instance in range(self.load.instances):
+                self._leader.receive(_name(instance), [{}, []], at)
+        for instance, others in enumerate(self._others):
+            others.apply(self._leader.make_update(_name(instance), 0.0), 0.0)
 
     def run(self):
         """Replay, and return this."""
@@ -111,46 +132,18 @@
         return self
 
     def _arrive(self, now, interval_s):
-        instance = random.randrange(self.load.instances)
-        tokens = random.choice(self.load.sizes)
+        load = self.load
+        instance = random.randrange(load.instances)
+        tokens = random.choice(load.sizes)
         self._sizes.record(tokens)
-        own, known = self._own[instance], self._known[instance]
-        age_s = now - self._known_at[instance] + interval_s
         self._wanted[instance] += tokens
-        number = self.served + self.refused
-        chances = engine_memory.chances(number, self._ids, 0)
-        others = engine_memory.Others(
-            True, age_s, self.load.instances - 1, self.load.service_s
-        )
-        share = engine_memory.make_share_function(
-            tokens,
-            others,
-            self._sizes,
-            CAPACITY,
-        )
-        rate, loads = self._known_rates[instance], self._known_loads[instance]
-        shares = [
-            share(own[engine], known[engine], loads[engine], rate)
-            for engine in self._ids
-        ]
-        fitting = [e for e in self._ids if chances[e] < shares[e]]
         is_large = large_requests.is_large(tokens, CAPACITY, SLOTS)
         self._large[instance].record_wanted('m1', tokens, is_large, now)
-        if is_large and self.load.instances > 1:
-            hold = engine_memory.make_hold_function(
-                others, self._sizes, CAPACITY
-            )
-            free = [
-                CAPACITY - own[engine] - hold(known[engine], loads[engine])
-                for engine in self._ids
-            ]
-            fitting = self._fitting_large(
-                instance, tokens, shares, free, rate * age_s, now
-            )
+        fitting = self._fitting(instance, tokens, is_large, now, interval_s)
         best = server_choice.choose_server(
             [self._candidate(instance, engine) for engine in fitting],
             'z1',
-            random.randrange(self.load.prefixes),
+            random.randrange(load.prefixes),
             random.random,
         )
         if best is None or best.load >= LOAD_LIMIT:
@@ -162,11 +155,57 @@
         self._add(instance, int(best.id), tokens, 1)
         return instance, int(best.id), tokens
 
+    def _fitting(self, instance, tokens, is_large, now, interval_s):
+        """Return the engines that a request may use, as EngineMemory does."""
+        load, known = self.load, self._others[instance]
+        age_s = now - known.at + interval_s
+        age_s = min(age_s, engine_memory.MAX_AGE_S + 0.5)
+        others = engine_memory.Others(
+            known.is_known, age_s, load.instances - 1, load.service_s
+        )
+        by_engine = known.tokens(load.service_s, now)
+        by_engine = [by_engine.get(str(engine), 0) for engine in self._ids]
+        rate = known.rates.get(('engines', 'm1'), 0.0)
+        if others.are_unknown:
+            rate = max(rate, others.instances * self._rates[instance])
+        is_large = is_large and load.instances > 1
+        in_turns = (
+            is_large and known.turn is not None and not others.are_unknown
+        )
+        assumed = 0.0
+        if is_large and not in_turns:
+            assumed = others.instances * self._rise(
+                instance, tokens, others, now
+            )
+        share = engine_memory.make_share_function(
+            tokens, others, self._sizes, CAPACITY, assumed
+        )
+        own, loads = self._own[instance], self._known_loads[instance]
+        shares = [
+            share(own[engine], by_engine[engine], loads[engine], rate)
+            for engine in self._ids
+        ]
+        if in_turns:
+            hold = engine_memory.make_hold_function(
+                others, self._sizes, CAPACITY
+            )
+            free = [
+                CAPACITY - own[engine] - hold(by_engine[engine], loads[engine])
+                for engine in self._ids
+            ]
+            return self._fitting_large(
+                instance, tokens, shares, free, rate * age_s, now
+            )
+        number = self.served + self.refused
+        chances = engine_memory.chances(number, self._ids, 0)
+        return [e for e in self._ids if chances[e] < shares[e]]
+
+    def _rise(self, instance, tokens, others, now):
+        rise = self._large[instance].rise('m1', self._period_s, now)
+        return max(rise, tokens) if others.are_unknown else rise
+
     def _fitting_large(self, instance, tokens, shares, free, wanted, now):
         large, count = self._large[instance], self.load.engines
-        interval_s = pace.exchange_interval_s(self.load.instances)
-        period_s = engine_memory_control.INTERVALS_UNTIL_KNOWN * interval_s
-        half_s = memory_reports.INTERVALS_OF_HALF_TURN * interval_s
         return large.fitting(
             tokens,
             [
@@ -179,12 +218,10 @@
                 )
                 for engine in self._ids
             ],
-            large_requests.Turn(
-                instance, self.load.instances, int(now / half_s)
-            ),
-            large.rise('m1', period_s, now),
+            self._others[instance].turn,
+            large.rise('m1', self._period_s, now),
             self._sizes.root_mean_square,
-            period_s,
+            self._period_s,
             now,
         )
 
@@ -205,21 +242,45 @@
         self.most = max(self.most, self._held[engine])
 
     def _exchange(self, instance, now):
-        for engine in range(self.load.engines):
-            own = self._own[instance][engine]
-            loads = self._own_loads[instance][engine]
-            self._sums[engine] += own - self._reported[instance][engine]
+        lost_s = now - self.load.leader_lost_at_s
+        if 0.0 <= lost_s < self.load.leaderless_s:
+            return
+        if lost_s >= 0.0 and not self._is_leader_lost:
+            self._start_term()
+        elapsed_s = max(0.1, now - self._reported_at[instance])
+        self._reported_at[instance] = now
+        self._rates[instance] = self._wanted[instance] / elapsed_s
+        self._wanted[instance] = 0
+        own = {
+            str(engine): tokens
+            for engine, tokens in enumerate(self._own[instance])
+            if tokens
+        }
+        rows = [['engines', 'm1', self._rates[instance]]]
+        self._leader.receive(_name(instance), [own, rows], now)
+        update = self._leader.make_update(_name(instance), now)
+        self._others[instance].apply(update, now)
+        self._exchange_loads(instance)
+
+    def _exchange_loads(self, instance):
+        for engine, loads in enumerate(self._own_loads[instance]):
             self._load_sums[engine] += (
                 loads - self._reported_loads[instance][engine]
             )
-            self._reported[instance][engine] = own
             self._reported_loads[instance][engine] = loads
-            self._known[instance][engine] = self._sums[engine] - own
             self._known_loads[instance][engine] = (
                 self._load_sums[engine] - loads
             )
-        elapsed_s = max(0.1, now - self._known_at[instance])
-        self._rates[instance] = self._wanted[instance] / elapsed_s
-        self._wanted[instance] = 0
-        self._known_rates[instance] = sum(self._rates) - self._rates[instance]
-        self._known_at[instance] = now
+
+    def _start_term(self):
+        """Let another leader begin, which has no report yet."""
+        self._is_leader_lost = True
+        self._leader.start_term()
+        self._load_sums = [0] * self.load.engines
+        self._reported_loads = [
+            [0] * self.load.engines for _ in range(self.load.instances)
+        ]
+
+
+def _name(instance):
+    return f'front-{instance:03}'
--- a/packages/gateway/tests/decisions/test_engine_memory.py
+++ b/packages/gateway/tests/decisions/test_engine_memory.py
@@ -35,8 +35,8 @@
     return chance < share(own, known, load, wanted_per_s)
 
 
-class FleetTest(unittest.TestCase):
-    """Replays the first deployment, unless stated otherwise."""
+class FleetCase(unittest.TestCase):
+    """Replays whose engines never hold more than their memory."""
 
     def check_bound(self, **changes):
         for seed in SEEDS:
@@ -46,6 +46,10 @@
                 self.assertLessEqual(replay.most, memory_fleet.CAPACITY)
                 yield replay
 
+
+class FleetTest(FleetCase):
+    """Replays the first deployment, unless stated otherwise."""
+
     def test_engines_hold_the_requests_of_the_deployment(self):
         # Without the shares, all instances choose the engine that seemed
         # empty, which gets several times its memory.
@@ -72,12 +76,48 @@
         ):
             pass
 
+    def test_engines_hold_requests_just_below_large_ones(self):
+        # Twelve of 5,800 tokens, as many as slots, fill an engine.
+        fleet = {'instances': 36, 'engines': 30, 'service_s': 6.0}
+        for _ in self.check_bound(
+            sizes=(5_800,), arrivals_per_s=150.0, **fleet
+        ):
+            pass
+
     def test_engines_hold_large_requests_among_usual_ones(self):
         sizes = (1_100,) * 9 + (8_000,)
         for _ in self.check_bound(sizes=sizes, arrivals_per_s=400.0):
             pass
 
 
+class LeaderChangeTest(FleetCase):
+    """Replays the first deployment with a change of leader after 4 s.
+
+    Guards against sums of a new leader that lack most instances.
+    """
+
+    def check_change(self, leaderless_s, **changes):
+        for _ in self.check_bound(
+            leader_lost_at_s=4.0, leaderless_s=leaderless_s, **changes
+        ):
+            pass
+
+    def test_engines_hold_the_requests_of_an_overload(self):
+        for leaderless_s in (0.0, 1.5):
+            self.check_change(leaderless_s, arrivals_per_s=700.0)
+
+    def test_engines_hold_requests_that_run_long(self):
+        self.check_change(0.0, service_s=6.0, arrivals_per_s=400.0)
+
+    def test_engines_hold_the_requests_after_seconds_without_a_leader(self):
+        # The tokens of the others are unknown then.
+        self.check_change(4.0, arrivals_per_s=700.0)
+
+    def test_engines_hold_the_requests_of_few_instances(self):
+        fleet = {'instances': 12, 'engines': 6, 'arrivals_per_s': 60.0}
+        self.check_change(1.5, **fleet)
+
+
 class FitsTest(unittest.TestCase):
     def test_tokens_of_this_instance_count_at_once(self):
         self.assertTrue(fits(10_000, own=80_000))
