--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -5,8 +5,8 @@
 import anyio
 from wagtailtide_core.errors import kinds
 
-from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import memory_reports
+from wagtailtide_gateway.control import others_tokens
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.decisions import large_requests
@@ -19,10 +19,6 @@
 # waits for up to one, and so does the update.
 INTERVALS_UNTIL_KNOWN = 2.0
 
-_decode_turn = fields.row(
-    large_requests.Turn, fields.integer, fields.integer, fields.integer
-)
-
 
 class EngineMemory:
     """Tells which engines have memory for a request.
@@ -37,14 +33,10 @@
         self._is_enabled = is_enabled
         self._held = engine_memory.HeldTokens()
         self._large = large_requests.LargeRequests()
-        self._turn = None
-        self._others = None
-        self._others_at = float('-inf')
-        self._interval_s = 0.0
+        self._others = others_tokens.OthersTokens(self._process_of)
         self._wanted = collections.Counter()
         self._wanted_since = None
         self._own_rates = {}
-        self._other_rates = {}
         self._reports = memory_reports.MemoryReports()
 
     def section(self):
@@ -54,7 +46,7 @@
             make_report=self._make_report,
             receive=self._reports.receive,
             make_update=self._reports.make_update,
-            apply=self._apply,
+            apply=self._others.apply,
             start_term=self._reports.start_term,
         )
 
@@ -94,6 +86,8 @@
         ids = {state.server.id for state in states}
         if not self._capacity(job) or not ids:
             return ids
+        # A new leader states only those that have reported to it yet.
+        instances = max(instances, self._others.reporting)
         period_s = self._period_s(instances)
         window = self._note_wanted(job)
         others = self._describe_others(max(0, instances - 1), service_s)
@@ -105,11 +99,13 @@
         possible = {id_ for id_, share in shares.items() if share > 0.0}
         if all(shares[id_] == 1.0 for id_ in possible):
             return possible
-        if job.memory_chances.keys() != ids:
-            job.memory_chances = engine_memory.chances(
+        # Servers with and those without a limit are asked for in turn.
+        key = frozenset(ids)
+        chances = job.memory_chances.get(key)
+        if chances is None:
+            chances = job.memory_chances[key] = engine_memory.chances(
                 job.req.attempt_id, ids, window
             )
-        chances = job.memory_chances
         return {id_ for id_ in possible if chances[id_] < shares[id_]}
 
     def _note_wanted(self, job):
@@ -137,22 +133,23 @@
     def _period_s(self, instances):
         """Return the seconds until the others know of a request."""
         interval_s = pace.exchange_interval_s(instances)
-        return INTERVALS_UNTIL_KNOWN * max(self._interval_s, interval_s)
+        return INTERVALS_UNTIL_KNOWN * max(self._others.interval_s, interval_s)
 
     def _fitting_large(self, job, states, others, period_s):
         """Return the ids of the servers that a large request may use.
 
         None if the leader has given this instance no turn lately.
         """
-        if self._turn is None or others.are_unknown:
+        if self._others.turn is None or others.are_unknown:
             return None
         now = anyio.current_time()
         shares = self._shares(job, states, others, period_s, False)
         sizes = self._held.sizes(job.service.name, job.service.engine)
         capacity = self._capacity(job)
         hold = engine_memory.make_hold_function(others, sizes, capacity)
-        wanted = self._make_wanted_function(job.service.name, others.instances)
-        known, own = self._others, self._held.by_process()
+        wanted = self._make_wanted_function(job.service.name, others)
+        known = self._others.tokens(others.service_s, now)
+        own = self._held.by_process()
         engines = [
             large_requests.Engine(
                 state.server.id,
@@ -160,7 +157,7 @@
                 shares[state.server.id],
                 capacity
                 - own.get(process, 0)
-                - hold(known.get(state.server.id, 0), state.others_load),
+                - hold(known.get(process, 0), state.others_load),
                 wanted(state.residency.models) * others.age_s / len(states),
             )
             for state in sorted(states, key=lambda state: state.server.id)
@@ -168,7 +165,7 @@
         return self._large.fitting(
             self._needed(job),
             engines,
-            self._turn,
+            self._others.turn,
             self._large.rise(job.demand_key, period_s, now),
             sizes.root_mean_square,
             period_s,
@@ -196,15 +193,15 @@
             self._capacity(job),
             assumed,
         )
-        known = self._others or {}
+        known = self._others.tokens(others.service_s, anyio.current_time())
         own = self._held.by_process()
-        wanted = self._make_wanted_function(job.service.name, others.instances)
+        wanted = self._make_wanted_function(job.service.name, others)
         shares = {}
         for state in states:
-            server_id = state.server.id
-            shares[server_id] = share(
-                own.get(_process(state), 0),
-                known.get(server_id, 0),
+            process = _process(state)
+            shares[state.server.id] = share(
+                own.get(process, 0),
+                known.get(process, 0),
                 state.others_load,
                 wanted(state.residency.models),
             )
@@ -223,17 +220,18 @@
         return job.service.engine.kv_capacity_tokens
 
     def _window(self):
-        window_s = max(2.0 * self._interval_s, MIN_WINDOW_S)
+        window_s = max(2.0 * self._others.interval_s, MIN_WINDOW_S)
         return int(anyio.current_time() / window_s)
 
     def held(self, state):
         """Return the tokens in a server, for the state dump."""
-        others = self._others
+        others, process = self._others, _process(state)
+        known = others.tokens(None, anyio.current_time())
         return {
-            'own_tokens': self._held.own(_process(state)),
-            'others_tokens': (
-                None if others is None else others.get(state.server.id, 0)
-            ),
+            'own_tokens': self._held.own(process),
+            'others_tokens': known.get(process, 0)
+            if others.is_known
+            else None,
         }
 
     def record_start(self, job, state):
@@ -263,9 +261,11 @@
 
     def _describe_others(self, others, service_s):
         # The reports of the others were up to an interval old at the leader.
-        age_s = anyio.current_time() - self._others_at + self._interval_s
+        age_s = (
+            anyio.current_time() - self._others.at + self._others.interval_s
+        )
         return engine_memory.Others(
-            self._others is not None,
+            self._others.is_known,
             min(age_s, engine_memory.MAX_AGE_S + MIN_WINDOW_S),
             others,
             service_s,
@@ -275,17 +275,21 @@
         """Return a function that tells what others want of some models.
 
         It returns tokens a second. Without a leader, as many for each other
-        instance as for this one.
+        instance as for this one, but not less than was last known.
 
         Args:
             service: Name of the service.
-            others: Number of other instances.
+            others: Others.
         """
-        rates, factor = self._other_rates, 1.0
-        if self._others is None:
-            rates, factor = self._own_rates, others
+        rates = self._others.rates
+        if others.are_unknown:
+            assumed = {
+                key: others.instances * rate
+                for key, rate in self._own_rates.items()
+            }
+            rates = others_tokens.larger(rates, assumed)
         by_model = {
-            model: factor * rate
+            model: rate
             for (name, model), rate in rates.items()
             if name == service
         }
@@ -314,28 +318,15 @@
 
     def _own_tokens(self):
         own = {}
-        for (server_id, start_ms), tokens in self._held.by_process().items():
-            state = self._servers.states.get(server_id)
-            if state is not None and _process(state)[1] == start_ms:
+        for process, tokens in self._held.by_process().items():
+            server_id, _ = process
+            if self._process_of(server_id) == process:
                 own[server_id] = tokens
         return own
 
-    def _apply(self, value, now):
-        if value is None:
-            self._others = self._turn = None
-            return
-        turn = _decode_turn(value[2]) if len(value) > 2 else None
-        self._others, rows = memory_reports.decode(value)
-        # Older builds send no turn.
-        self._turn = turn if turn is None or turn.instances > 0 else None
-        self._other_rates = {
-            (service, model): rate for service, model, rate in rows
-        }
-        if self._others_at > float('-inf'):
-            self._interval_s = min(
-                now - self._others_at, memory_reports.REPORT_TTL_S
-            )
-        self._others_at = now
+    def _process_of(self, server_id):
+        state = self._servers.states.get(server_id)
+        return None if state is None else _process(state)
 
 
 def _process(state):
