gateway: Pass on responses of more than 1 MB as they arrive

A response that is no stream was held as a whole whatever its size, for as long as a client that reads slowly took. Up to 1 MB it still is, so that it can be retried. If a larger one breaks off, its caller gets an incomplete response.

--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -32,6 +32,11 @@
 # their own limit, Route.first_event_timeout_s.
 FIRST_EVENT_TIMEOUT_S = 2.5
 
+# A response that is no stream is held as a whole up to this size, so that it
+# can be retried when it breaks off. Larger ones are passed on as they arrive:
+# a caller that reads slowly would otherwise make the instance hold any size.
+MAX_WHOLE_BYTES = 1_048_576
+
 # Reason of an attempt whose response may lack its end.
 CUT_BY_CRASH = 'server crashed as the response ended with its connection'
 
@@ -73,10 +78,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """A complete response."""
+    """A complete response, or the first part of one that is large.
+
+    Attributes:
+        head: Its ResponseHead.
+        body: Its body, as far as it was read.
+        is_whole: Whether that is the whole body.
+    """
 
     head: ports.ResponseHead
     body: bytes
+    is_whole: bool = True
 
 
 class Attempt:
@@ -191,7 +203,7 @@
         )
 
     async def read_response(self, head):
-        """Read the body of a successful response.
+        """Read the body of a successful response, up to MAX_WHOLE_BYTES.
 
         Args:
             head: Its ResponseHead.
@@ -199,14 +211,45 @@
         Returns:
             The Response, or a Failure if the connection broke.
         """
+        parts, size = [], 0
         try:
-            body = await self._call.read_body()
+            while (data := await self._call.read_data()) is not None:
+                parts.append(data)
+                size += len(data)
+                if size > MAX_WHOLE_BYTES:
+                    return Response(head, b''.join(parts), is_whole=False)
         except outgoing.ConnectionBroken as exc:
             return Failure(False, str(exc), broken=True)
         if await self.was_cut_by_crash():
             return Failure(False, CUT_BY_CRASH, broken=True)
         await self.keep_connection()
-        return Response(head, body)
+        return Response(head, b''.join(parts))
+
+    async def pass_on(self, response, out):
+        """Send a large response to the caller as it arrives.
+
+        Args:
+            response: The Response with its first part.
+            out: The Responder.
+
+        Returns:
+            None, or a Failure if the connection broke.
+
+        Raises:
+            CallerDisconnected: The caller closed its connection.
+        """
+        out.start(response.head.status, response.head.headers)
+        await out.send(response.body)
+        try:
+            while (data := await self._call.read_data()) is not None:
+                await out.send(data)
+        except outgoing.ConnectionBroken as exc:
+            return Failure(False, str(exc), broken=True)
+        if await self.was_cut_by_crash():
+            return Failure(False, CUT_BY_CRASH, broken=True)
+        await self.keep_connection()
+        await out.finish()
+        return None
 
     async def read_chunk(self, timeout_s):
         """Return the next bytes of a stream, None at its end.
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -244,6 +244,13 @@
                 return
             if failure.peer is None:
                 await self._check_server(state, failure)
+            if relay.started and job.route.kind is not (
+                deployment.RouteKind.STREAM
+            ):
+                # A part of a large response cannot be continued elsewhere.
+                raise kinds.ServingError(
+                    kinds.ErrorKind.STREAM_BROKEN, failure.reason
+                )
             if failure.head is not None and not self._may_retry(
                 job, failure, relay
             ):
@@ -391,6 +398,8 @@
         if isinstance(response, attempts.Failure):
             return response
         job.first_byte_at = anyio.current_time()
+        if not response.is_whole:
+            return await attempt.pass_on(response, out)
         await out.respond(head.status, head.headers, response.body)
         return None
 
