gateway: Send nothing after the caller's deadline; keep class shares over a change of leader

A request reached a server 0.7 s after its deadline, as its connection was being opened meanwhile. The deadline is checked again before it is sent. What is kept for less urgent requests applies only while more urgent ones need it. Loads by priority and shares are used for 5 s without a leader.

--- a/packages/gateway/src/wagtailtide_gateway/control/class_loads.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/class_loads.py
@@ -14,9 +14,13 @@
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import sections
 
-# Seconds after which what an instance reported, and what the leader returned,
-# is not known any more. It equals cluster_state.INSTANCE_TIMEOUT_S.
-LOADS_TTL_S = 2.5
+# Seconds after which what an instance reported does not count any more. It
+# equals cluster_state.INSTANCE_TIMEOUT_S.
+REPORT_TTL_S = 2.5
+
+# Seconds for which what the leader returned is used without a newer update. A
+# lost leader is replaced in about three seconds.
+LOADS_TTL_S = 5.0
 
 # Time constant in seconds of the load that is usual for a server.
 USUAL_PERIOD_S = 4.0
@@ -103,15 +107,22 @@
         return min(known, state.others_load)
 
     def own_less_urgent(self, process, priority):
-        """Return this instance's requests in a process less urgent than one.
+        """Return this instance's less urgent requests in a process.
 
         Args:
             process: Id of the server and start of the process.
             priority: The priority, 0 is the most urgent.
+
+        Returns:
+            Those that are less urgent, and those that are as urgent or less
+            urgent; 0 for the latter if there is nothing more urgent.
         """
-        if priority >= LOWEST_PRIORITY:
-            return 0
-        return self._own[priority].get(process, 0)
+        less = same = 0
+        if priority < LOWEST_PRIORITY:
+            less = self._own[priority].get(process, 0)
+        if priority:
+            same = self._own[priority - 1].get(process, 0)
+        return less, same
 
     def others(self, priority, outdated):
         """Return the estimated requests of the others by process of a server.
@@ -210,7 +221,7 @@
         self._reports[instance] = (now, loads)
         self._sum(loads, 1)
         for name, (reported_at, _) in list(self._reports.items()):
-            if now - reported_at > LOADS_TTL_S:
+            if now - reported_at > REPORT_TTL_S:
                 self._drop(name)
 
     def _drop(self, instance):
--- a/packages/gateway/src/wagtailtide_gateway/decisions/class_capacity.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/class_capacity.py
@@ -61,6 +61,7 @@
         ahead_slots: Slots that more urgent requests need, by their arrivals.
         ahead_waiting: More urgent requests that wait in the instances.
         own_per_s: Arrivals a second of requests of this priority.
+        own_slots: Slots that requests of this priority need, by arrivals.
         own_waiting: Requests of this priority that wait in the instances.
         is_mixed: Whether there are requests of another priority.
     """
@@ -70,6 +71,7 @@
     ahead_slots: float = 0.0
     ahead_waiting: float = 0.0
     own_per_s: float = 0.0
+    own_slots: float = 0.0
     own_waiting: float = 0.0
     is_mixed: bool = False
 
@@ -101,11 +103,28 @@
         ahead_slots=slots,
         ahead_waiting=waiting,
         own_per_s=own.arrivals_per_s,
+        own_slots=own.arrivals_per_s * own.service_s,
         own_waiting=own.waiting,
         is_mixed=any(other != priority for other in demands),
     )
 
 
+def in_force(share, slots):
+    """Return the Share with what is kept only if it would be used otherwise.
+
+    While more urgent requests need less than the rest of the slots, less
+    urgent ones get their part in any case. The load of a single server may
+    exceed the rest at times.
+
+    Args:
+        share: The Share of the request.
+        slots: Slots of all servers that can run the request.
+    """
+    if share.ahead_slots + share.own_slots > slots * (1.0 - share.kept):
+        return share
+    return dataclasses.replace(share, kept=0.0)
+
+
 def reserved_part(share, slots, ahead):
     """Return the part of the slots that more urgent requests will need.
 
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
@@ -20,10 +20,6 @@
 # chosen only if the others are full.
 FAILURE_COST = 1.5
 
-# Cost of a less urgent request in a server, relative to that of one that is as
-# urgent: it is preempted, and its prompt is processed again.
-LESS_URGENT_COST = 0.25
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -62,8 +58,7 @@
         preferred: Id of the server that probably has the prefix cached.
         random: Function that returns a number from 0 to 1.
     """
-    load = candidate.load + LESS_URGENT_COST * candidate.less_urgent
-    total = (load + 1) / candidate.slots * candidate.slowdown
+    total = (candidate.load + 1) / candidate.slots * candidate.slowdown
     total += FAILURE_COST * candidate.failure_rate
     total += MAX_RANDOM_COST * random()
     if candidate.zone != zone:
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -86,12 +86,13 @@
         """Return the servers that the request may use, paused ones too."""
         if self._is_list_outdated(now):
             return []
+        version, tried = job.software_version, job.tried
         return [
             state
             for state in self._servers.of_service(job.service.name)
-            if state.accepts_requests
-            and job.software_version in (None, state.server.software_version)
-            and state.server.id not in job.tried
+            if (version is None or version == state.server.software_version)
+            and state.accepts_requests
+            and not (tried and state.server.id in tried)
             and self._has_path(state.server.id, now)
         ]
 
@@ -112,17 +113,18 @@
         if not job.is_plain:
             model, adapter = job.req.model, job.req.adapter
             states = [s for s in states if s.can_serve(model, adapter, now)]
-        return [
-            s for s in states if not self._is_unreachable(s.server.id)
-        ] or states
+        unreachable = self._servers.reachability.unreachable
+        if not unreachable:
+            return states
+        return [s for s in states if s.server.id not in unreachable] or states
 
     def capable_by_limit(self, job, now):
         """Return the capable servers without and those with a limit."""
-        capable = self.capable(job, now)
-        return (
-            [s for s in capable if s.limit.present_per_s(now) is None],
-            [s for s in capable if s.limit.present_per_s(now) is not None],
-        )
+        unlimited, limited = [], []
+        for state in self.capable(job, now):
+            has_limit = state.limit.present_per_s(now) is not None
+            (limited if has_limit else unlimited).append(state)
+        return unlimited, limited
 
     def best_free(self, job, capable):
         """Return the candidates and the one to use, None if it is full.
@@ -190,7 +192,7 @@
         """Return the best limited server that may get a request, or None."""
         instances = self._exchange.leaderless_instances
         permitted = [s for s in limited if s.limit.allows(instances, now)]
-        return self.best_free(job, permitted)[1]
+        return self.best_free(job, permitted)[1] if permitted else None
 
     def limited_per_s(self, limited, now):
         """Return the requests a second that limited servers take.
@@ -312,14 +314,14 @@
         if view is not None:
             load, less_urgent, ahead = view.loads_of(state)
         return server_choice.Candidate(
-            id=server.id,
-            zone=server.zone,
-            slots=state.sustained_slots,
-            load=load,
-            failure_rate=self._servers.health.failure_rate(server.id, now),
-            slowdown=state.capacity.slowdown,
-            less_urgent=less_urgent,
-            ahead=ahead,
+            server.id,
+            server.zone,
+            state.sustained_slots,
+            load,
+            self._servers.health.failure_rate(server.id, now),
+            state.capacity.slowdown,
+            less_urgent,
+            ahead,
         )
 
     def _load_s(self, model, usable):
--- a/packages/gateway/src/wagtailtide_gateway/serving/class_shares.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/class_shares.py
@@ -1,5 +1,6 @@
 """What the requests of each priority may use of the servers."""
 
+import functools
 import random
 
 from wagtailtide_gateway.control import class_loads
@@ -11,6 +12,11 @@
 # inputs change with each exchange, every 0.25 s or more.
 SHARE_TTL_S = 0.1
 
+# Seconds for which they are used again while few instances report their work.
+# A lost leader is replaced in about three seconds, and has all reports an
+# exchange interval later.
+SHARE_HOLD_S = 5.0
+
 
 class ClassShares:
     """Shares of the classes, from what all instances report.
@@ -55,7 +61,10 @@
     def _share(self, job, priority, instances, now):
         key = (job.service.name, job.req.model or '', priority)
         share, at = self._shares.get(key, (None, 0.0))
-        if share is None or now - at > SHARE_TTL_S:
+        ttl_s = SHARE_HOLD_S
+        if self._scheduler.knows_fleet(instances, now):
+            ttl_s = SHARE_TTL_S
+        if share is None or now - at > ttl_s:
             demands = self._scheduler.demands(*key[:2], instances, now)
             share = class_capacity.share_of(demands, priority)
             self._shares[key] = (share, now)
@@ -101,18 +110,22 @@
             Those that are as urgent or more urgent, those that are less
             urgent, and those that are more urgent.
         """
-        process = class_loads.process_of(state)
+        server = state.server
+        process = server.id, server.residency.process_start_ms
         total, less_urgent, same_or_less = self._others.get(
             process, (state.others_load, 0.0, 0.0)
         )
-        less_urgent += self._loads.own_less_urgent(process, self._priority)
         total += state.own_load
-        if not self._priority:
-            return total - less_urgent, less_urgent, 0.0
-        same_or_less += self._loads.own_less_urgent(
-            process, self._priority - 1
-        )
-        return total - less_urgent, less_urgent, total - same_or_less
+        if not state.own_load:
+            # Most instances have no request in most servers.
+            own = own_same = 0
+        else:
+            own, own_same = self._loads.own_less_urgent(
+                process, self._priority
+            )
+        less_urgent += own
+        ahead = total - same_or_less - own_same if self._priority else 0.0
+        return total - less_urgent, less_urgent, ahead
 
     def rooms(self, job, candidates, now):
         """Return how many requests more each server may get, by server id.
@@ -122,20 +135,21 @@
             candidates: The Candidate objects of the servers.
             now: Time in seconds.
         """
+        limit = self._limits(job.route.latency_target_s)
+        slots = sum(c.slots / c.slowdown for c in candidates)
+        share = class_capacity.in_force(self._share, slots)
         reserved = class_capacity.reserved_part(
-            self._share,
-            sum(c.slots / c.slowdown for c in candidates),
-            sum(c.ahead for c in candidates),
+            share, slots, sum(c.ahead for c in candidates)
         )
-        target_s = job.route.latency_target_s
-        rooms = [self._room(c, target_s, reserved) for c in candidates]
-        if self._share.is_mixed:
+        rooms = [
+            class_capacity.room(c, limit(c), share, reserved)
+            for c in candidates
+        ]
+        if share.is_mixed:
             rooms = class_capacity.rooms_until_exchange(
                 candidates, rooms, self._age_s / self._service_s
             )
-            part = class_capacity.admitted_part(
-                self._share, rooms, self._age_s
-            )
+            part = class_capacity.admitted_part(share, rooms, self._age_s)
             if part < 1.0 and self._chance(job, now) >= part:
                 return {}
         ids = (c.id for c in candidates)
@@ -149,14 +163,19 @@
             job.class_chance = (now + self._age_s, chance)
         return chance
 
-    def _room(self, candidate, target_s, reserved):
-        limit = admission.load_limit(
-            self._priority,
-            candidate.slots,
-            target_s,
-            self._service_s * candidate.slowdown,
-        )
-        return class_capacity.room(candidate, limit, self._share, reserved)
+    def _limits(self, target_s):
+        """Return the function from a Candidate to its load limit.
+
+        Most servers have the same one, which is computed once.
+        """
+
+        @functools.cache
+        def limit(slots, slowdown):
+            return admission.load_limit(
+                self._priority, slots, target_s, self._service_s * slowdown
+            )
+
+        return lambda c: limit(c.slots, c.slowdown)
 
     def pool(self, pool, candidates):
         """Return the part of an admission.ServerPool for the class.
@@ -166,4 +185,5 @@
             candidates: The Candidate objects of its servers.
         """
         ahead = sum(c.ahead for c in candidates)
-        return class_capacity.class_pool(pool, self._share, ahead)
+        share = class_capacity.in_force(self._share, pool.slots)
+        return class_capacity.class_pool(pool, share, ahead)
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
@@ -55,6 +55,7 @@
 
         Raises:
             ConnectionBroken: No connection could be established.
+            DeadlinePassed: The caller's deadline passed in the meantime.
             ZoneEvacuated: The server's zone was evacuated in the meantime.
         """
         del max_idle_s
@@ -65,6 +66,9 @@
         except outgoing.ConnectionBroken:
             self._note_failed_peer()
             raise
+        if self._job.wait_left_s <= 0.0:
+            await self.keep_connection()
+            raise server_call.DeadlinePassed()
         if not self._state.is_contactable:
             await self.keep_connection()
             raise server_call.ZoneEvacuated(self._state.server.zone)
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -338,9 +338,7 @@
         self._record_start(job, state)
         if self._recorder is not None:
             job.tracker = self._recorder.start(job, state, call.peer)
-        failure = attempts.Failure(
-            False, 'caller disconnected or deadline passed'
-        )
+        failure = attempts.Failure(False, server_call.DEADLINE_PASSED)
         try:
             head = await attempt.open()
             if isinstance(head, attempts.Failure):
@@ -373,7 +371,11 @@
             peer = directory.choose(server_id, anyio.current_time())
         if peer is None:
             return server_call.ServerCall(
-                self._backend_port, self._pool, state, servers.reachability
+                self._backend_port,
+                self._pool,
+                state,
+                servers.reachability,
+                lambda: job.wait_left_s,
             )
         job.peers.append(peer.instance)
         return forwarded_call.ForwardedCall(
@@ -474,7 +476,7 @@
             # the zone is back.
             job.tried.remove(server_id)
         elif not failure.unreachable and (
-            failure.reason != 'caller disconnected or deadline passed'
+            failure.reason != server_call.DEADLINE_PASSED
         ):
             self._shared_state.servers.health.record_outcome(
                 server_id, True, now
--- a/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -273,6 +273,14 @@
                 )
         return found
 
+    def knows_fleet(self, instances, now):
+        """Return whether at least half of the instances report their work.
+
+        A new leader has the reports of few of them at first.
+        """
+        fleet = self._view.fleet(now)
+        return fleet is not None and 2 * fleet.reporting >= instances
+
     def service_time_s(self, service, priority, default_s=DEFAULT_WORK_S):
         """Return the mean seconds in a server of a priority's requests."""
         return self._estimates.seconds((service, priority), default_s)
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -1,8 +1,10 @@
 """One request on a connection of this instance to a backend server."""
 
 import dataclasses
+import math
 
 import anyio
+import anyio.lowlevel
 
 from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import server_limits as limits
@@ -36,10 +38,21 @@
 BECAME_COLD = 'the server has just started and needs a permit'
 
 
+# Reason of an attempt that ended because nobody waits for its response.
+DEADLINE_PASSED = 'caller disconnected or deadline passed'
+
+
 class NotSent(Exception):
     """The server wants no requests any more; nothing was sent."""
 
 
+class DeadlinePassed(NotSent):
+    """The caller's deadline passed in the meantime; nothing was sent."""
+
+    def __init__(self):
+        super().__init__(DEADLINE_PASSED)
+
+
 class ZoneEvacuated(NotSent):
     """The server's zone was evacuated in the meantime; nothing was sent."""
 
@@ -55,6 +68,8 @@
         pool: ConnectionPool of the backend servers.
         state: ServerState of the server.
         reachability: Reachability of the servers.
+        time_left_s: Function that returns the seconds until the caller's
+            deadline.
 
     Attributes:
         framing: Framing of the server's response, None without one.
@@ -63,7 +78,15 @@
 
     peer = None
 
-    def __init__(self, backend_port, pool, state, reachability):
+    def __init__(
+        self,
+        backend_port,
+        pool,
+        state,
+        reachability,
+        time_left_s=lambda: math.inf,
+    ):
+        self._time_left_s = time_left_s
         self._backend_port = backend_port
         self._pool = pool
         self._state = state
@@ -82,6 +105,7 @@
             ConnectionBroken: No connection could be established.
             NotSent: The server asked for a pause in the meantime, or has
                 become cold.
+            DeadlinePassed: The caller's deadline passed in the meantime.
             ZoneEvacuated: Its zone was evacuated in the meantime.
         """
         started_at = anyio.current_time()
@@ -90,6 +114,12 @@
         self._conn = await self._pool.acquire(
             self._state.server.address, max_idle_s
         )
+        # A disconnect of the caller that came while this process was held up
+        # is noticed first.
+        await anyio.lowlevel.checkpoint()
+        if self._time_left_s() <= 0.0:
+            await self.keep_connection()
+            raise DeadlinePassed()
         if not self._state.is_contactable:
             await self.keep_connection()
             raise ZoneEvacuated(self._state.server.zone)
