--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_choice.py
@@ -20,10 +20,6 @@
 # chosen only if the others are full.
 FAILURE_COST = 1.5
 
-# Cost of a less urgent request in a server, relative to that of one that is as
-# urgent: it is preempted, and its prompt is processed again.
-LESS_URGENT_COST = 0.25
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -82,9 +78,8 @@
         of the prefix, which is negative or 0.
     """
     has_prefix = prefix_hash is not None and candidate.id == preferred
-    load = candidate.load + LESS_URGENT_COST * candidate.less_urgent
     return (
-        (load + 1) / candidate.slots * candidate.slowdown,
+        (candidate.load + 1) / candidate.slots * candidate.slowdown,
         FAILURE_COST * candidate.failure_rate,
         0.0 if candidate.zone == zone else OTHER_ZONE_COST,
         -LIKELY_PREFIX_DISCOUNT if has_prefix else 0.0,
