gateway: Remember and report no models that do not exist

Callers may ask for any number of model names; arrivals of each were reported to the leader, and the shares of each were kept.

--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -177,7 +177,12 @@
 
     def _class_view(self, job, now):
         """Return the ClassView of a request, None if classes do not count."""
-        if self._classes is None or job.is_plain:
+        if (
+            self._classes is None
+            or job.is_plain
+            # Callers may ask for any number of models that do not exist.
+            or job.req.model not in job.service.engine.models
+        ):
             return None
         return self._classes.view(
             job, self._exchange.instances, self.service_time_s(job), now
--- a/packages/gateway/src/wagtailtide_gateway/serving/class_shares.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/class_shares.py
@@ -35,6 +35,11 @@
         self._shares = {}
         self._others = {}
 
+    @property
+    def model_count(self):
+        """Number of models and priorities whose shares are remembered."""
+        return len(self._shares)
+
     def view(self, job, instances, service_s, now):
         """Return the ClassView of a request, None if loads are not known.
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -97,7 +97,10 @@
         )
 
     def record_arrival(self, job):
-        """Count the arrival of a request."""
+        """Count the arrival of a request for a model that exists."""
+        # Callers may ask for any number of models that do not exist.
+        if not job.is_plain and job.req.model not in job.service.engine.models:
+            return
         self._arrivals.add(_key(job), 1, anyio.current_time())
 
     def record_start(self, job):
--- a/packages/gateway/tests/serving/test_class_shares.py
+++ b/packages/gateway/tests/serving/test_class_shares.py
@@ -1,6 +1,7 @@
 import unittest
 
 import anyio
+import cbor2
 from wagtailtide_gateway.control import class_loads
 from wagtailtide_testing import virtual_time
 
@@ -161,6 +162,26 @@
         found.append(instance.finder.has_free_server(job))
         self.assertEqual(found, [False, True, False])
 
+    @virtual_time.run_without_io
+    async def test_models_that_do_not_exist_are_not_remembered(self):
+        # Guards against memory and reports that grow with the names that
+        # callers ask for.
+        fleet = scheduling_fleet.Fleet(size=2, engines=1)
+        instance = fleet.instances[0]
+        scheduler = instance.shared.scheduler
+        instance.shared.class_shares.loads.section().apply(
+            {'s0': [2, 10]}, anyio.current_time()
+        )
+        before = len(cbor2.dumps(instance.shared.sections.make_report()))
+        for number in range(100):
+            job = fleet.make_job('urgent', 'club')
+            job.req.model = f'none-{number}'
+            scheduler.record_arrival(job)
+            instance.finder.has_free_server(job)
+        after = len(cbor2.dumps(instance.shared.sections.make_report()))
+        self.assertEqual(after, before)
+        self.assertEqual(instance.shared.class_shares.model_count, 0)
+
     @virtual_time.run_without_io
     async def test_plain_services_do_not_know_priorities(self):
         fleet = scheduling_fleet.Fleet(size=2, engines=1)
