gateway: Send fewer large requests while a new leader gives no turns

For the first 2.5 s of a leader's term chance decides for large requests. The share assumed a normal distribution: where three fit, more than three came with a chance of 0.005 at each engine.

If the others' tokens are unknown, the share is as before.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -183,6 +183,8 @@
             self._held.sizes(job.service.name, job.service.engine),
             self._capacity(job),
             assumed,
+            # Long without a leader, large requests would not be sent at all.
+            assumes_rise and self._is_large(job) and not others.are_unknown,
         )
         known = self._others.tokens(others.service_s, anyio.current_time())
         own = self._held.by_process()
--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -20,6 +20,11 @@
 # Standard deviations of the number of requests that others send.
 DEVIATIONS = 3.0
 
+# Chance that large requests exceed the memory that an engine has free until
+# all know of them. So few fit that their number is not normally distributed:
+# with three deviations it was 0.005 where three fitted.
+EXCESS_CHANCE = 1e-4
+
 # The margin is this part of the memory while there are other instances: older
 # builds among them do not report their tokens.
 MARGIN_PART = 0.05
@@ -79,7 +84,9 @@
         self._square += weight * (tokens * tokens - self._square)
 
 
-def make_share_function(tokens, others, sizes, capacity, least_wanted=0.0):
+def make_share_function(
+    tokens, others, sizes, capacity, least_wanted=0.0, few_fit=False
+):
     """Return a function that tells the share of requests for an engine.
 
     What is alike for all engines is computed once here, because the function
@@ -92,6 +99,8 @@
         capacity: Tokens that an engine has memory for.
         least_wanted: Tokens that the others are taken to want until this
             instance knows of their requests, at least.
+        few_fit: Whether so few requests fit into an engine that three
+            deviations do not bound their number.
 
     Returns:
         A function from the tokens of this instance in the engine, those that
@@ -102,6 +111,9 @@
     if tokens > capacity:
         return lambda own, known, load, wanted_per_s: 0.0
     size = max(sizes.root_mean_square, 1.0)
+    admit = _admitted
+    if few_fit:
+        size, admit = max(size, tokens), _admitted_few
     hold = make_hold_function(others, sizes, capacity)
     age_s = others.age_s if others.instances else 0.0
     # Of what the others had, a part has ended since. That of long ago is
@@ -120,14 +132,28 @@
         if not wanted:
             return 1.0
         free = capacity - held + ended * known
-        # The mean of which the mean and its deviations fill the free memory.
-        root = math.sqrt(DEVIATIONS * DEVIATIONS + 4.0 * free / size)
-        admitted = ((root - DEVIATIONS) / 2.0) ** 2 * size
+        admitted = admit(free, size)
         return admitted / wanted if admitted < wanted else 1.0
 
     return share
 
 
+def _admitted(free, size):
+    """Return the mean that fills the free memory with its deviations."""
+    root = math.sqrt(DEVIATIONS * DEVIATIONS + 4.0 * free / size)
+    return ((root - DEVIATIONS) / 2.0) ** 2 * size
+
+
+def _admitted_few(free, size):
+    """Return the mean that exceeds the free memory with EXCESS_CHANCE.
+
+    The chance of more than n requests is at most mean^(n + 1) / (n + 1)!.
+    """
+    more = int(free // size) + 1
+    logarithm = math.log(EXCESS_CHANCE) + math.lgamma(more + 1)
+    return math.exp(logarithm / more) * size
+
+
 def make_hold_function(others, sizes, capacity):
     """Return a function that tells what the others hold, with a margin.
 
--- a/packages/gateway/tests/decisions/memory_fleet.py
+++ b/packages/gateway/tests/decisions/memory_fleet.py
@@ -178,7 +178,12 @@
                 instance, tokens, others, now
             )
         share = engine_memory.make_share_function(
-            tokens, others, self._sizes, CAPACITY, assumed
+            tokens,
+            others,
+            self._sizes,
+            CAPACITY,
+            assumed,
+            is_large and not in_turns and not others.are_unknown,
         )
         own, loads = self._own[instance], self._known_loads[instance]
         shares = [
--- a/packages/gateway/tests/decisions/test_engine_memory.py
+++ b/packages/gateway/tests/decisions/test_engine_memory.py
@@ -1,3 +1,4 @@
+import math
 import types
 import unittest
 
@@ -117,6 +118,13 @@
         fleet = {'instances': 12, 'engines': 6, 'arrivals_per_s': 60.0}
         self.check_change(1.5, **fleet)
 
+    def test_engines_hold_requests_that_are_large_beside_their_memory(self):
+        # The leader gives no turns for the first 2.5 s of its term.
+        for leaderless_s in (0.0, 1.5):
+            self.check_change(
+                leaderless_s, sizes=(8_000,), arrivals_per_s=300.0
+            )
+
 
 class FitsTest(unittest.TestCase):
     def test_tokens_of_this_instance_count_at_once(self):
@@ -143,6 +151,18 @@
         self.assertTrue(fits(2_000, wanted_per_s=2_000_000.0, chance=0.0))
         self.assertFalse(fits(2_000, wanted_per_s=2_000_000.0, chance=0.2))
 
+    def test_few_large_requests_exceed_the_free_memory_very_rarely(self):
+        # Guards against deviations of a normal distribution where 3 fit.
+        for count in range(1, 9):
+            mean = engine_memory._admitted_few(count * 8_000.0, 8_000) / 8_000
+            excess = 1.0 - sum(
+                math.exp(-mean) * mean**n / math.factorial(n)
+                for n in range(count + 1)
+            )
+            with self.subTest(count=count):
+                self.assertLessEqual(excess, 1e-4)
+                self.assertGreater(excess, 1e-5)
+
     def test_instance_on_its_own_needs_no_margin(self):
         self.assertTrue(fits(5_000, own=95_000, instances=0))
         self.assertFalse(fits(5_001, own=95_000, instances=0))
