gateway: Refuse values with an infinite number like other malformed ones

int() of an infinite number raises OverflowError, which the readers of the configuration, of entries, of engines' reports and of the store's answers did not catch; Python's JSON decoder accepts such numbers. The task that reads them ended instead of keeping the last valid value.

--- a/packages/gateway/src/wagtailtide_gateway/control/config.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/config.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from wagtailtide_gateway import ports
 from wagtailtide_gateway.decisions import trust
 
 LOG = logging.getLogger(__name__)
@@ -44,7 +45,7 @@
         """
         try:
             found = self._decode(value)
-        except (ValueError, KeyError, TypeError) as exc:
+        except ports.DECODE_ERRORS as exc:
             LOG.error(
                 'config refused',
                 extra={
--- a/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_client.py
@@ -6,6 +6,7 @@
 import anyio
 from wagtailtide_core.retries import fate
 
+from wagtailtide_gateway import ports
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import backend
 from wagtailtide_gateway.serving import server_call
@@ -106,7 +107,7 @@
             return None
         try:
             report = self._port.decode_report(body)
-        except (ValueError, KeyError, TypeError) as exc:
+        except ports.DECODE_ERRORS as exc:
             LOG.warning(
                 'engine report ignored',
                 extra={'server': server_id, 'reason': repr(exc)},
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 
+from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import evacuations as evacuations_
@@ -411,7 +412,7 @@
             return
         try:
             server = self._decode(obj)
-        except (ValueError, KeyError, TypeError) as exc:
+        except ports.DECODE_ERRORS as exc:
             LOG.warning(
                 'server entry ignored',
                 extra={
--- a/packages/gateway/src/wagtailtide_gateway/control/store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/store.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from wagtailtide_gateway import ports
 from wagtailtide_gateway.http import outgoing
 
 # Seconds after which a call without an answer has failed. The store answers in
@@ -107,7 +108,7 @@
     def _decode(self, decode, body):
         try:
             return decode(body)
-        except (ValueError, KeyError, TypeError) as exc:
+        except ports.DECODE_ERRORS as exc:
             raise StoreUnavailable(
                 f'expected a valid answer from the store, got {exc!r}'
             ) from exc
--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -3,6 +3,10 @@
 from collections.abc import Callable
 import dataclasses
 
+# What decoders of a platform's values raise for malformed ones. An infinite
+# number, which is valid JSON for Python, cannot be made an integer.
+DECODE_ERRORS = (ValueError, KeyError, TypeError, OverflowError)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
--- a/packages/gateway/tests/control/test_config.py
+++ b/packages/gateway/tests/control/test_config.py
@@ -28,6 +28,19 @@
             view.apply_if_newer({'routes': 5}, 'store', revision=17)
         self.assertEqual(view.version, 4)
 
+    def test_infinite_number_keeps_the_last_valid_version(self):
+        # Guards against an error that ends the task which reads the
+        # configuration.
+        view = config.ConfigView(
+            lambda value: builders.make_deployment(version=int(value)),
+            lambda: 100.0,
+            lambda: None,
+        )
+        view.apply_if_newer(4, 'store')
+        with self.assertLogs(config.LOG, 'ERROR'):
+            view.apply_if_newer(float('inf'), 'store')
+        self.assertEqual(view.version, 4)
+
     def test_confirmation_time_never_goes_back(self):
         view = make_view()
         view.confirm(98.0)
