--- a/packages/gateway/src/wagtailtide_gateway/control/server_performance.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/server_performance.py
@@ -7,6 +7,7 @@
 
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import sections
+from wagtailtide_gateway.decisions import pace_baselines
 from wagtailtide_gateway.decisions import server_capacity
 
 LOG = logging.getLogger(__name__)
@@ -265,7 +266,7 @@
             server_capacity.Observation(
                 model,
                 _in_range(size, 0, 64),
-                _in_range(band, 0, server_capacity.BANDS - 1),
+                _in_range(band, 0, pace_baselines.BANDS - 1),
                 _in_range(units, 0, _MAX_NUMBER),
                 _in_range(ms, 0, _MAX_NUMBER) / 1_000,
                 _in_range(busy, 0, _MAX_NUMBER) / 100,
--- a/packages/gateway/src/wagtailtide_gateway/decisions/pace_scatter.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/pace_scatter.py
@@ -22,7 +22,7 @@
 # Scatter at first, and the time in seconds that this counts for. Until then
 # no server is found slow.
 INITIAL = 0.1
-INITIAL_S = 2.0
+INITIAL_S = 1.5
 
 # Scatter, as a mean difference of logarithms, of servers whose batches are
 # explained: 0.008 in replays without mixed batches, 0.02 to 0.06 with them.
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_capacity.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_capacity.py
@@ -2,7 +2,8 @@
 
 Each server is compared with its peers on the same kind of work: the same
 model, the same share of busy slots, and either the pace of running streams or
-the time to the first event of prompts of similar size.
+the time to the first event of prompts of similar size. What the rest of its
+batch adds is expected, see `batch_pace`.
 """
 
 import collections
@@ -12,16 +13,13 @@
 
 from wagtailtide_gateway.decisions import batch_pace
 from wagtailtide_gateway.decisions import concurrency_limit
+from wagtailtide_gateway.decisions import pace_baselines
 from wagtailtide_gateway.decisions import pace_scatter
 
 # Time constant in seconds of the sums that an estimate is made of. A change
 # has to be found within 3 s, of which an exchange of 1 s is a part.
 WINDOW_S = 1.0
 
-# Time constant in seconds of the expected pace of a kind of work. It is longer
-# than most slow periods of single servers.
-BASELINE_S = 10.0
-
 # Expected seconds of work added to each server at its peers' pace, so that a
 # few requests do not show much, and an estimate without new data fades.
 PRIOR_S = 0.5
@@ -47,10 +45,7 @@
 # turns.
 LEARNED_SERVERS = 20
 
-# Bands of the share of busy slots: quarters, and beyond all slots.
-BANDS = 5
-
-# Largest number of kinds of work of a service. Kinds beyond it are ignored.
+# Largest number of kinds of work of a server. Kinds beyond it are ignored.
 MAX_KINDS = 2_000
 
 
@@ -79,7 +74,8 @@
         model: Name of the model.
         size: Class of the prompt's size for times to first events, 0 for the
             pace of running streams.
-        band: Band of the share of busy slots, see `band_of`.
+        band: Band of the share of busy slots, see
+            `pace_baselines.band_of`.
         units: Amount of work: events, or tokens before the first one.
         seconds: Time that it took.
         busy: Mean share of busy slots meanwhile.
@@ -93,19 +89,6 @@
     busy: float
 
 
-def band_of(busy):
-    """Return the band of a share of busy slots."""
-    return min(int(busy * (BANDS - 1)), BANDS - 1)
-
-
-@dataclasses.dataclass(slots=True)
-class _Baseline:
-    """Expected pace of a kind of work in seconds per unit."""
-
-    pace: float
-    servers: int
-
-
 class _Server:
     def __init__(self, service, capacity=NOMINAL):
         self.service = service
@@ -164,7 +147,7 @@
     def __init__(self, window_s=WINDOW_S):
         self._window_s = window_s
         self._servers = {}
-        self._baselines = {}
+        self._baselines = pace_baselines.PaceBaselines()
         self._batch_paces = {}
         self._turn = 0
         self._scatters = {}
@@ -269,30 +252,7 @@
                     factor = server.factors[kind[0], kind[1] > 0]
                     key = (server.service, *kind)
                     paces[key].append(row[1] / (row[0] * factor))
-        weight = min(1.0, elapsed_s / BASELINE_S)
-        for key, found in paces.items():
-            # The lower one of two: slow servers are fewer than others.
-            pace = statistics.median_low(found)
-            known = self._baselines.get(key)
-            if known is None or len(found) > known.servers:
-                if known is None and len(self._baselines) >= MAX_KINDS:
-                    continue
-                self._baselines[key] = _Baseline(pace, len(found))
-            elif len(found) > 1:
-                known.pace += weight * (pace - known.pace)
-
-    def _expected_pace(self, service, model, size, band):
-        """Return the pace of peers, in the next band that has any.
-
-        A limited server has a smaller share of busy slots than its peers.
-        """
-        for distance in range(BANDS):
-            for other in (band + distance, band - distance):
-                found = self._baselines.get((service, model, size, other))
-                if found is not None and found.servers > 1:
-                    return found.pace
-        found = self._baselines.get((service, model, size, band))
-        return None if found is None else found.pace
+        self._baselines.update(paces, elapsed_s)
 
     def _sum_up(self, server, paces):
         """Compare the work of a server with what is expected.
@@ -306,7 +266,7 @@
         for kind, (units, seconds, kind_busy_s) in server.sums.items():
             key = (server.service, *kind)
             if key not in paces:
-                paces[key] = self._expected_pace(*key)
+                paces[key] = self._baselines.expected(*key)
             pace = paces[key]
             if pace is None:
                 continue
--- a/packages/gateway/src/wagtailtide_gateway/serving/capacity_recorder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/capacity_recorder.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from wagtailtide_gateway.decisions import pace_baselines
 from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.serving import batch_sums
 
@@ -216,7 +217,7 @@
             seconds: Time that it took.
         """
         busy = state.load / state.server.slots
-        key = (state.server.id, model, size, server_capacity.band_of(busy))
+        key = (state.server.id, model, size, pace_baselines.band_of(busy))
         row = self._sums.get(key)
         if row is None:
             row = self._sums[key] = [0, 0.0, 0.0]
--- a/packages/gateway/tests/decisions/test_mixed_batches.py
+++ b/packages/gateway/tests/decisions/test_mixed_batches.py
@@ -107,3 +107,21 @@
                 report, update, batches = fleet.section_sizes
                 self.assertLessEqual(batches, 600)
                 self.assertLess(124 * (report + update + batches), 300_000)
+
+    @virtual_time.run_without_io
+    async def test_one_of_56_servers_is_used_again(self):
+        # The load that is known is 1 s old, so that a server which becomes
+        # slow has more requests than slots before it is found.
+        fleet = await self.replay(
+            7,
+            16,
+            22,
+            mix=mixed_fleet.slower_beside_larger,
+            load=0.4,
+            models=20,
+            instances=124,
+            engines=56,
+            slots=12,
+            seed=2,
+        )
+        self.check(fleet, 7, 16)
