--- a/packages/gateway/tests/decisions/test_server_capacity.py
+++ b/packages/gateway/tests/decisions/test_server_capacity.py
@@ -184,13 +184,18 @@
             self.assertEqual(estimator.evaluate(step * 0.25), {})
 
     def test_only_server_of_a_model_is_not_judged_by_it(self):
+        # Guards against a comparison with the server's own first pace: that
+        # of the first one doubles.
         estimator = server_capacity.Estimator()
-        for step in range(20):
+        for step in range(80):
             for i in range(3):
+                seconds = (i + 1) * (2 if not i and step >= 40 else 1)
                 estimator.add(
                     f's{i}',
                     'engines',
-                    server_capacity.Observation(f'm{i}', 0, 1, 10, i + 1, 0.4),
+                    server_capacity.Observation(
+                        f'm{i}', 0, 1, 10, seconds, 0.4
+                    ),
                 )
             self.assertEqual(estimator.evaluate(step * 0.25), {})
 
