--- a/packages/gateway/tests/decisions/test_mixed_batches.py
+++ b/packages/gateway/tests/decisions/test_mixed_batches.py
@@ -52,6 +52,22 @@
                     )
                     self.assertEqual(found_slow(fleet), [])
 
+    @virtual_time.run_without_io
+    async def test_none_of_56_is_slow_or_limited(self):
+        # With 124 instances little is known in the first seconds.
+        fleet = await mixed_fleet.replay(
+            10,
+            slowness=lambda i, t, running: 1.0,
+            mix=mixed_fleet.mean_pace,
+            load=0.45,
+            models=20,
+            instances=124,
+            engines=56,
+            slots=12,
+            seed=2,
+        )
+        self.assertEqual(found_slow(fleet), [])
+
 
 class HalfSpeedTest(unittest.TestCase):
     """Guards against a slow server that is explained by its batch."""
