--- a/packages/gateway/src/wagtailtide_gateway/control/class_loads.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/class_loads.py
@@ -25,6 +25,10 @@
 # Time constant in seconds of the load that is usual for a server.
 USUAL_PERIOD_S = 4.0
 
+# Part of it in the estimate for a server whose load has changed entirely since
+# it was reported; the rest is the mean of all servers of the service.
+USUAL_PART = 0.5
+
 # Priorities beyond this one are counted as this one, as servers are told.
 LOWEST_PRIORITY = 9
 
@@ -148,8 +152,8 @@
             usual = self._usual.get(process)
             usual = [usual[c] for c in columns] if usual else latest
             rows[process] = state.server.service, latest, usual
-            total = sums.setdefault(state.server.service, [0.0] * 6)
-            for i, number in enumerate((*latest, *usual)):
+            total = sums.setdefault(state.server.service, [0.0] * 7)
+            for i, number in enumerate((*latest, *usual, 1)):
                 total[i] += number
         return {
             process: _estimate(latest, usual, sums[service], outdated)
@@ -181,24 +185,24 @@
         self._usual = usual
 
     def totals(self):
-        """Return the requests by priority in all servers, for metrics.
+        """Return the requests by priority in all servers, for metrics."""
+        return self.by_priority(self._servers.states.values())
+
+    def by_priority(self, states):
+        """Return the requests by priority in some servers.
 
         The most urgent ones include those whose priority is not known.
+
+        Args:
+            states: ServerState of each server.
         """
-        load = sum(state.load for state in self._servers.states.values())
-        after = [load]
+        counts = [sum(state.load for state in states)]
         for priority in range(LOWEST_PRIORITY):
-            after.append(
-                sum(
-                    self.less_urgent(state, priority)
-                    for state in self._servers.states.values()
-                )
-            )
-        after.append(0)
+            counts.append(sum(self.less_urgent(s, priority) for s in states))
         return {
             priority: count - less_urgent
             for priority, (count, less_urgent) in enumerate(
-                itertools.pairwise(after)
+                itertools.pairwise((*counts, 0))
             )
             if count > less_urgent
         }
@@ -277,16 +281,17 @@
     Args:
         latest: What was last reported for the server.
         usual: What is usual for it.
-        sums: Both for all servers of its service.
+        sums: Both for all servers of its service, and their number.
         outdated: Part of the loads that has changed since, 0 to 1.
     """
-    count = len(latest)
-    return tuple(
-        new + outdated * (old * sums[i] / sums[i + count] - new)
-        if sums[i + count]
-        else new
-        for i, (new, old) in enumerate(zip(latest, usual, strict=True))
-    )
+    found = []
+    for i, (new, old) in enumerate(zip(latest, usual, strict=True)):
+        mean = sums[i] / sums[-1]
+        old_sum = sums[i + len(latest)]
+        usual_now = old * sums[i] / old_sum if old_sum else mean
+        expected = mean + USUAL_PART * (usual_now - mean)
+        found.append(new + outdated * (expected - new))
+    return tuple(found)
 
 
 def _encode(rows):
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -212,6 +212,12 @@
             'slowed_backend_servers': self._count_slowed,
         }
         self._add_zone_metrics(self.shared_state.evacuations)
+        if self.shared_state.class_shares is not None:
+            loads = self.shared_state.class_shares.loads
+            self.metrics.labelled_gauges['requests_in_servers'] = (
+                ('priority',),
+                lambda: {(str(p),): n for p, n in loads.totals().items()},
+            )
 
     def _add_zone_metrics(self, view):
         if not view.is_enabled:
@@ -219,7 +225,7 @@
         self.metrics.gauges['evacuations_age_seconds'] = lambda: view.age_s(
             anyio.current_time()
         )
-        self.metrics.labelled_gauges = {
+        self.metrics.labelled_gauges |= {
             'zone_state': (
                 ('zone', 'state'),
                 lambda: evacuations.zone_state_values(view),
@@ -419,6 +425,8 @@
                 'own_load': state.own_load,
                 'others_load': state.others_load,
                 **shared_state.engine_memory.held(state),
+                'requests_by_priority': shared_state.class_shares
+                and shared_state.class_shares.loads.by_priority([state]),
                 'limit_per_s': state.limit.per_s,
                 'slots_share': state.capacity.slots_share,
                 'slowdown': state.capacity.slowdown,
--- a/packages/gateway/tests/control/test_class_loads.py
+++ b/packages/gateway/tests/control/test_class_loads.py
@@ -2,6 +2,7 @@
 import unittest
 
 import anyio
+import cbor2
 from wagtailtide_gateway.control import class_loads
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import servers
@@ -132,3 +133,27 @@
             loads.record_start(state, priority)
         loads.section().apply({'s1': [2, 4]}, 0.0)
         self.assertEqual(loads.totals(), {0: 2, 1: 1, 2: 5})
+
+
+class SizeTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_messages_of_large_fleets_are_small(self):
+        # 124 instances, 56 servers with 24 requests of two less urgent
+        # classes. Guards against a section that fills the leader's link.
+        states = {
+            f'engine-{n}': servers.ServerState(
+                builders.make_server(f'engine-{n}'), others_load=24
+            )
+            for n in range(56)
+        }
+        view = types.SimpleNamespace(states=states)
+        loads = [class_loads.ClassLoads(view) for _ in range(124)]
+        for number, state in enumerate(24 * list(states.values())):
+            loads[number % 124].record_start(state, 1 + number % 2)
+        now = anyio.current_time()
+        reports = [x.section().make_report() for x in loads]
+        for number, report in enumerate(reports):
+            loads[0].section().receive(f'front-{number}', report, now)
+        update = loads[0].section().make_update('front-1', now)
+        self.assertLess(max(len(cbor2.dumps(x)) for x in reports), 250)
+        self.assertLess(len(cbor2.dumps(update)), 1_000)
