gateway: One guard for requests without time left

Two least predicted waits, in the scheduler and in the shares of classes, guarded against a request that checks again without end at its deadline. Admission rejects such a request now, whatever its wait.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/class_capacity.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/class_capacity.py
@@ -25,10 +25,6 @@
 # what is known to arrive. Less urgent requests wait for several seconds.
 WAITING_PERIOD_S = 4.0
 
-# Least predicted wait in seconds of a request that is not sent at once. With
-# none, a request whose time is over would check again at once, without end.
-MIN_WAIT_S = 0.005
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -225,6 +221,5 @@
         pool,
         slots=left,
         load=max(0.0, pool.load - ahead),
-        ready_in_s=max(pool.ready_in_s, MIN_WAIT_S),
         not_ahead=share.ahead_waiting,
     )
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -272,7 +272,7 @@
             )
         if self._scheduler is not None:
             take = self._scheduler.peek if is_preview else self._scheduler.take
-            best, pool = take(job, waiter, best, pool)
+            best = take(job, waiter, best)
             pool = self._scheduler.with_others(pool, job)
         return best, pool
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -17,10 +17,6 @@
 # Priorities beyond this one are counted as this one, as servers are told.
 LOWEST_PRIORITY = 9
 
-# Least predicted wait in seconds of a request that another one precedes. With
-# none, a request whose time is over would check again at once, without end.
-TURN_S = 0.005
-
 # Arrivals a second below which a class has no demand: its rate decays, but
 # never to zero.
 _LEAST_RATE_PER_S = 0.05
@@ -160,32 +156,26 @@
             job.service.name, job.req.model, self._ticket(job), waiter
         )
 
-    def take(self, job, waiter, best, pool):
+    def take(self, job, waiter, best):
         """Return the server that a request may take now, or None.
 
         Args:
             job: Its Job.
             waiter: Its FairWaiter, None if it is not queued.
             best: ServerState of a free server, or None.
-            pool: admission.ServerPool of the servers that can run it.
-
-        Returns:
-            The server or None, and the pool with the delay that it implies.
         """
         service, model = job.service.name, job.req.model
         if not self._is_turn(job, waiter):
             if best is not None:
                 self.queues.wake_first(service, model)
-            return None, _after_turn(pool)
+            return None
         if best is None and waiter is not None:
             self.queues.record_failure(service, waiter)
-        return best, pool
+        return best
 
-    def peek(self, job, waiter, best, pool):
+    def peek(self, job, waiter, best):
         """Return what `take` would return, without waking any request."""
-        if self._is_turn(job, waiter):
-            return best, pool
-        return None, _after_turn(pool)
+        return best if self._is_turn(job, waiter) else None
 
     def _is_turn(self, job, waiter):
         return self.queues.may_take(
@@ -303,12 +293,6 @@
         return scheduling.part_ahead(self._relative_usage, waiting, _org(job))
 
 
-def _after_turn(pool):
-    """Return the pool for a request that another one precedes."""
-    ready_in_s = max(pool.ready_in_s, TURN_S)
-    return dataclasses.replace(pool, ready_in_s=ready_in_s)
-
-
 def _kind(job):
     return job.service.name, _priority(job)
 
--- a/packages/gateway/tests/serving/test_scheduler.py
+++ b/packages/gateway/tests/serving/test_scheduler.py
@@ -197,7 +197,7 @@
 
 class TurnTest(unittest.TestCase):
     @virtual_time.run_without_io
-    async def test_request_behind_another_has_a_wait(self):
+    async def test_request_behind_another_wakes_it(self):
         # Guards against a request at its deadline that checks again at once,
         # without end, because a server is free for the one before it.
         fleet = scheduling_fleet.Fleet(size=2)
@@ -208,10 +208,9 @@
         )
         waiters = [scheduler.join(job, 1.0, 2) for job in (first, second)]
         pool = admission.ServerPool(96.0, 0.0, 0, 2, 0.9)
-        free, _ = scheduler.take(first, waiters[0], 'server', pool)
+        free = scheduler.take(first, waiters[0], 'server')
         self.assertEqual(free, 'server')
-        free, later = scheduler.take(second, waiters[1], 'server', pool)
-        self.assertIsNone(free)
-        decision = admission.decide(later, False, 0.0)
+        self.assertIsNone(scheduler.take(second, waiters[1], 'server'))
+        decision = admission.decide(pool, False, 0.0)
         self.assertIs(decision.verdict, admission.Verdict.REFUSE)
         self.assertTrue(waiters[0].wake_event.is_set())
