--- a/packages/gateway/src/wagtailtide_gateway/serving/class_shares.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/class_shares.py
@@ -81,7 +81,7 @@
         if (
             others is None
             or now - at > SHARE_TTL_S
-            or self.loads.applied_at > at
+            or self.loads.applied_at >= at
         ):
             others = self.loads.others(priority, outdated)
             self._others[key] = (others, now)
