gateway: Send repeats to callers that are still there

A request is not sent after its caller gives up while its connection is opened. The limit is taken when the connection is asked for.

--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
@@ -41,6 +41,7 @@
         self._peer = peer
         self._sender = sender
         self._job = job
+        self._send_limit_at = job.send_limit_at()
         self._conn = None
         self._is_open = False
         self.framing = None
@@ -66,7 +67,7 @@
         except outgoing.ConnectionBroken:
             self._note_failed_peer()
             raise
-        if self._job.wait_left_s <= 0.0:
+        if anyio.current_time() >= self._send_limit_at:
             await self.keep_connection()
             raise server_call.DeadlinePassed()
         if not self._state.is_contactable:
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -394,7 +394,7 @@
                 self._pool,
                 state,
                 servers.reachability,
-                lambda: job.wait_left_s,
+                job.send_limit_at(),
             )
         job.peers.append(peer.instance)
         return forwarded_call.ForwardedCall(
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -114,6 +114,16 @@
         )
         return until - anyio.current_time()
 
+    def send_limit_at(self):
+        """Return the time in seconds after which it is not sent any more.
+
+        That is when its caller gives up. A caller that is still there after
+        the time for its first event waits until its deadline.
+        """
+        if self.has_response_started or self.wait_left_s <= 0.0:
+            return self.deadline_at
+        return self.first_byte_due_at
+
     @property
     def has_response_started(self):
         """Whether part of the response has been sent to the caller."""
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -68,8 +68,8 @@
         pool: ConnectionPool of the backend servers.
         state: ServerState of the server.
         reachability: Reachability of the servers.
-        time_left_s: Function that returns the seconds until the caller's
-            deadline.
+        send_limit_at: Time in seconds after which nothing is sent, because
+            the caller has given up.
 
     Attributes:
         framing: Framing of the server's response, None without one.
@@ -84,9 +84,9 @@
         pool,
         state,
         reachability,
-        time_left_s=lambda: math.inf,
+        send_limit_at=math.inf,
     ):
-        self._time_left_s = time_left_s
+        self._send_limit_at = send_limit_at
         self._backend_port = backend_port
         self._pool = pool
         self._state = state
@@ -117,7 +117,7 @@
         # A disconnect of the caller that came while this process was held up
         # is noticed first.
         await anyio.lowlevel.checkpoint()
-        if self._time_left_s() <= 0.0:
+        if anyio.current_time() >= self._send_limit_at:
             await self.keep_connection()
             raise DeadlinePassed()
         if not self._state.is_contactable:
--- a/packages/gateway/tests/serving/test_server_call.py
+++ b/packages/gateway/tests/serving/test_server_call.py
@@ -48,10 +48,8 @@
 
     due_at: float = float('inf')
 
-    @property
-    def wait_left_s(self):
-        """Seconds until the response is due."""
-        return self.due_at - anyio.current_time()
+    def send_limit_at(self):
+        return self.due_at
 
 
 class ZoneTest(unittest.TestCase):
@@ -70,7 +68,7 @@
             self.pool,
             self.state,
             reachability.Reachability(),
-            lambda: self.job.wait_left_s,
+            self.job.send_limit_at(),
         )
 
     def forwarded(self):
