--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -84,6 +84,7 @@
             evacuation_s=cfg.evacuation_s,
             limits_engine_memory=cfg.limits_engine_memory,
             schedules_shares=cfg.schedules_shares,
+            divides_slots=cfg.divides_slots,
         )
         if cfg.evacuation_s is not None:
             self.shared_state.sections.add(
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -438,6 +438,7 @@
         self._quarantine.record_started(job, state.server.id)
         if self._shared_state.scheduler is not None:
             self._shared_state.scheduler.record_start(job)
+        if self._shared_state.class_shares is not None:
             self._shared_state.class_shares.loads.record_start(
                 state, job.priority
             )
@@ -460,6 +461,7 @@
             self._shared_state.demand.record_end(*job.demand_key)
         if self._shared_state.scheduler is not None:
             self._shared_state.scheduler.record_end(job, not failure)
+        if self._shared_state.class_shares is not None:
             self._shared_state.class_shares.loads.record_end(
                 state, job.priority
             )
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -42,6 +42,8 @@
         cold_slack: Further requests that it may get in one second, or None.
         schedules_shares: Whether waiting requests are ordered by the shares of
             their organisations, over all instances.
+        divides_slots: Whether the slots of engines are divided between
+            requests of different priority; needs `schedules_shares`.
     """
 
     instance: str
@@ -67,3 +69,4 @@
     cold_overage: float | None = None
     cold_slack: float | None = None
     schedules_shares: bool = False
+    divides_slots: bool = False
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -42,6 +42,8 @@
             memory for them.
         schedules_shares: Whether waiting requests are scheduled by what waits
             at all instances, see `Settings.schedules_shares`.
+        divides_slots: Whether slots are divided between priorities, see
+            `Settings.divides_slots`.
 
     Attributes:
         config: ConfigView, the configuration in force.
@@ -69,6 +71,7 @@
         evacuation_s=None,
         limits_engine_memory=False,
         schedules_shares=False,
+        divides_slots=False,
     ):
         self.scheduler = self.class_shares = None
         self.wait_queues = wait_queue.WaitQueues()
@@ -103,6 +106,7 @@
             self.sections.add(self.engine_memory.section())
         if self.scheduler is not None:
             self.sections.add(self.scheduler.section())
+        if divides_slots:
             loads = class_loads.ClassLoads(self.servers)
             self.class_shares = class_shares.ClassShares(loads, self.scheduler)
             self.sections.add(loads.section())
--- a/packages/gateway/tests/serving/scheduling_fleet.py
+++ b/packages/gateway/tests/serving/scheduling_fleet.py
@@ -183,7 +183,10 @@
         self.name = cfg.instance
         self.is_cut_off = False
         self.shared = shared_state.SharedState(
-            port, None, schedules_shares=schedules_shares
+            port,
+            None,
+            schedules_shares=schedules_shares,
+            divides_slots=schedules_shares,
         )
         for server_id in fleet.engines:
             self.shared.servers.states[server_id] = servers.ServerState(
--- a/packages/gateway/tests/serving/test_class_shares.py
+++ b/packages/gateway/tests/serving/test_class_shares.py
@@ -1,8 +1,11 @@
+import types
 import unittest
 
 import anyio
 import cbor2
+from wagtailtide_gateway import shared_state
 from wagtailtide_gateway.control import class_loads
+from wagtailtide_gateway.control import sections
 from wagtailtide_testing import virtual_time
 
 from tests.serving import scheduling_fleet
@@ -145,6 +148,17 @@
         self.assertLessEqual(most, 2.5 * fleet.slots)
 
 
+class SwitchedOffTest(unittest.TestCase):
+    def test_shares_alone_exchange_no_loads_by_priority(self):
+        # Guards against other decisions where only the order is by shares.
+        port = types.SimpleNamespace(decode_config=None, decode_server=None)
+        shared = shared_state.SharedState(port, None, schedules_shares=True)
+        self.assertIsNone(shared.class_shares)
+        self.assertNotIn(
+            sections.Number.CLASS_LOADS, shared.sections.make_report()
+        )
+
+
 class NotKnownTest(unittest.TestCase):
     @virtual_time.run_without_io
     async def test_unknown_loads_by_priority_count_as_urgent(self):
