--- a/packages/gateway/tests/serving/test_class_shares.py
+++ b/packages/gateway/tests/serving/test_class_shares.py
@@ -149,7 +149,8 @@
 
 
 class SwitchedOffTest(unittest.TestCase):
-    def test_shares_alone_exchange_no_loads_by_priority(self):
+    @virtual_time.run_without_io
+    async def test_shares_alone_exchange_no_loads_by_priority(self):
         # Guards against other decisions where only the order is by shares.
         port = types.SimpleNamespace(decode_config=None, decode_server=None)
         shared = shared_state.SharedState(port, None, schedules_shares=True)
