gateway: Log and count what lacked engine memory

The line that ends a request now has its tokens, and the servers that lacked memory for it or left theirs to others; a counter has the rejections by cause.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -86,27 +86,40 @@
         ids = {state.server.id for state in states}
         if not self._capacity(job) or not ids:
             return ids
+        fitting, shares = self._find_fitting(job, states, instances, service_s)
+        full = sum(share == 0.0 for share in shares.values())
+        job.memory_exclusions = engine_memory.Exclusions(
+            full, len(ids) - full - len(fitting)
+        )
+        return fitting
+
+    def _find_fitting(self, job, states, instances, service_s):
+        """Return the ids of the fitting servers, and all shares by id."""
         # A new leader states only those that have reported to it yet.
         instances = max(instances, self._others.reporting)
         period_s = self._period_s(instances)
         window = self._note_wanted(job)
         others = self._describe_others(max(0, instances - 1), service_s)
         if others.instances and self._is_large(job):
-            fitting = self._fitting_large(job, states, others, period_s)
+            shares = self._shares(job, states, others, period_s, False)
+            fitting = self._fitting_large(
+                job, states, others, period_s, shares
+            )
             if fitting is not None:
-                return fitting
+                return fitting, shares
         shares = self._shares(job, states, others, period_s)
         possible = {id_ for id_, share in shares.items() if share > 0.0}
         if all(shares[id_] == 1.0 for id_ in possible):
-            return possible
+            return possible, shares
         # Servers with and those without a limit are asked for in turn.
-        key = frozenset(ids)
+        key = frozenset(shares)
         chances = job.memory_chances.get(key)
         if chances is None:
             chances = job.memory_chances[key] = engine_memory.chances(
-                job.req.attempt_id, ids, window
+                job.req.attempt_id, shares, window
             )
-        return {id_ for id_ in possible if chances[id_] < shares[id_]}
+        fitting = {id_ for id_ in possible if chances[id_] < shares[id_]}
+        return fitting, shares
 
     def _note_wanted(self, job):
         """Count a request as wanted; return the number of the window."""
@@ -135,7 +148,7 @@
         interval_s = pace.exchange_interval_s(instances)
         return INTERVALS_UNTIL_KNOWN * max(self._others.interval_s, interval_s)
 
-    def _fitting_large(self, job, states, others, period_s):
+    def _fitting_large(self, job, states, others, period_s, shares):
         """Return the ids of the servers that a large request may use.
 
         None if the leader has given this instance no turn lately.
@@ -143,7 +156,6 @@
         if self._others.turn is None or others.are_unknown:
             return None
         now = anyio.current_time()
-        shares = self._shares(job, states, others, period_s, False)
         sizes = self._held.sizes(job.service.name, job.service.engine)
         capacity = self._capacity(job)
         hold = engine_memory.make_hold_function(others, sizes, capacity)
--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -57,6 +57,23 @@
         return not self.are_reported or self.age_s > MAX_AGE_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exclusions:
+    """Servers that a request may not use because of their memory.
+
+    Attributes:
+        full: Number of servers that lack memory for it.
+        deferred: Number of servers that have memory for it, as far as is
+            known, but are left to other requests for now.
+    """
+
+    full: int
+    deferred: int
+
+
+NO_EXCLUSIONS = Exclusions(0, 0)
+
+
 class RequestSizes:
     """Mean and mean square of the tokens of a service's requests."""
 
--- a/packages/gateway/src/wagtailtide_gateway/metrics.py
+++ b/packages/gateway/src/wagtailtide_gateway/metrics.py
@@ -49,6 +49,7 @@
         self.labelled_gauges = {}
         self._outcomes = collections.Counter()
         self._refusals = collections.Counter()
+        self._memory_refusals = collections.Counter()
         self._first_byte = _Histogram()
         self._total = _Histogram()
 
@@ -60,6 +61,19 @@
         """
         self._refusals[kind.value] += 1
 
+    def count_memory_refusal(self, exclusions):
+        """Count an overloaded request that servers were excluded for.
+
+        It counts as deferred if any server had memory for it.
+
+        Args:
+            exclusions: Its engine_memory.Exclusions.
+        """
+        if exclusions.deferred:
+            self._memory_refusals['deferred'] += 1
+        elif exclusions.full:
+            self._memory_refusals['full'] += 1
+
     def observe(self, job, outcome, total_s):
         """Record a finished request.
 
@@ -100,6 +114,7 @@
         labelled = {
             'requests': ('outcome', self._outcomes),
             'refusals': ('kind', self._refusals),
+            'memory_refusals': ('cause', self._memory_refusals),
         }
         for name, (label, counts) in labelled.items():
             family = core.CounterMetricFamily(
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -530,6 +530,8 @@
         now = anyio.current_time()
         total_s = now - request.received_at
         self._metrics.observe(job, outcome, total_s)
+        if job is not None and outcome == kinds.ErrorKind.OVERLOADED.value:
+            self._metrics.count_memory_refusal(job.memory_exclusions)
         fields = {
             'outcome': outcome,
             'state': out.state.value,
@@ -554,9 +556,12 @@
                 ran_on=job.possible_runs,
                 organisation=job.organisation and job.organisation.name,
                 cost=job.cost,
+                tokens=job.req.tokens,
                 parts=','.join(job.req.shared_parts[:MAX_LOGGED_PARTS]),
                 waited_ms=round(job.waited_s * 1000),
                 limited=job.limited_servers,
+                memory_full=job.memory_exclusions.full,
+                memory_deferred=job.memory_exclusions.deferred,
                 config=self._shared_state.config.version,
                 config_age_ms=round(self._shared_state.config.age_s * 1000),
             )
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.model import request
@@ -66,6 +67,8 @@
             counted as wanted.
         memory_chances: Its chances to use engines whose memory is scarce, in
             this window: by server id, for each set of servers.
+        memory_exclusions: Exclusions of servers for want of memory, when it
+            last looked for one.
         class_chance: Time until which it keeps its chance among the requests
             of its priority, and the chance, 0 to 1.
     """
@@ -97,6 +100,7 @@
     held_tokens: int = 0
     memory_window: int | None = None
     memory_chances: dict = dataclasses.field(default_factory=dict)
+    memory_exclusions: engine_memory.Exclusions = engine_memory.NO_EXCLUSIONS
     class_chance: tuple[float, float] = (float('-inf'), 0.0)
 
     @property
--- a/packages/gateway/tests/control/test_engine_memory.py
+++ b/packages/gateway/tests/control/test_engine_memory.py
@@ -353,6 +353,23 @@
         memory.require_possible(make_job(CAPACITY))
         memory.require_possible(make_job(None))
 
+    @virtual_time.run_without_io
+    async def test_exclusions_tell_full_engines_from_deferred_requests(self):
+        # Guards against rejections whose cause the log does not show.
+        memory, states = await make_memory_with_turn(0, engines=4)
+        wanted = [['engines', 'm1', 1_000_000.0]]
+        memory.section().apply(
+            [{'s00': 99_000}, wanted], anyio.current_time()
+        )
+        await anyio.sleep(0.2)
+        job = make_job(8_000)
+        fitting = memory.fitting(job, states, 124, 1.5)
+        self.assertEqual(job.memory_exclusions.full, 1)
+        self.assertEqual(
+            job.memory_exclusions.deferred, len(states) - 1 - len(fitting)
+        )
+        self.assertGreater(job.memory_exclusions.deferred, 0)
+
     @virtual_time.run_without_io
     async def test_engines_without_a_stated_memory_have_no_limit(self):
         memory, state = make_memory()
