--- a/packages/gateway/tests/control/test_engine_memory.py
+++ b/packages/gateway/tests/control/test_engine_memory.py
@@ -358,9 +358,7 @@
         # Guards against rejections whose cause the log does not show.
         memory, states = await make_memory_with_turn(0, engines=4)
         wanted = [['engines', 'm1', 1_000_000.0]]
-        memory.section().apply(
-            [{'s00': 99_000}, wanted], anyio.current_time()
-        )
+        memory.section().apply([{'s00': 99_000}, wanted], anyio.current_time())
         await anyio.sleep(0.2)
         job = make_job(8_000)
         fitting = memory.fitting(job, states, 124, 1.5)
