tests: Show large requests that are rejected beside idle engines

Single requests of 6,500 tokens at a fleet that is idle, through the Finder and the exchange with the leader.

--- a/packages/gateway/tests/serving/scheduling_fleet.py
+++ b/packages/gateway/tests/serving/scheduling_fleet.py
@@ -15,6 +15,7 @@
 from wagtailtide_core.errors import kinds
 from wagtailtide_gateway import shared_state
 from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.decisions import pace
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import finder
@@ -22,14 +23,27 @@
 from tests import builders
 
 MODEL = 'm1'
+
+# Tokens that an engine has memory for, where memory limits requests.
+CAPACITY = 69_660
+
 SERVICE = deployment.Service(
     'engines',
     100,
     deployment.Engine(
-        12, 200_000.0, 4, 4.0, {MODEL: builders.make_model(MODEL)}
+        12,
+        200_000.0,
+        4,
+        4.0,
+        {MODEL: builders.make_model(MODEL)},
+        kv_capacity_tokens=CAPACITY,
     ),
 )
 
+# Seconds from an urgent report until its update is applied: requests that
+# arrive within 2 ms share it, and each way takes a millisecond.
+URGENT_EXCHANGE_S = 0.004
+
 # The stream classes of the page: priority, latency target and slot time.
 CLASSES = {
     'urgent': (0, 0.257, 0.9),
@@ -110,20 +124,25 @@
     Attributes:
         preemptions: Number of requests that lost their slots.
         most: Largest number of requests held at once.
+        most_tokens: Largest number of their tokens held at once.
     """
 
     def __init__(self, slots):
         self._slots = slots
         self._running = []
         self._queue = []
+        self._tokens = 0
         self.preemptions = 0
         self.most = 0
+        self.most_tokens = 0
 
-    async def run(self, priority, service_s):
+    async def run(self, priority, service_s, tokens=0):
         """Run a request; return the seconds that it waited for a slot."""
         arrived_at = anyio.current_time()
         run = _Run(priority, next(_NUMBERS), service_s)
         waited_s = None
+        self._tokens += tokens
+        self.most_tokens = max(self.most_tokens, self._tokens)
         try:
             while True:
                 self._admit(run)
@@ -140,6 +159,7 @@
                 run.left_s = max(run.left_s, 0.0) + PROMPT_S
                 run.started, run.preempted = anyio.Event(), anyio.Event()
         finally:
+            self._tokens -= tokens
             self._remove(run)
 
     def _admit(self, run):
@@ -185,6 +205,7 @@
         self.shared = shared_state.SharedState(
             port,
             None,
+            limits_engine_memory=fleet.limits_memory,
             schedules_shares=schedules_shares,
             divides_slots=schedules_shares,
         )
@@ -202,8 +223,9 @@
             interval_s=pace.exchange_interval_s(fleet.size),
             loading_s={},
             leaderless_instances=None,
-            start_now=lambda: None,
+            start_now=self._request_exchange,
         )
+        self.urgent = anyio.Event()
         self.finder = finder.Finder(
             cfg,
             self.shared,
@@ -212,6 +234,9 @@
             lambda: False,
         )
 
+    def _request_exchange(self):
+        self.urgent.set()
+
 
 class Fleet:
     """Instances, engines and a leader.
@@ -221,6 +246,7 @@
         engines: Number of engines.
         slots: Slots of each engine.
         schedules_shares: Whether the instances schedule by shares.
+        limits_memory: Whether the memory of engines limits requests.
         older: Number of instances of a build without sections.
         seed: Seed of the phases of the exchanges and of the load.
         deadlines_s: Deadline of the requests in seconds, by class.
@@ -240,7 +266,9 @@
         older=0,
         seed=1,
         deadlines_s=None,
+        limits_memory=False,
     ):
+        self.limits_memory = limits_memory
         self.deadlines_s = deadlines_s or dict.fromkeys(CLASSES, 4.0)
         self.size = size
         self.slots = slots
@@ -308,7 +336,10 @@
         now = anyio.current_time()
         fields = {
             'req': types.SimpleNamespace(
-                model=MODEL, adapter=None, tokens=900
+                model=MODEL,
+                adapter=None,
+                tokens=900,
+                attempt_id=str(next(_NUMBERS)),
             ),
             'route': builders.make_route(
                 priority=priority, latency_target_s=target_s
@@ -328,17 +359,24 @@
             'limited_servers': 0,
             'send_count': 0,
             'class_chance': (float('-inf'), 0.0),
+            'memory_window': None,
+            'memory_chances': {},
+            'memory_exclusions': engine_memory.NO_EXCLUSIONS,
             'first_byte_due_at': now + self.deadlines_s[kind],
         }
         return _Job(**fields | changes)
 
-    async def request(self, kind, index, organisation='club', **changes):
+    async def request(
+        self, kind, index, organisation='club', tokens=None, **changes
+    ):
         """Serve one request at an instance; return its Outcome."""
         instance = self.instances[index]
         now = anyio.current_time()
         outcome = Outcome(kind, organisation, now, index)
         self.outcomes.append(outcome)
         job = self.make_job(kind, organisation, **changes)
+        if tokens is not None:
+            job.req.tokens = tokens
         instance.shared.demand.record_arrival(*job.demand_key, 0.4)
         scheduler = instance.shared.scheduler
         if scheduler is not None:
@@ -357,17 +395,20 @@
         _, _, service_s = CLASSES[outcome.kind]
         started_at = anyio.current_time()
         scheduler = instance.shared.scheduler
+        memory = instance.shared.engine_memory
         state.own_load += 1
+        held_tokens = memory.record_start(job, state)
         if scheduler is not None:
             scheduler.record_start(job)
             instance.shared.class_shares.loads.record_start(
                 state, job.priority
             )
         queued_s = await self.engines[state.server.id].run(
-            job.priority, service_s
+            job.priority, service_s, job.req.tokens
         )
         outcome.first_event_s = outcome.waited_s + queued_s
         state.own_load -= 1
+        memory.record_end(state, held_tokens)
         elapsed_s = anyio.current_time() - started_at
         if scheduler is not None:
             scheduler.record_end(job, True)
