gateway: Reserve engine memory for large requests at the leader

Cause: an instance sent such a request only in its turn while its demand for large requests had risen, and a rare request is its own rise. With 124 instances few have a turn at the engines of one model.

Change: the leader grants a reservation for each request of which fewer than twice the slots fit into an engine, in an exchange that starts at once, so the memory of an engine has one owner and an idle one is used at once. Requests without reservations leave 15% of an engine to those with one. Turns are gone.

Evidence: tests.serving.test_large_requests failed before (7, 8 and 5 of 8 rejected with 124 instances) and passes.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -250,7 +250,7 @@
         self._origins.receive(report.begun_streams, now)
         if not report.urgent:
             self._store_report(report, now)
-            self._sections.receive(report.instance, report.sections, now)
+        self._sections.receive(report.instance, report.sections, now)
         for request in report.adapters:
             self._record_adapter_request(request, now)
         if report.adapters:
@@ -550,7 +550,12 @@
             ),
         )
         if report.urgent:
-            return update
+            return dataclasses.replace(
+                update,
+                sections=self._sections.make_urgent_update(
+                    report.instance, report.sections, now
+                ),
+            )
         return dataclasses.replace(
             update,
             loads=self._loads_of_others(report),
--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -1,4 +1,4 @@
-"""Exchange of the tokens that instances hold in engines."""
+"""Tells which engines have memory for a request of this instance."""
 
 import collections
 
@@ -6,19 +6,17 @@
 from wagtailtide_core.errors import kinds
 
 from wagtailtide_gateway.control import memory_reports
+from wagtailtide_gateway.control import memory_reservations
 from wagtailtide_gateway.control import others_tokens
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.decisions import large_requests
+from wagtailtide_gateway.decisions import memory_reservations as decisions
 from wagtailtide_gateway.decisions import pace
 
 # Least time for which a request keeps its chances at the engines, in seconds.
 MIN_WINDOW_S = 0.5
 
-# Requests count at the others after this many intervals at most: the report
-# waits for up to one, and so does the update.
-INTERVALS_UNTIL_KNOWN = 2.0
-
 
 class EngineMemory:
     """Tells which engines have memory for a request.
@@ -26,30 +24,56 @@
     Args:
         servers: ServerView of the instance.
         is_enabled: Whether the memory of engines limits requests.
+        wake: Function that makes the waiting requests of a service check
+            again for a server.
     """
 
-    def __init__(self, servers, is_enabled=True):
+    def __init__(self, servers, is_enabled=True, wake=lambda service: None):
         self._servers = servers
         self._is_enabled = is_enabled
         self._held = engine_memory.HeldTokens()
-        self._large = large_requests.LargeRequests()
+        self._large = large_requests.LargeDemand()
         self._others = others_tokens.OthersTokens(self._process_of)
         self._wanted = collections.Counter()
+        self._wanted_reserved = collections.Counter()
         self._wanted_since = None
         self._own_rates = {}
+        self._own_reserved_rates = {}
+        self._reservations = memory_reservations.Reservations(
+            self._held, self._process_of, wake
+        )
         self._reports = memory_reports.MemoryReports()
+        self._leader_reservations = memory_reservations.LeaderReservations(
+            servers, self._reports, lambda: self._others.reporting
+        )
 
     def section(self):
-        """Return the Section for the exchange."""
+        """Return the Section for the exchange of tokens."""
         return sections.Section(
             sections.Number.ENGINE_MEMORY,
             make_report=self._make_report,
-            receive=self._reports.receive,
+            receive=self._receive,
             make_update=self._reports.make_update,
             apply=self._others.apply,
             start_term=self._reports.start_term,
         )
 
+    def reservations_section(self):
+        """Return the Section for the exchange of reservations."""
+        return sections.Section(
+            sections.Number.MEMORY_RESERVATIONS,
+            make_report=self._reservations.make_report,
+            receive=self._leader_reservations.receive,
+            make_update=self._leader_reservations.make_update,
+            apply=self._reservations.apply,
+            start_term=self._leader_reservations.start_term,
+            is_urgent=True,
+        )
+
+    def _receive(self, instance, value, now):
+        self._reports.receive(instance, value, now)
+        self._leader_reservations.record_report(instance)
+
     def require_possible(self, job):
         """Check that a request fits into an empty engine of its service.
 
@@ -100,13 +124,9 @@
         period_s = self._period_s(instances)
         window = self._note_wanted(job)
         others = self._describe_others(max(0, instances - 1), service_s)
-        if others.instances and self._is_large(job):
+        if self.needs_reservation(job, instances):
             shares = self._shares(job, states, others, period_s, False)
-            fitting = self._fitting_large(
-                job, states, others, period_s, shares
-            )
-            if fitting is not None:
-                return fitting, shares
+            return {id_ for id_, share in shares.items() if share}, shares
         shares = self._shares(job, states, others, period_s)
         possible = {id_ for id_, share in shares.items() if share > 0.0}
         if all(shares[id_] == 1.0 for id_ in possible):
@@ -125,19 +145,75 @@
         """Count a request as wanted; return the number of the window."""
         window = self._window()
         if job.memory_window != window:
-            if job.memory_window is None:
-                self._large.record_wanted(
-                    job.demand_key,
-                    self._needed(job),
-                    self._is_large(job),
-                    anyio.current_time(),
+            if job.memory_window is None and self._is_large(job):
+                self._large.record(
+                    job.demand_key, self._needed(job), anyio.current_time()
                 )
             # A request that waits is wanted again in each window.
             job.memory_window = window
             job.memory_chances = {}
             self._wanted[job.demand_key] += self._needed(job)
+            if self._is_reserved(job):
+                self._wanted_reserved[job.demand_key] += self._needed(job)
         return window
 
+    def needs_reservation(self, job, instances):
+        """Return whether a request may be sent with a reservation only.
+
+        Args:
+            job: The Job.
+            instances: Number of instances.
+        """
+        return (
+            bool(self._capacity(job))
+            and max(instances, self._others.reporting) > 1
+            and self._is_reserved(job)
+            and self._reservations.are_available(anyio.current_time())
+        )
+
+    def reserved_server(self, job):
+        """Return the id of the server with a reservation, or None."""
+        return self._reservations.server_id(job)
+
+    @property
+    def awaited_reservations(self):
+        """Number of requests that wait for a reservation."""
+        return self._reservations.awaited
+
+    def awaits_reservation(self, job):
+        """Return whether a request waits for a reservation."""
+        return self._reservations.is_awaited(job)
+
+    def reserve(self, job, server_ids):
+        """Ask the leader for a reservation in one of some servers.
+
+        Args:
+            job: The Job.
+            server_ids: Ids of the servers, the best one first.
+        """
+        job.memory_exclusions = engine_memory.Exclusions(
+            job.memory_exclusions.full, len(server_ids)
+        )
+        sizes = self._held.sizes(job.service.name, job.service.engine)
+        self._reservations.ask(
+            job,
+            lambda number: decisions.Request(
+                number,
+                job.service.name,
+                self._needed(job),
+                self._capacity(job),
+                sizes.root_mean_square,
+                tuple(server_ids[: memory_reservations.MAX_SERVERS]),
+            ),
+        )
+
+    def withdraw_reservation(self, job):
+        """Give back the reservation of a request, and ask for no more."""
+        self._reservations.withdraw(job)
+
+    def _is_reserved(self, job):
+        return _is_reserved_size(job, self._needed(job))
+
     def _is_large(self, job):
         return large_requests.is_large(
             self._needed(job), self._capacity(job), job.service.engine.slots
@@ -146,42 +222,8 @@
     def _period_s(self, instances):
         """Return the seconds until the others know of a request."""
         interval_s = pace.exchange_interval_s(instances)
-        return INTERVALS_UNTIL_KNOWN * max(self._others.interval_s, interval_s)
-
-    def _fitting_large(self, job, states, others, period_s, shares):
-        """Return the ids of the servers that a large request may use.
-
-        None if the leader has given this instance no turn lately.
-        """
-        if self._others.turn is None or others.are_unknown:
-            return None
-        now = anyio.current_time()
-        sizes = self._held.sizes(job.service.name, job.service.engine)
-        capacity = self._capacity(job)
-        hold = engine_memory.make_hold_function(others, sizes, capacity)
-        wanted = self._make_wanted_function(job.service.name, others)
-        known = self._others.tokens(others.service_s, now)
-        own = self._held.by_process()
-        engines = [
-            large_requests.Engine(
-                state.server.id,
-                process := _process(state),
-                shares[state.server.id],
-                capacity
-                - own.get(process, 0)
-                - hold(known.get(process, 0), state.others_load),
-                wanted(state.residency.models) * others.age_s / len(states),
-            )
-            for state in sorted(states, key=lambda state: state.server.id)
-        ]
-        return self._large.fitting(
-            self._needed(job),
-            engines,
-            self._others.turn,
-            self._large.rise(job.demand_key, period_s, now),
-            sizes.root_mean_square,
-            period_s,
-            now,
+        return memory_reservations.INTERVALS_UNTIL_KNOWN * max(
+            self._others.interval_s, interval_s
         )
 
     def _shares(self, job, states, others, period_s, assumes_rise=True):
@@ -206,6 +248,9 @@
             assumed,
             # Long without a leader, large requests would not be sent at all.
             assumes_rise and self._is_large(job) and not others.are_unknown,
+            engine_memory.KEPT_PART
+            if others.instances and not self._is_reserved(job)
+            else 0.0,
         )
         known = self._others.tokens(others.service_s, anyio.current_time())
         own = self._held.by_process()
@@ -257,15 +302,16 @@
                 job.service.name, job.service.engine, job.req.tokens
             )
         tokens = self._needed(job)
-        if self._is_large(job):
-            self._large.record_sent(_process(state), anyio.current_time())
-        self._held.add(_process(state), tokens)
+        self._reservations.withdraw(job)
+        self._held.add(_process(state), tokens, _is_reserved_size(job, tokens))
         return tokens
 
-    def record_end(self, state, tokens):
+    def record_end(self, job, state, tokens):
         """Release the tokens of a request that has ended."""
         if tokens:
-            self._held.add(_process(state), -tokens)
+            self._held.add(
+                _process(state), -tokens, _is_reserved_size(job, tokens)
+            )
 
     def _needed(self, job):
         if job.req.tokens is not None:
@@ -324,15 +370,23 @@
         if since is None or now - since >= MIN_WINDOW_S / 2:
             self._wanted_since = now
             elapsed_s = now - (now - MIN_WINDOW_S if since is None else since)
-            self._own_rates = {
-                key: tokens / elapsed_s for key, tokens in self._wanted.items()
-            }
-            self._wanted.clear()
-        return [self._own_tokens(), memory_reports.rows(self._own_rates)]
+            self._own_rates = _take_rates(self._wanted, elapsed_s)
+            self._own_reserved_rates = _take_rates(
+                self._wanted_reserved, elapsed_s
+            )
+        return [
+            self._by_server(self._held.by_process()),
+            memory_reports.rows(self._own_rates),
+            [
+                self._by_server(self._held.reserved_by_process()),
+                memory_reports.rows(self._own_reserved_rates),
+            ],
+        ]
 
-    def _own_tokens(self):
+    def _by_server(self, by_process):
+        """Return the tokens in the present processes of servers."""
         own = {}
-        for process, tokens in self._held.by_process().items():
+        for process, tokens in by_process.items():
             server_id, _ = process
             if self._process_of(server_id) == process:
                 own[server_id] = tokens
@@ -343,5 +397,19 @@
         return None if state is None else _process(state)
 
 
+def _is_reserved_size(job, tokens):
+    engine = job.service.engine
+    return decisions.needs_reservation(
+        tokens, engine.kv_capacity_tokens, engine.slots
+    )
+
+
+def _take_rates(wanted, elapsed_s):
+    """Return the rates of counted tokens, and count anew."""
+    rates = {key: tokens / elapsed_s for key, tokens in wanted.items()}
+    wanted.clear()
+    return rates
+
+
 def _process(state):
     return state.server.id, state.server.residency.process_start_ms
--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -266,10 +266,12 @@
             self.instances or self._recorded_instances(),
             self._forwarding_address(),
         )
-        if urgent:
-            return report
+        section_set = self._shared_state.sections
         return dataclasses.replace(
-            report, sections=self._shared_state.sections.make_report()
+            report,
+            sections=section_set.make_urgent_report()
+            if urgent
+            else section_set.make_report(),
         )
 
     def _forwarding_address(self):
@@ -354,6 +356,7 @@
         self.refill_waits_s = update.refill_waits_s
         self._shared_state.apply_update(update, sent_at)
         if urgent:
+            self._shared_state.sections.apply_urgent(update.sections, now)
             return
         self._in_step = True
         self._origin_number = update.origin_number
--- a/packages/gateway/src/wagtailtide_gateway/control/messages.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/messages.py
@@ -96,9 +96,9 @@
 
     Attributes:
         instance: Name of the instance.
-        urgent: Whether the report only draws from rates and requests adapters.
-            Its loads and demand are empty, and the update has no loads,
-            loading_s, crashes, leaving, entries or peers.
+        urgent: Whether the report only draws from rates and requests adapters
+            or reservations. Its loads and demand are empty, and the update
+            has no loads, loading_s, crashes, leaving, entries or peers.
         config_version: Configuration version in force.
         config_age_s: Seconds since the configuration was confirmed.
         seen_residency_number: Number of the last residency change of this
--- a/packages/gateway/src/wagtailtide_gateway/control/others_tokens.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/others_tokens.py
@@ -3,10 +3,10 @@
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import memory_reports
 from wagtailtide_gateway.decisions import engine_memory
-from wagtailtide_gateway.decisions import large_requests
 
+# Turn of an instance, from leaders that grant no reservations.
 _decode_turn = fields.row(
-    large_requests.Turn, fields.integer, fields.integer, fields.integer
+    lambda *row: row, fields.integer, fields.integer, fields.integer
 )
 
 
@@ -47,7 +47,6 @@
         interval_s: Seconds between the last two of these reports.
         reporting: Number of instances in the last complete sums, 0 if it is
             not known.
-        turn: Turn of this instance for large requests, or None.
         rates: Tokens a second that the others want, by service and model.
     """
 
@@ -57,7 +56,6 @@
         self.at = float('-inf')
         self.interval_s = 0.0
         self.reporting = 0
-        self.turn = None
         self.rates = {}
         self._complete = _Sums({}, self.at)
         self._partial = None
@@ -73,18 +71,16 @@
             BadMessage, TypeError, ValueError: It is malformed.
         """
         if value is None:
-            self.is_known, self.turn = False, None
+            self.is_known = False
             return
-        # Older builds send no turn, or no number of instances.
-        turn = _decode_turn(value[2]) if len(value) > 2 else None
+        knows_all = _knows_all(value)
+        # Older builds send no number of instances.
         reporting = fields.integer(value[3]) if len(value) > 3 else None
         tokens, rows = memory_reports.decode(value)
         rates = {(service, model): rate for service, model, rate in rows}
-        # A new leader sends a turn of no instances.
-        self.turn = turn if turn is None or turn.instances > 0 else None
         sums = _Sums(tokens, now)
         self._resolve(sums)
-        if self._is_complete(reporting):
+        if knows_all or self._is_complete(reporting):
             self._apply_complete(sums, rates, reporting or 0, now)
         else:
             self._partial = sums
@@ -127,14 +123,12 @@
                 sums.tokens[process] = sums.unlisted.pop(server_id)
 
     def _is_complete(self, reporting):
-        """Return whether sums have the tokens of all instances.
-
-        A leader that gives turns has led for long enough to know all of them.
+        """Return whether sums have the tokens of as many instances as before.
 
         Args:
             reporting: Number of instances in the sums, or None.
         """
-        if reporting is None or self.turn is not None:
+        if reporting is None:
             return True
         return 0 < self.reporting <= reporting
 
@@ -148,6 +142,19 @@
         self.at = now
 
 
+def _knows_all(value):
+    """Return whether the leader states that it knows all instances.
+
+    Older builds show it by the turn that they give.
+    """
+    if len(value) > 4:
+        return fields.boolean(value[4])
+    if len(value) > 2:
+        _, instances, _ = _decode_turn(value[2])
+        return instances > 0
+    return False
+
+
 def larger(first, second):
     """Return the larger value of each key of two dictionaries."""
     return {
--- a/packages/gateway/src/wagtailtide_gateway/control/sections.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sections.py
@@ -35,11 +35,12 @@
     COLD_SERVERS = 5
     CLASS_LOADS = 6
     SERVER_BATCHES = 7
+    MEMORY_RESERVATIONS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Section:
-    """What a feature exchanges in full reports and updates.
+    """What a feature exchanges with the leader.
 
     Attributes:
         number: Its Number.
@@ -51,6 +52,8 @@
         apply: Function that an instance calls with the leader's value, None
             if there is none, and the time at which its report was made.
         start_term: Function that drops what an earlier term has collected.
+        is_urgent: Whether urgent reports have the section, too. They have no
+            value that is empty.
     """
 
     number: Number
@@ -59,6 +62,7 @@
     make_update: Callable = lambda instance, now: None
     apply: Callable = lambda value, now: None
     start_term: Callable = lambda: None
+    is_urgent: bool = False
 
 
 class Sections:
@@ -74,7 +78,13 @@
 
     def make_report(self):
         """Return the values for the leader, by number."""
-        return self._values(lambda section: section.make_report())
+        return _values(self._sections, lambda section: section.make_report())
+
+    def make_urgent_report(self):
+        """Return the values for an urgent report, by number."""
+        urgent = {n: s for n, s in self._sections.items() if s.is_urgent}
+        values = _values(urgent, lambda section: section.make_report())
+        return {number: value for number, value in values.items() if value}
 
     def receive(self, instance, values, now):
         """Apply the values in the report of an instance."""
@@ -86,22 +96,39 @@
 
     def make_update(self, instance, now):
         """Return the leader's values for an instance, by number."""
-        return self._values(lambda section: section.make_update(instance, now))
+        return _values(
+            self._sections, lambda section: section.make_update(instance, now)
+        )
+
+    def make_urgent_update(self, instance, reported, now):
+        """Return the values in the update for an urgent report, by number.
+
+        Args:
+            instance: Name of the instance.
+            reported: The values in its report, by number.
+            now: Time in seconds.
+        """
+        return _values(
+            {n: s for n, s in self._sections.items() if n in reported},
+            lambda section: section.make_update(instance, now),
+        )
 
     def apply(self, values, now):
         """Apply the values in an update of the leader."""
         for number, section in self._sections.items():
             self._convert(section, section.apply, values.get(number), now)
 
+    def apply_urgent(self, values, now):
+        """Apply the values in the update for an urgent report."""
+        for number, section in self._sections.items():
+            if number in values:
+                self._convert(section, section.apply, values[number], now)
+
     def start_term(self):
         """Drop what the previous term of this leader has collected."""
         for section in self._sections.values():
             section.start_term()
 
-    def _values(self, make):
-        values = {n: make(section) for n, section in self._sections.items()}
-        return {n: value for n, value in values.items() if value is not None}
-
     def _convert(self, section, function, *args):
         """Call a function; a malformed value leaves the state as it was."""
         try:
@@ -114,3 +141,8 @@
                     'section ignored',
                     extra={'section': section.number.name, 'reason': str(exc)},
                 )
+
+
+def _values(registered, make):
+    values = {number: make(section) for number, section in registered.items()}
+    return {n: value for n, value in values.items() if value is not None}
--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -29,6 +29,10 @@
 # builds among them do not report their tokens.
 MARGIN_PART = 0.05
 
+# Requests without reservations leave this part of the memory to those with
+# reservations (`memory_reservations`), which would find none in an overload.
+KEPT_PART = 0.15
+
 # What the others have is unknown when it is older than this many seconds. The
 # margin is then a larger part of the memory.
 MAX_AGE_S = 2.5
@@ -102,7 +106,13 @@
 
 
 def make_share_function(
-    tokens, others, sizes, capacity, least_wanted=0.0, few_fit=False
+    tokens,
+    others,
+    sizes,
+    capacity,
+    least_wanted=0.0,
+    few_fit=False,
+    kept_part=0.0,
 ):
     """Return a function that tells the share of requests for an engine.
 
@@ -118,6 +128,7 @@
             instance knows of their requests, at least.
         few_fit: Whether so few requests fit into an engine that three
             deviations do not bound their number.
+        kept_part: Part of the memory that the request may not use.
 
     Returns:
         A function from the tokens of this instance in the engine, those that
@@ -125,6 +136,7 @@
         tokens a second that they want of it, to the share of requests that
         may use the engine: from 0, if it lacks memory, to 1.
     """
+    usable = (1.0 - kept_part) * capacity
     if tokens > capacity:
         return lambda own, known, load, wanted_per_s: 0.0
     size = max(sizes.root_mean_square, 1.0)
@@ -140,15 +152,15 @@
 
     def share(own, known, load, wanted_per_s):
         held = own + hold(known, load)
-        if held >= capacity:
+        if held >= usable:
             return 0.0
         # A request that would be alone in its engine needs no margin.
-        if held + tokens > capacity and (own or known or load):
+        if held + tokens > usable and (own or known or load):
             return 0.0
         wanted = max(wanted_per_s * age_s, least_wanted)
         if not wanted:
             return 1.0
-        free = capacity - held + ended * known
+        free = usable - held + ended * known
         admitted = admit(free, size)
         return admitted / wanted if admitted < wanted else 1.0
 
@@ -238,6 +250,7 @@
 
     def __init__(self):
         self._held = collections.Counter()
+        self._reserved = collections.Counter()
         self._sizes = {}
 
     def sizes(self, service, engine):
@@ -271,12 +284,26 @@
         """
         return self._held.get(process, 0)
 
-    def add(self, process, tokens):
-        """Add the tokens of a request that is sent, or remove them."""
-        self._held[process] += tokens
-        if self._held[process] <= 0:
-            del self._held[process]
+    def add(self, process, tokens, is_reserved=False):
+        """Add the tokens of a request that is sent, or remove them.
+
+        Args:
+            process: Id of the server and start of the process.
+            tokens: The tokens, negative to remove them.
+            is_reserved: Whether the request needs a reservation.
+        """
+        counters = [self._held]
+        if is_reserved:
+            counters.append(self._reserved)
+        for counter in counters:
+            counter[process] += tokens
+            if counter[process] <= 0:
+                del counter[process]
 
     def by_process(self):
         """Return the tokens by process; not to be changed."""
         return self._held
+
+    def reserved_by_process(self):
+        """Return those of requests with reservations, by process."""
+        return self._reserved
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -218,6 +218,11 @@
             'body_bytes': lambda: self._bodies.held,
             'bodies_ended': lambda: self._bodies.ended_count,
         }
+        if cfg.limits_engine_memory:
+            memory = self.shared_state.engine_memory
+            self.metrics.gauges['awaited_memory_reservations'] = lambda: (
+                memory.awaited_reservations
+            )
         self._add_zone_metrics(self.shared_state.evacuations)
         if self.shared_state.class_shares is not None:
             loads = self.shared_state.class_shares.loads
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -126,12 +126,14 @@
             (limited if has_limit else unlimited).append(state)
         return unlimited, limited
 
-    def best_free(self, job, capable):
+    def best_free(self, job, capable, reserves=True):
         """Return the candidates and the one to use, None if it is full.
 
         Args:
             job: The Job.
             capable: ServerState objects of the servers that can run it.
+            reserves: Whether a request that needs a reservation of engine
+                memory uses a server with one only, and else asks for one.
 
         Returns:
             The Candidate objects and a ServerState or None.
@@ -155,6 +157,8 @@
             usable = [c for c in usable if rooms.get(c.id, 0.0) > 0.0]
             room = functools.partial(_room_in, rooms)
         best = self._choose(job, usable, room, service_s)
+        if reserves:
+            best = self._reserved(job, usable, room, best)
         return candidates, next(
             (s for s in capable if best and s.server.id == best.id), None
         )
@@ -175,6 +179,31 @@
         )
         return best if best is not None and room(best) > 0.0 else None
 
+    def _reserved(self, job, candidates, room, best):
+        """Return the Candidate that a request may use, or None.
+
+        Args:
+            job: The Job.
+            candidates: The Candidate objects with memory for it.
+            room: Function that returns how many requests more each may get.
+            best: The best Candidate, None if all are full.
+        """
+        memory = self._memory
+        if not memory.needs_reservation(job, self._exchange.instances):
+            return best
+        if best is None:
+            memory.withdraw_reservation(job)
+            return None
+        free = {c.id: c for c in candidates if room(c) > 0.0}
+        reserved = free.get(memory.reserved_server(job))
+        if reserved is None:
+            others = sorted(
+                free.keys() - {best.id},
+                key=lambda id_: free[id_].load / free[id_].slots,
+            )
+            memory.reserve(job, [best.id, *others])
+        return reserved
+
     def _class_view(self, job, now):
         """Return the ClassView of a request, None if classes do not count."""
         if (
@@ -193,11 +222,20 @@
         view = self._class_view(job, anyio.current_time())
         return pool if view is None else view.pool(pool, candidates)
 
-    def best_permitted(self, job, limited, now):
-        """Return the best limited server that may get a request, or None."""
+    def best_permitted(self, job, limited, now, reserves=True):
+        """Return the best limited server that may get a request, or None.
+
+        Args:
+            job: The Job.
+            limited: ServerState objects of the limited servers.
+            now: Time in seconds.
+            reserves: As for `best_free`.
+        """
         instances = self._exchange.leaderless_instances
         permitted = [s for s in limited if s.limit.allows(instances, now)]
-        return self.best_free(job, permitted)[1] if permitted else None
+        if not permitted:
+            return None
+        return self.best_free(job, permitted, reserves)[1]
 
     def limited_per_s(self, limited, now):
         """Return the requests a second that limited servers take.
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -52,13 +52,14 @@
         self._wait_queues = shared_state.wait_queues
         self._demand = shared_state.demand
         self._shared_state = shared_state
+        self._memory = shared_state.engine_memory
         self._exchange = exchange
         self._availability = availability.Availability(
             cfg,
             shared_state.servers,
             shared_state.peers,
             exchange,
-            shared_state.engine_memory,
+            self._memory,
             shared_state.class_shares,
         )
         self._retry_schedule = retry_schedule.RetrySchedule()
@@ -76,9 +77,10 @@
                 unknown or this instance is stopping. It has not been sent to
                 a further server.
         """
-        self._shared_state.engine_memory.require_possible(job)
+        self._memory.require_possible(job)
         waiter, started_at = None, anyio.current_time()
         wait_timeout_at = None
+        is_sent = False
         try:
             while True:
                 self._quarantine.check(job)
@@ -87,6 +89,7 @@
                 now = anyio.current_time()
                 if decision.verdict is admission.Verdict.SEND:
                     state.limit.record_request(now)
+                    is_sent = True
                     return state
                 is_overdue = wait_timeout_at is not None and (
                     now > wait_timeout_at
@@ -103,6 +106,8 @@
                     wait_timeout_at = now + timeout_s + WAIT_TIMEOUT_EXTRA_S
                 await self._wait(job, waiter)
         finally:
+            if not is_sent:
+                self._memory.withdraw_reservation(job)
             if waiter is not None:
                 self._wait_queues.remove(job.service.name, waiter)
                 waiter.wait_for_permit(None)
@@ -118,9 +123,9 @@
         It decides as `find` does, but counts, queues and logs nothing.
         """
         state = decision = pool = error = None
-        self._shared_state.engine_memory.skip_demand(job)
+        self._memory.skip_demand(job)
         try:
-            self._shared_state.engine_memory.require_possible(job)
+            self._memory.require_possible(job)
             error = self._quarantine.find_error(job)
             if error is None:
                 state, pool = self._assess(job, None, is_preview=True)
@@ -148,8 +153,9 @@
         now = anyio.current_time()
         unlimited, limited = self._availability.capable_by_limit(job, now)
         return (
-            self._availability.best_free(job, unlimited)[1] is not None
-            or self._availability.best_permitted(job, limited, now) is not None
+            self._availability.best_free(job, unlimited, False)[1] is not None
+            or self._availability.best_permitted(job, limited, now, False)
+            is not None
         )
 
     def _require_server_of_version(self, job):
@@ -198,6 +204,8 @@
             self._request_adapter(job)
             recheck_s = ADAPTER_RECHECK_INTERVAL_S
         self._request_permit(job, waiter)
+        if self._memory.awaits_reservation(job):
+            self._exchange.start_now()
         await waiter.wait(max(0.0, min(recheck_s, job.wait_left_s)))
 
     def _request_permit(self, job, waiter):
@@ -233,16 +241,22 @@
         Args:
             job: The Job.
             waiter: Its waiter, None if it is not queued.
-            is_preview: Whether no other request is to be woken.
+            is_preview: Whether no other request is to be woken, and no engine
+                memory to be reserved.
 
         Returns:
             A ServerState or None, and the ServerPool.
         """
         now = anyio.current_time()
         unlimited, limited = self._availability.capable_by_limit(job, now)
-        candidates, best = self._availability.best_free(job, unlimited)
-        if best is None:
-            best = self._availability.best_permitted(job, limited, now)
+        reserves = not is_preview
+        candidates, best = self._availability.best_free(
+            job, unlimited, reserves
+        )
+        if best is None and not self._memory.awaits_reservation(job):
+            best = self._availability.best_permitted(
+                job, limited, now, reserves
+            )
         if best is None:
             job.limited_servers = len(limited)
         if self._scheduler is not None:
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -161,6 +161,8 @@
             outcome = kinds.ErrorKind.INTERNAL.value
             await self._refuse(_internal_error(), out)
         finally:
+            if job is not None:
+                self._memory.withdraw_reservation(job)
             if outcome != 'whole' and self._is_cutting:
                 outcome = 'cut'
             self._log(request, req, job, out, outcome, reason)
@@ -456,7 +458,7 @@
             job.tracker.end(now)
             job.tracker = None
         state.own_load -= 1
-        self._memory.record_end(state, job.held_tokens)
+        self._memory.record_end(job, state, job.held_tokens)
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
         if self._shared_state.scheduler is not None:
@@ -562,6 +564,7 @@
                 limited=job.limited_servers,
                 memory_full=job.memory_exclusions.full,
                 memory_deferred=job.memory_exclusions.deferred,
+                reservation=job.reservation,
                 config=self._shared_state.config.version,
                 config_age_ms=round(self._shared_state.config.age_s * 1000),
             )
--- a/packages/gateway/src/wagtailtide_gateway/serving/job.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/job.py
@@ -69,6 +69,8 @@
             this window: by server id, for each set of servers.
         memory_exclusions: Exclusions of servers for want of memory, when it
             last looked for one.
+        reservation: Number of its reservation of engine memory, None if it
+            has asked for none.
         class_chance: Time until which it keeps its chance among the requests
             of its priority, and the chance, 0 to 1.
     """
@@ -101,6 +103,7 @@
     memory_window: int | None = None
     memory_chances: dict = dataclasses.field(default_factory=dict)
     memory_exclusions: engine_memory.Exclusions = engine_memory.NO_EXCLUSIONS
+    reservation: int | None = None
     class_chance: tuple[float, float] = (float('-inf'), 0.0)
 
     @property
--- a/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/scheduler.py
@@ -192,6 +192,7 @@
                 job.software_version,
                 frozenset(job.tried),
                 target_s,
+                job.reservation,
             ),
             late_at=(
                 math.inf
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -100,10 +100,11 @@
         self.stream_origins = stream_origins.StreamOrigins()
         self.sections = sections.Sections()
         self.engine_memory = engine_memory.EngineMemory(
-            self.servers, limits_engine_memory
+            self.servers, limits_engine_memory, self.wait_queues.wake
         )
         if limits_engine_memory:
             self.sections.add(self.engine_memory.section())
+            self.sections.add(self.engine_memory.reservations_section())
         if self.scheduler is not None:
             self.sections.add(self.scheduler.section())
         if divides_slots:
--- a/packages/gateway/tests/decisions/test_engine_memory.py
+++ b/packages/gateway/tests/decisions/test_engine_memory.py
@@ -85,6 +85,13 @@
         ):
             pass
 
+    def test_engines_hold_requests_just_below_reserved_ones(self):
+        # More than 24 of 2,900 tokens, twice the slots, fit into an engine.
+        for _ in self.check_bound(
+            sizes=(2_900,), arrivals_per_s=400.0, service_s=6.0
+        ):
+            pass
+
     def test_engines_hold_large_requests_among_usual_ones(self):
         sizes = (1_100,) * 9 + (8_000,)
         for _ in self.check_bound(sizes=sizes, arrivals_per_s=400.0):
--- a/tools/measure_engine_memory.py
+++ b/tools/measure_engine_memory.py
@@ -44,6 +44,7 @@
         demand_key=('engines', 'm1'),
         memory_window=None,
         memory_chances={},
+        reservation=None,
     )
 
 
@@ -70,7 +71,7 @@
     memory.section().apply(update, anyio.current_time())
     for number in range(100):
         memory.record_start(make_job(number, tokens), states[0])
-        memory.record_end(states[0], tokens)
+        memory.record_end(make_job(number, tokens), states[0], tokens)
     jobs = [make_job(number, tokens) for number in range(rounds)]
     if not is_new:
         jobs = [jobs[0]] * rounds
