gateway: Treat an address that cannot exist as one without a connection

Cause: connect_tcp raises OverflowError or ValueError for these, in a group on trio, and only OSError was taken for a failed connection.

test_address_that_is_none_is_no_connection failed before.

--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -12,6 +12,8 @@
 
 from wagtailtide_gateway.http import sockets
 
+MAX_PORT = 65_535
+
 CONNECT_TIMEOUT_S = 1.0
 
 # Time to wait for a probe to be refused. If no process listens, the refusal
@@ -320,9 +322,12 @@
 
     async def _open(self, address):
         try:
+            if not 0 < address.port <= MAX_PORT:
+                raise ValueError(f'expected a port up to {MAX_PORT}')
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(address.host, address.port)
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError) as exc:
+            # A host that is not a name is a ValueError.
             raise ConnectionBroken(
                 f'cannot connect to {address}: {exc!r}',
                 fate.Progress.CONNECTING,
--- a/packages/gateway/tests/http/test_outgoing.py
+++ b/packages/gateway/tests/http/test_outgoing.py
@@ -131,6 +131,25 @@
 
 
 class ConnectionBrokenTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_address_that_is_none_is_no_connection(self):
+        # Guards against an error that ends the task which looks after it.
+        pool = outgoing.ConnectionPool()
+        for host, port in (
+            (LISTEN_IP, 70_000),
+            (LISTEN_IP, -5),
+            (LISTEN_IP, 10**400),
+            ('a\x00b', 80),
+            (f'{"a" * 99}.example', 80),
+        ):
+            address = backend.Address(host, port)
+            with (
+                self.subTest(host=host, port=str(port)[:9]),
+                self.assertRaises(outgoing.ConnectionBroken) as caught,
+            ):
+                await pool.acquire(address)
+            self.assertIs(caught.exception.progress, fate.Progress.CONNECTING)
+
     @virtual_time.run_in_virtual_time
     async def test_progress_shows_whether_the_request_may_have_run(self):
         async def close(stream):
