platform: Follow the list of servers beside an odd entry

Cause: the list was parsed and decoded as if only servers wrote it.

An entry that is refused is logged as before, and what was known of its server stays.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -412,6 +412,7 @@
             return
         try:
             server = self._decode(obj)
+            digest = digests.server_digest(server)
         except ports.DECODE_ERRORS as exc:
             LOG.warning(
                 'server entry ignored',
@@ -433,8 +434,7 @@
         # unchanged, because the other instances may have removed it.
         is_changed = (
             state is None
-            or digests.server_digest(state.server)
-            != digests.server_digest(server)
+            or digests.server_digest(state.server) != digest
             or state.missing_since is not None
         )
         if state is None or state.server.residency.process_start_ms != (
--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -4,8 +4,16 @@
 import dataclasses
 
 # What decoders of a platform's values raise for malformed ones. An infinite
-# number, which is valid JSON for Python, cannot be made an integer.
-DECODE_ERRORS = (ValueError, KeyError, TypeError, OverflowError)
+# number, which is valid JSON for Python, cannot be made an integer; a value
+# may lack what is read of it, or be nested too deeply.
+DECODE_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    OverflowError,
+    AttributeError,
+    RecursionError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
