gateway: Assume rates of the others over ten seconds without a leader

Cause: while no leader answers, all others were taken to want what this instance wanted in the last half second. A single request of 900 tokens then counted as 220,000 tokens a second with 124 instances, so that it had hardly a chance at idle engines, and was rejected after a second.

Change: the rates that are assumed count the last ten seconds. What was last known from a leader still counts if it is more.

--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -13,6 +13,12 @@
 from wagtailtide_gateway.decisions import large_requests
 from wagtailtide_gateway.decisions import memory_reservations as decisions
 from wagtailtide_gateway.decisions import pace
+from wagtailtide_gateway.decisions import scheduling
+
+# Time constant in seconds of the rates that all others are taken to have while
+# no leader answers. Within a shorter time an instance has few requests for a
+# model, and each of them would count for all.
+ASSUMED_RATE_PERIOD_S = 10.0
 
 # Least time for which a request keeps its chances at the engines, in seconds.
 MIN_WINDOW_S = 0.5
@@ -37,6 +43,8 @@
         self._wanted = collections.Counter()
         self._wanted_reserved = collections.Counter()
         self._wanted_since = None
+        self._wanted_of_late = scheduling.DecayingSums(ASSUMED_RATE_PERIOD_S)
+        self._rates_of_late = {}
         self._own_rates = {}
         self._own_reserved_rates = {}
         self._reservations = memory_reservations.Reservations(
@@ -152,9 +160,13 @@
             # A request that waits is wanted again in each window.
             job.memory_window = window
             job.memory_chances = {}
-            self._wanted[job.demand_key] += self._needed(job)
+            tokens = self._needed(job)
+            self._wanted[job.demand_key] += tokens
+            self._wanted_of_late.add(
+                job.demand_key, tokens, anyio.current_time()
+            )
             if self._is_reserved(job):
-                self._wanted_reserved[job.demand_key] += self._needed(job)
+                self._wanted_reserved[job.demand_key] += tokens
         return window
 
     def needs_reservation(self, job, instances):
@@ -345,7 +357,7 @@
         if others.are_unknown:
             assumed = {
                 key: others.instances * rate
-                for key, rate in self._own_rates.items()
+                for key, rate in self._rates_of_late.items()
             }
             rates = others_tokens.larger(rates, assumed)
         by_model = {
@@ -374,6 +386,10 @@
             self._own_reserved_rates = _take_rates(
                 self._wanted_reserved, elapsed_s
             )
+            self._rates_of_late = {
+                key: tokens / ASSUMED_RATE_PERIOD_S
+                for key, tokens in self._wanted_of_late.values(now).items()
+            }
         return [
             self._by_server(self._held.by_process()),
             memory_reports.rows(self._own_rates),
--- a/packages/gateway/tests/serving/scheduling_fleet.py
+++ b/packages/gateway/tests/serving/scheduling_fleet.py
@@ -315,6 +315,9 @@
             is_lost = self.rng.random() < self.lost_reports
             if self.has_leader and not instance.is_cut_off and not is_lost:
                 self._answer(instance)
+            else:
+                # Reports are made in vain.
+                instance.shared.sections.make_report()
             await self._exchange_urgently(instance, interval_s)
 
     async def _exchange_urgently(self, instance, seconds):
--- a/packages/gateway/tests/serving/test_large_requests.py
+++ b/packages/gateway/tests/serving/test_large_requests.py
@@ -44,3 +44,27 @@
                 late = [w for w in waits if w is None or w > target_s]
                 with self.subTest(instances=instances, engines=engines):
                     self.assertEqual(late, [])
+
+
+class RareRequestWithoutLeaderTest(unittest.TestCase):
+    """Guards against requests that are refused beside idle engines.
+
+    Each instance took all others to want as much as it wants at the moment.
+    """
+
+    @virtual_time.run_without_io
+    async def test_is_sent_within_the_latency_target(self):
+        _, target_s, _ = scheduling_fleet.CLASSES['urgent']
+        fleet = scheduling_fleet.Fleet(124, 2, limits_memory=True)
+        outcomes = []
+        async with fleet.running() as requests:
+            await anyio.sleep(PAUSE_S)
+            fleet.has_leader = False
+            await anyio.sleep(PAUSE_S)
+            for _ in range(5 * REQUESTS):
+                await anyio.sleep(0.2)
+                index = fleet.rng.randrange(124)
+                outcomes.append(await fleet.request('urgent', index))
+            requests.cancel_scope.cancel()
+        late = [o for o in outcomes if o.rejected_s or o.waited_s > target_s]
+        self.assertEqual(late, [])
