gateway: Take no earlier refusal for the answer to a request

Report of other operators: a faulty runner wrote an earlier refusal once more on a kept connection. Callers were told "not run" for requests that ran, or such a request ran twice.

Cause: a response without an id counted as the one to this request, and an attempt that comes again has the id that it had before.

Change: a refusal without an id on a connection that was in use before leaves open whether the request ran. A request is never sent on a connection on which it was refused.

--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -86,6 +86,7 @@
 
     Attributes:
         address: Address of the server.
+        refused: Ids of the requests that were refused on it.
         reused: Whether it has carried a request before.
         idle_since: Time in seconds since which it has been idle.
     """
@@ -98,6 +99,7 @@
         self._not_reusable = False
         self._idle_limit_s = DEFAULT_IDLE_S
         self.address = address
+        self.refused = set()
         self.reused = False
         self.idle_since = now
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/attempt.py
@@ -127,7 +127,7 @@
         """
         request = self._make_request()
         try:
-            await self._call.connect(request.max_idle_s)
+            await self._call.connect(request)
             with anyio.move_on_after(self._response_timeout_s()) as scope:
                 _, response = await self._call.send(request)
                 return await self._classify(response)
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarded_call.py
@@ -47,19 +47,20 @@
         self.framing = None
         self.peer = peer.instance
 
-    async def connect(self, max_idle_s):
+    async def connect(self, request):
         """Acquire a connection to the peer.
 
         Args:
-            max_idle_s: Longest idle time in seconds of a connection of the
-                peer; connections between instances may be older.
+            request: The ServerRequest that it is for. Its longest idle time
+                is for a connection of the peer; connections between instances
+                may be older.
 
         Raises:
             ConnectionBroken: No connection could be established.
             DeadlinePassed: The caller's deadline passed in the meantime.
             ZoneEvacuated: The server's zone was evacuated in the meantime.
         """
-        del max_idle_s
+        del request
         self._directory.record_start(self._peer)
         self._is_open = True
         try:
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -205,7 +205,7 @@
         return None
 
     async def _exchange(self, request, job, call, state, out):
-        await call.connect(request.max_idle_s)
+        await call.connect(request)
         head, _ = await call.send(request)
         framing = (
             forward_messages.FRAMING_HEADER,
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -5,6 +5,7 @@
 
 import anyio
 import anyio.lowlevel
+from wagtailtide_core.retries import fate
 
 from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import server_limits as limits
@@ -95,11 +96,11 @@
         self._is_open = False
         self.framing = None
 
-    async def connect(self, max_idle_s):
+    async def connect(self, request):
         """Acquire a connection.
 
         Args:
-            max_idle_s: Longest idle time in seconds of a reused connection.
+            request: The ServerRequest that it is for.
 
         Raises:
             ConnectionBroken: No connection could be established.
@@ -111,9 +112,7 @@
         started_at = anyio.current_time()
         self._reachability.record_request_start(started_at)
         self._is_open = True
-        self._conn = await self._pool.acquire(
-            self._state.server.address, max_idle_s
-        )
+        self._conn = await self._acquire(request)
         # A disconnect of the caller that came while this process was held up
         # is noticed first.
         await anyio.lowlevel.checkpoint()
@@ -132,6 +131,19 @@
             await self.keep_connection()
             raise NotSent(BECAME_COLD)
 
+    async def _acquire(self, request):
+        """Return a connection on which the request was not refused before.
+
+        A server may write that refusal once more, and nothing would tell it
+        from a new one.
+        """
+        address = self._state.server.address
+        while True:
+            conn = await self._pool.acquire(address, request.max_idle_s)
+            if request.attempt_id not in conn.refused:
+                return conn
+            await conn.close()
+
     async def send(self, request):
         """Send a ServerRequest and return the head of its response.
 
@@ -139,7 +151,8 @@
             The raw Head and the ResponseHead that it decodes to.
 
         Raises:
-            ConnectionBroken: No response head was received.
+            ConnectionBroken: No response head was received, or one that may
+                belong to another request.
         """
         sent_at = anyio.current_time()
         head = await self._conn.request(
@@ -156,10 +169,28 @@
             self._conn.expect_another_response()
             head = await self._conn.read_head()
             response = self._decode(head)
+        if response.not_run:
+            self._note_refusal(request, response)
         self.framing = head.framing
         record_statements(self._state, response, request.attempt_id, sent_at)
         return head, response
 
+    def _note_refusal(self, request, response):
+        """Note that the request was refused, as a response states.
+
+        Raises:
+            ConnectionBroken: The response may be an earlier refusal, and the
+                request may run.
+        """
+        if response.attempt_id is None and self._conn.reused:
+            raise outgoing.ConnectionBroken(
+                f'expected the id of the request in a refusal of '
+                f'{self._conn.address} on a connection that was in use '
+                'before, got none',
+                fate.Progress.RESPONDING,
+            )
+        self._conn.refused.add(request.attempt_id)
+
     def _decode(self, head):
         return self._backend_port.decode_response_head(
             head.status, head.headers
--- a/packages/gateway/tests/serving/test_server_call.py
+++ b/packages/gateway/tests/serving/test_server_call.py
@@ -15,17 +15,21 @@
 
 from tests import builders
 
+REQUEST = server_call.ServerRequest('a1', b'POST', b'/', (), b'', 1.0)
+
 
 class SlowPool:
     """Pool whose connections stand after a second.
 
     Attributes:
+        refused: Ids of the requests that were refused on a connection.
         kept: Number of connections that were returned for reuse.
         sent: Number of requests that were sent.
     """
 
     def __init__(self):
         self.kept = self.sent = 0
+        self.refused = set()
 
     async def acquire(self, address, max_idle_s=None):
         """Return a connection after a second."""
@@ -92,7 +96,7 @@
                 self.job.due_at = anyio.current_time() + 0.9
                 call = make()
                 with self.assertRaises(server_call.DeadlinePassed):
-                    await call.connect(1.0)
+                    await call.connect(REQUEST)
                 await call.close()
                 self.assertEqual((self.pool.kept, self.pool.sent), (1, 0))
 
@@ -111,7 +115,7 @@
                 async with anyio.create_task_group() as tg:
                     tg.start_soon(self.evacuate_soon)
                     with self.assertRaises(server_call.ZoneEvacuated):
-                        await call.connect(1.0)
+                        await call.connect(REQUEST)
                 await call.close()
                 self.assertEqual((self.pool.kept, self.pool.sent), (1, 0))
 
