--- a/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/engine_memory.py
@@ -11,7 +11,9 @@
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.decisions import large_requests
-from wagtailtide_gateway.decisions import memory_reservations as decisions
+from wagtailtide_gateway.decisions import (
+    memory_reservations as reservation_decisions,
+)
 from wagtailtide_gateway.decisions import pace
 from wagtailtide_gateway.decisions import scheduling
 
@@ -213,7 +215,7 @@
         sizes = self._held.sizes(job.service.name, job.service.engine)
         self._reservations.ask(
             job,
-            lambda number: decisions.Request(
+            lambda number: reservation_decisions.Request(
                 number,
                 job.service.name,
                 self._needed(job),
@@ -419,7 +421,7 @@
 
 def _is_reserved_size(job, tokens):
     engine = job.service.engine
-    return decisions.needs_reservation(
+    return reservation_decisions.needs_reservation(
         tokens, engine.kv_capacity_tokens, engine.slots
     )
 
--- a/packages/gateway/src/wagtailtide_gateway/control/memory_reservations.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/memory_reservations.py
@@ -1,4 +1,7 @@
-"""Exchange of reservations of engine memory."""
+"""Exchange of reservations of engine memory.
+
+An instance asks for them in its reports; the leader answers in its updates.
+"""
 
 import collections
 import dataclasses
--- a/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/engine_memory.py
@@ -5,8 +5,8 @@
 they learn of each other's requests. If the others want more tokens in that
 time than the engine has free, a request may use the engine only by chance: the
 share is such that what all admit together stays within the free memory, three
-standard deviations included. For requests that are large beside an engine,
-large_requests.py has a rule that does not depend on chance.
+standard deviations included. Requests that are large beside an engine need a
+reservation instead, see memory_reservations.py.
 """
 
 import collections
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -153,8 +153,11 @@
         now = anyio.current_time()
         unlimited, limited = self._availability.capable_by_limit(job, now)
         return (
-            self._availability.best_free(job, unlimited, False)[1] is not None
-            or self._availability.best_permitted(job, limited, now, False)
+            self._availability.best_free(job, unlimited, reserves=False)[1]
+            is not None
+            or self._availability.best_permitted(
+                job, limited, now, reserves=False
+            )
             is not None
         )
 
