store: Read the era, and tell answers and revisions of two eras apart

Cause: a store that comes back from an older copy gives its revisions out again and states a new era in all answers, which nothing read. Whatever compares revisions took objects of the new era for older ones, and a watch or a conditional write of the era before could meet a number that had been given out again.

Change: StoreEra is the one place that knows the era. The client adds it to each revision, so that those of a new era are higher and all comparisons hold, also in messages; in the first era they are the store's own numbers, as in earlier builds. Late answers, lists whose pages are of two eras, watches and conditions of an earlier era are refused.

Ruled out: resetting known revisions where an era begins. Each list and message that is still on its way would have to be told apart by itself.

--- a/packages/gateway/src/wagtailtide_gateway/control/store.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/store.py
@@ -1,8 +1,11 @@
 """Client of the platform's store, with distinct errors for failed calls."""
 
+import dataclasses
+
 import anyio
 
 from wagtailtide_gateway import ports
+from wagtailtide_gateway.control import store_era
 from wagtailtide_gateway.http import outgoing
 
 # Seconds after which a call without an answer has failed. The store answers in
@@ -26,6 +29,10 @@
     """No answer came in time; the call may have taken effect."""
 
 
+class Restored(StoreUnavailable):
+    """The store was restored meanwhile; the call may have taken effect."""
+
+
 class NotApplied(StoreUnavailable):
     """The store states that the call had no effect."""
 
@@ -39,13 +46,25 @@
 
 
 class StoreClient:
-    """Calls of one instance to the store."""
+    """Calls of one instance to the store.
+
+    Its revisions contain the era, see `store_era`. What one call learned in an
+    era is not used in a call of the next one, and late answers are dropped.
+
+    Args:
+        port: The StorePort.
+        address: Address of the store.
+        pool: ConnectionPool for the calls.
+        metrics: The Metrics.
+        era: StoreEra of the instance, which the answers keep up to date.
+    """
 
-    def __init__(self, port, address, pool, metrics):
+    def __init__(self, port, address, pool, metrics, era):
         self._port = port
         self._address = address
         self._pool = pool
         self._metrics = metrics
+        self._era = era
 
     async def list_all(self, kind):
         """Return all objects of a kind and the revision of the list.
@@ -55,11 +74,13 @@
         """
         objects, after, first_revision = [], None, None
         while True:
-            body = await self._call(self._port.list_call(kind, after))
-            found, more, revision = self._decode(self._port.decode_list, body)
+            body, era = await self._call(self._port.list_call(kind, after))
+            found, more, number = self._decode(self._port.decode_list, body)
             if first_revision is None:
-                first_revision = revision
-            objects += found
+                first_revision = store_era.qualify(number, era)
+            elif store_era.era_of(first_revision) != era:
+                raise Restored(f'restored while {kind} were listed')
+            objects += (_qualify(obj, era) for obj in found)
             if not more or not found:
                 return objects, first_revision
             after = found[-1].name
@@ -76,21 +97,36 @@
             StoreUnavailable: The store did not answer usably.
             HistoryGone: The objects have to be listed again.
         """
-        call = self._port.watch_call(kind, revision, wait_s)
-        body = await self._call(call, wait_s + WATCH_MARGIN_S)
-        return self._decode(self._port.decode_watch, body)
+        self._require_history(revision, self._era.current)
+        number = store_era.number_of(revision)
+        call = self._port.watch_call(kind, number, wait_s)
+        body, era = await self._call(call, wait_s + WATCH_MARGIN_S)
+        # The number may have been given out again in another era.
+        self._require_history(revision, era)
+        changes, number = self._decode(self._port.decode_watch, body)
+        qualified = [
+            dataclasses.replace(change, object=_qualify(change.object, era))
+            for change in changes
+        ]
+        return qualified, store_era.qualify(number, era)
+
+    def _require_history(self, revision, era):
+        if store_era.era_of(revision) != era:
+            raise HistoryGone('restored since this revision; list again')
 
     async def get(self, kind, name):
         """Return an object, or None if it does not exist."""
-        body = await self._call(self._port.get_call(kind, name))
-        if body is None:
-            return None
-        return self._decode(self._port.decode_object, body)
+        body, era = await self._call(self._port.get_call(kind, name))
+        return None if body is None else self._decode_object(body, era)
 
     async def create(self, kind, name, value):
         """Create an object; raises Conflict or StoreUnavailable."""
+        asked_in = self._era.current
         call = self._port.create_call(kind, name, value)
-        return self._decode(self._port.decode_object, await self._call(call))
+        body, era = await self._call(call)
+        if era != asked_in:
+            raise Restored(f'restored while {kind}/{name} was created')
+        return self._decode_object(body, era)
 
     async def replace(self, kind, name, value, revision):
         """Replace the value of an object at a given revision.
@@ -99,11 +135,21 @@
             Conflict: The object has another revision or does not exist.
             StoreUnavailable: The store did not answer usably.
         """
-        call = self._port.replace_call(kind, name, value, revision)
-        body = await self._call(call)
+        asked_in = store_era.era_of(revision)
+        if asked_in != self._era.current:
+            raise Conflict(f'restored since {kind}/{name} was read')
+        number = store_era.number_of(revision)
+        call = self._port.replace_call(kind, name, value, number)
+        body, era = await self._call(call)
         if body is None:
             raise Conflict(f'expected {kind}/{name} to exist; read it again')
-        return self._decode(self._port.decode_object, body)
+        if era != asked_in:
+            # The new era has an object with the same revision number.
+            raise Restored(f'restored while {kind}/{name} was replaced')
+        return self._decode_object(body, era)
+
+    def _decode_object(self, body, era):
+        return _qualify(self._decode(self._port.decode_object, body), era)
 
     def _decode(self, decode, body):
         try:
@@ -114,6 +160,7 @@
             ) from exc
 
     async def _call(self, call, timeout_s=CALL_TIMEOUT_S):
+        """Return the body of an answer, None if not found, and its era."""
         self._metrics.store_calls += 1
         conn = None
         try:
@@ -135,7 +182,16 @@
         finally:
             if conn is not None:
                 await conn.close()
-        return _check(head.status, body)
+        era = self._era.observe(self._port.decode_era(head.headers))
+        if era is None:
+            raise Restored('expected an answer of the current era')
+        return _check(head.status, body), era
+
+
+def _qualify(obj, era):
+    """Return a StoredObject with the era in its revision."""
+    revision = store_era.qualify(obj.revision, era)
+    return dataclasses.replace(obj, revision=revision)
 
 
 def _check(status, body):
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -21,6 +21,7 @@
 from wagtailtide_gateway.control import prober as probers
 from wagtailtide_gateway.control import server_performance
 from wagtailtide_gateway.control import store
+from wagtailtide_gateway.control import store_era
 from wagtailtide_gateway.control import sync
 from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.decisions import trust
@@ -94,8 +95,9 @@
             cold_servers.rule_of, cfg, self.shared_state.config
         )
         self._pool = outgoing.ConnectionPool()
+        era = store_era.StoreEra()
         client = store.StoreClient(
-            store_port, cfg.store, outgoing.ConnectionPool(), self.metrics
+            store_port, cfg.store, outgoing.ConnectionPool(), self.metrics, era
         )
         self.leadership = leadership_.Leadership(
             client,
--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -125,7 +125,8 @@
 
     Attributes:
         name: Its name, unique within its kind.
-        revision: Revision of its last change.
+        revision: Revision of its last change. The StorePort returns the
+            store's own number, the StoreClient adds the era, see `store_era`.
         value: Its decoded value, or None if it cannot be decoded.
     """
 
@@ -157,6 +158,8 @@
         decode_list: From a body to (objects, has_more, revision).
         decode_watch: From a body to (changes, revision).
         decode_object: From a body to a StoredObject.
+        decode_era: From the headers of an answer to the era of the store, an
+            integer of at least 0, or None if they state none.
         config_kind: Kind of configuration objects.
         config_name: Name of the configuration object in use.
         servers_kind: Kind of the backend servers' entries.
@@ -178,6 +181,7 @@
     decode_list: Callable
     decode_watch: Callable
     decode_object: Callable
+    decode_era: Callable
     config_kind: str
     config_name: str
     servers_kind: str
