leadership: Give out no fencing token twice after a restored store

Cause: the token was that of the stored lease plus one, and the copy has an earlier lease. Its logs: fence=2 and fence=3 were taken before the restore by two instances and after it by two others, one with reason=resigned, as a token that was given up in the era before was compared with one of the copy. A lease of the copy, or none, also counted as free at once beside a leader whose own lease was lost.

Change: tokens of an era begin above all those of earlier eras, so nobody has to remember them. A lease that is older than the era, or missing, is only taken over after the lease duration; the leader whose lease was lost wins it again at once, since nobody else may yet. Versions of servers that such a lease states are not taken as complete.

Ruled out: the highest token known by instances.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -320,7 +320,7 @@
                 extra={'holder': record.holder, 'reason': str(exc)},
             )
             return None
-        self._leadership.note_response(update.instances)
+        self._leadership.note_response(update.fence, update.instances)
         self._leader_unreachable = False
         return update
 
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -11,6 +11,7 @@
 import anyio
 
 from wagtailtide_gateway.control import store as stores
+from wagtailtide_gateway.control import store_era
 from wagtailtide_gateway.decisions import lease
 from wagtailtide_gateway.decisions import pace
 
@@ -34,7 +35,8 @@
     """The leader as this instance knows it, and its own lease if it leads.
 
     Attributes:
-        record: The DutyRecord as last read or written, or None.
+        record: The DutyRecord as last read or written, or None. One that a
+            restored store has lost is kept until there is a later one.
         fence: Fencing token if this instance is the leader, else None.
         resigned_fence: Last fencing token that this instance gave up, 0 if
             there is none.
@@ -42,14 +44,19 @@
             records that this instance has read and not noted yet. None if it
             has read none, or none that states them.
         first_revision: Revision of the lease when this instance first read
-            it, 0 if there was none.
+            it, -inf if there was none.
         first_crashes: Crashes in the record when this instance first read it.
         previous_term_s: Duration in seconds, at least, of the term before the
             one of this instance.
     """
 
-    def __init__(self, client, port, cfg, clock, cluster_summary, is_cut_off):
+    def __init__(
+        self, client, port, cfg, clock, cluster_summary, is_cut_off, era
+    ):
         self._client = client
+        self._era = era
+        era.on_restore(self._note_restore)
+        self._stored = None
         self._kind = port.lease_kind
         self._decode = _decode
         self._cfg = cfg
@@ -66,12 +73,14 @@
         self._exchange_interval_s = pace.EXCHANGE_INTERVAL_S
         self._connection_refused = False
         self._others_resigned_fence = 0
+        self._highest_fence = 0
+        self._restored = anyio.Event()
         self._stopping = False
         self.record = None
         self.fence = None
         self.resigned_fence = 0
         self.earlier_versions = None
-        self.first_revision = 0
+        self.first_revision = float('-inf')
         self.first_crashes = ()
         self._has_read = False
         self.previous_term_s = 0.0
@@ -97,10 +106,25 @@
     @property
     def is_given_up(self):
         """Whether the lease was given up and not taken over yet."""
-        return self._is_resigned or (
-            self.record is not None and not self.record.holder
+        return not self._is_outdated and (
+            self._is_resigned
+            or (self.record is not None and not self.record.holder)
         )
 
+    @property
+    def _is_outdated(self):
+        """Whether the stored lease is from before the store was restored.
+
+        A leader may rely on a later lease that the store has lost, so the
+        stored one, or that there is none, does not tell who leads.
+        """
+        fence = self._stored.fence if self._stored is not None else 0
+        return self._is_of_earlier_era(fence)
+
+    def _is_of_earlier_era(self, fence):
+        era = self._era.current
+        return era > store_era.FIRST_ERA and fence < store_era.first_fence(era)
+
     @property
     def _is_resigned(self):
         return (
@@ -108,12 +132,19 @@
             and self.record.fence <= self._others_resigned_fence
         )
 
-    def note_response(self, instances):
+    def _note_restore(self):
+        # For how long the lease was unchanged before does not count.
+        self._observer = lease.LeaseObserver()
+        self._restored.set()
+
+    def note_response(self, fence, instances):
         """Record that the leader answered.
 
         Args:
+            fence: Its fencing token.
             instances: Number of instances that exchange with it.
         """
+        self._highest_fence = max(fence, self._highest_fence)
         self._last_response_at = self._clock()
         self._exchange_failed = False
         self._exchange_interval_s = pace.exchange_interval_s(instances)
@@ -161,21 +192,25 @@
     async def run(self):
         """Renew the lease as the leader, else take over an expired one."""
         while not self._stopping:
-            if self.fence is not None:
-                if self._should_hand_over():
-                    await self._give_up_lease()
-                    continue
+            if self.fence is None:
+                await self._poll()
+                delay_s = POLL_INTERVAL_S * (0.7 + 0.6 * random.random())
+            elif self._is_of_earlier_era(self.fence):
+                await self._win_again()
+                delay_s = RENEWAL_RETRY_DELAY_S
+            elif self._should_hand_over():
+                await self._give_up_lease()
+                continue
+            else:
                 renewed = await self._renew()
-                await anyio.sleep(
+                delay_s = (
                     lease.RENEW_INTERVAL_S
                     if renewed
                     else RENEWAL_RETRY_DELAY_S
                 )
-            else:
-                await self._poll()
-                await anyio.sleep(
-                    POLL_INTERVAL_S * (0.7 + 0.6 * random.random())
-                )
+            with anyio.move_on_after(delay_s):
+                await self._restored.wait()
+            self._restored = anyio.Event()
         # A takeover may have been in progress when the stop began.
         await self._give_up_lease()
 
@@ -291,19 +326,37 @@
         """
         try:
             with anyio.fail_after(RENEWAL_TIMEOUT_S):
-                found = await self._read()
+                has_read = await self._refresh_record()
         except TimeoutError:
             return
-        if found is None:
+        if not has_read or self._is_of_earlier_era(record.fence):
             return
-        if found.holder != record.holder or found.fence != record.fence:
+        found = self._stored
+        if found is None:
+            self.step_down('the lease object is gone')
+        elif found.holder != record.holder or found.fence != record.fence:
             self.step_down(f'held by {found.holder}')
         elif found.renewals >= record.renewals:
             self._note_renewal(self._unconfirmed_since)
 
+    async def _win_again(self):
+        """Take over the lease in the new era of a restored store.
+
+        While the lease of the earlier era would be valid, no other instance
+        takes over: all of them wait for its duration after the restore.
+        """
+        if not self.is_leader:
+            self.step_down('lease expired while the store was restored')
+        elif await self._refresh_record():
+            if self._is_outdated:
+                await self._take_over(lease.TakeoverReason.RESTORED)
+            else:
+                self.step_down(f'held by {self._stored.holder}')
+
     async def _poll(self):
         silent_s = self._clock() - self._last_response_at
-        if self.record and not pace.is_leader_lost(
+        is_known = self.record is not None and not self._is_outdated
+        if is_known and not pace.is_leader_lost(
             silent_s, self._exchange_failed, self._exchange_interval_s
         ):
             return
@@ -311,28 +364,33 @@
         if not await self._refresh_record():
             return
         received_at = self._clock()
-        self._observer.observe(self.record, sent_at, received_at)
+        self._observer.observe(self._stored, sent_at, received_at)
         reason = self._observer.takeover_reason(
             self._cfg.lease_s,
             self._cfg.instance,
             capacity=self.capacity,
             refused=self._connection_refused,
             resigned=self._is_resigned,
+            outdated=self._is_outdated,
         )
         if reason is not None:
             await self._take_over(reason)
 
     async def _take_over(self, reason):
-        previous = self.record
+        previous = self._stored
+        versions = previous.software_versions if previous else ()
+        if self._is_outdated:
+            # The lost leases may have stated more versions.
+            versions = None
         record = lease.DutyRecord(
             holder=self._cfg.instance,
             host=self._cfg.peers.host,
             port=self._cfg.peers.port,
-            fence=previous.fence + 1 if previous else 1,
+            fence=self._next_fence(),
             renewals=0,
             instances=previous.instances if previous else 0,
             min_capacity=previous.min_capacity if previous else 0.0,
-            software_versions=previous.software_versions if previous else (),
+            software_versions=versions,
             crashes=previous.crashes if previous else (),
         )
         sent_at = self._clock()
@@ -345,7 +403,10 @@
                 # only after the next poll.
                 await self._refresh_record()
             return
-        if previous is not None:
+        self.previous_term_s = 0.0
+        if previous is not None and not self._is_of_earlier_era(
+            previous.fence
+        ):
             self.previous_term_s = previous.renewals * lease.RENEW_INTERVAL_S
         self._note_renewal(sent_at)
         self._term_started_at = self._clock()
@@ -361,6 +422,15 @@
             },
         )
 
+    def _next_fence(self):
+        """Return a fencing token that no leader has had, in any era."""
+        stored = self._stored.fence if self._stored is not None else 0
+        return max(
+            stored + 1,
+            self._highest_fence + 1,
+            store_era.first_fence(self._era.current),
+        )
+
     async def _write(self, record):
         value = dataclasses.asdict(record)
         if self._revision is None:
@@ -371,33 +441,36 @@
             obj = await self._client.replace(
                 self._kind, LEASE_OBJECT_NAME, value, self._revision
             )
-        self.record, self._revision = record, obj.revision
-
-    async def _read(self):
-        return self.record if await self._refresh_record() else None
+        self.record = self._stored = record
+        self._revision = obj.revision
+        self._highest_fence = max(record.fence, self._highest_fence)
 
     async def _refresh_record(self):
+        """Read the lease; return whether the store answered."""
         try:
             obj = await self._client.get(self._kind, LEASE_OBJECT_NAME)
-            if obj is None:
-                self.record = self._revision = None
-            else:
-                self.record = _decode(obj.value)
-                self._revision = obj.revision
+            found = None if obj is None else _decode(obj.value)
         except (stores.StoreUnavailable, stores.Conflict) as exc:
             LOG.info('duty unknown', extra={'reason': str(exc)})
             return False
-        if self.record is not None:
-            # Its writer may know versions of a time in which this instance
-            # did not run, had no list yet or was cut off.
-            self._add_earlier_versions(self.record)
+        self._stored = found
+        self._revision = None if obj is None else obj.revision
+        if self.record is None or not self._is_outdated:
+            self.record = found
+        if found is not None:
+            self._highest_fence = max(found.fence, self._highest_fence)
+            if not self._is_outdated:
+                # Its writer may know versions of a time in which this instance
+                # did not run, had no list yet or was cut off.
+                self._add_earlier_versions(found)
         if not self._has_read:
             self._has_read = True
-            self.first_revision = self._revision or 0
-            if self.record is None:
+            if obj is not None:
+                self.first_revision = obj.revision
+                self.first_crashes = found.crashes
+            elif not self._is_outdated:
                 # No instance has run before.
                 self.earlier_versions = ()
-            self.first_crashes = self.record.crashes if self.record else ()
         return True
 
 
--- a/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/lease.py
@@ -43,6 +43,7 @@
     RELEASED = 'released'
     RESIGNED = 'resigned'
     REFUSED = 'refused'
+    RESTORED = 'restored'
     EXPIRED = 'expired'
 
 
@@ -123,7 +124,7 @@
         return max(0.0, self._last_read_at - self._unchanged_since)
 
     def takeover_reason(
-        self, lease_s, own_name, *, capacity, refused, resigned
+        self, lease_s, own_name, *, capacity, refused, resigned, outdated=False
     ):
         """Return why this instance may take over, or None if it may not.
 
@@ -135,6 +136,8 @@
             capacity: Its capacity to lead, in cores.
             refused: Whether the leader's address refuses connections.
             resigned: Whether the leader has given the lease up.
+            outdated: Whether the store was restored since the record was
+                written, or since there was none.
 
         Returns:
             The TakeoverReason, or None.
@@ -142,27 +145,42 @@
         if self._unchanged_since is None:
             return None
         record = self._record
-        if record is None:
-            return TakeoverReason.NO_LEASE
-        if record.holder == own_name:
-            return TakeoverReason.OWN_LEASE
-        if not record.holder:
-            reason, required_s = TakeoverReason.RELEASED, 0.0
-        elif resigned:
-            reason, required_s = TakeoverReason.RESIGNED, 0.0
-        elif refused:
-            reason, required_s = TakeoverReason.REFUSED, REFUSED_TAKEOVER_S
+        if outdated:
+            # A later holder, of a lease that is lost, may still lead.
+            reason = TakeoverReason.EXPIRED
         else:
-            reason, required_s = TakeoverReason.EXPIRED, lease_s
-        if self.unchanged_s < required_s:
+            reason = self._reason_to_take(own_name, refused, resigned)
+        if reason in (TakeoverReason.NO_LEASE, TakeoverReason.OWN_LEASE):
+            return reason
+        if self.unchanged_s < _required_s(reason, lease_s):
             return None
         if self._free_since is None:
             self._free_since = self._last_read_at
-        is_small = capacity < record.min_capacity
+        is_small = record is not None and capacity < record.min_capacity
         if is_small and self._last_read_at - self._free_since < DEFERENCE_S:
             return None
         return reason
 
+    def _reason_to_take(self, own_name, refused, resigned):
+        """Return the reason to take over, now or later."""
+        record = self._record
+        if record is None:
+            return TakeoverReason.NO_LEASE
+        if record.holder == own_name:
+            return TakeoverReason.OWN_LEASE
+        if not record.holder:
+            return TakeoverReason.RELEASED
+        if resigned:
+            return TakeoverReason.RESIGNED
+        return TakeoverReason.REFUSED if refused else TakeoverReason.EXPIRED
+
+
+def _required_s(reason, lease_s):
+    """Return for how many seconds a lease has to be unchanged."""
+    if reason in (TakeoverReason.RELEASED, TakeoverReason.RESIGNED):
+        return 0.0
+    return REFUSED_TAKEOVER_S if reason is TakeoverReason.REFUSED else lease_s
+
 
 def is_lease_valid(now, renewal_sent_at, lease_s):
     """Return whether the lease of the leader is still valid.
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -106,6 +106,7 @@
             clock,
             self._summarise_cluster,
             lambda: self.shared_state.servers.is_cut_off,
+            era,
         )
         self.cluster = cluster_state_.ClusterState(
             self.shared_state.config,
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -13,6 +13,7 @@
 from wagtailtide_gateway.control import exchange
 from wagtailtide_gateway.control import leadership
 from wagtailtide_gateway.control import store
+from wagtailtide_gateway.control import store_era
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import backend
 
@@ -37,6 +38,14 @@
 ROUND_TRIP_S = 0.002
 
 
+async def wait_until(condition, timeout_s=10.0):
+    """Wait until a condition holds; raise TimeoutError if it does not."""
+    with anyio.fail_after(timeout_s):
+        # The conditions are attributes of several objects without an event.
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(0.01)
+
+
 class FakeStore:
     """Store that holds the lease object and evacuations.
 
@@ -53,6 +62,7 @@
         reads: Number of reads of the lease.
         lists: Number of lists of the evacuations, by instance.
         lost_lists: Number of the next lists that are not answered.
+        era: Era of the store.
     """
 
     def __init__(self):
@@ -65,6 +75,7 @@
         self.down = set()
         self.lists = collections.Counter()
         self.lost_lists = 0
+        self.era = store_era.FIRST_ERA
         self._evacuations = {}
         self._revision = 1
 
@@ -79,19 +90,40 @@
         self._revision += 1
         del self._evacuations[zone]
 
-    def client(self, instance):
-        """Return the StoreClient stand-in of an instance."""
-        return _FakeClient(self, instance)
+    def restore(self, obj):
+        """Come back from a copy in a new era.
+
+        Args:
+            obj: The lease in the copy as a StoredObject, or None.
+        """
+        self.era += 1
+        self.obj = None
+        if obj is not None:
+            number = store_era.number_of(obj.revision)
+            self.obj = ports.StoredObject(
+                obj.name, store_era.qualify(number, self.era), obj.value
+            )
+
+    def client(self, instance, era):
+        """Return the StoreClient stand-in of an instance.
+
+        Args:
+            instance: Name of the instance.
+            era: Its StoreEra.
+        """
+        return _FakeClient(self, instance, era)
 
 
 class _FakeClient:
-    def __init__(self, fake_store, instance):
+    def __init__(self, fake_store, instance, era):
         self._store = fake_store
         self._instance = instance
+        self._era = era
 
     async def get(self, kind, name):
         self._store.reads += 1
         await self._require_answer()
+        self._era.observe(self._store.era)
         found = self._store.obj
         if self._store.read_delay_s:
             await anyio.sleep(self._store.read_delay_s)
@@ -116,10 +148,14 @@
 
     async def _write(self, value, revision):
         await self._require_answer()
+        self._era.observe(self._store.era)
         current = self._store.obj
         if revision != (current.revision if current else None):
             raise store.Conflict('expected another revision')
-        obj = ports.StoredObject('holder', (revision or 0) + 1, value)
+        number = store_era.number_of(revision or 0) + 1
+        obj = ports.StoredObject(
+            'holder', store_era.qualify(number, self._store.era), value
+        )
         self._store.obj = obj
         self._store.holders.append(value['holder'])
         if self._store.lost_answers:
@@ -241,13 +277,15 @@
             self.shared_state.sections.add(
                 evacuations.make_section(self.evacuations)
             )
+        era = store_era.StoreEra()
         self.leadership = leadership.Leadership(
-            fake_store.client(name),
+            fake_store.client(name, era),
             PORT,
             cfg,
             clock,
             self._summarise_cluster,
             lambda: self.shared_state.servers.is_cut_off,
+            era,
         )
         self.cluster = cluster_state.ClusterState(
             self.shared_state.config,
@@ -256,7 +294,7 @@
             self.shared_state.sections,
         )
         self._evacuation_sync = evacuation_sync.EvacuationSync(
-            fake_store.client(name),
+            fake_store.client(name, era),
             PORT,
             self.shared_state,
             lambda: self.leadership.is_leader,
--- a/packages/gateway/tests/control/test_leadership.py
+++ b/packages/gateway/tests/control/test_leadership.py
@@ -25,13 +25,6 @@
     return fake_store, network, members
 
 
-async def wait_until(condition, timeout_s=10.0):
-    with anyio.fail_after(timeout_s):
-        # The conditions are attributes of several objects without an event.
-        while not condition():  # noqa: ASYNC110
-            await anyio.sleep(0.01)
-
-
 def leaders_of(members):
     return [m.name for m in members if m.leadership.is_leader]
 
@@ -47,12 +40,12 @@
         async def elect_new_leader():
             await old.leadership.release_lease()
             tg.start_soon(new.leadership.run)
-            await wait_until(lambda: new.leadership.is_leader)
+            await election_fixture.wait_until(lambda: new.leadership.is_leader)
             await other.leadership._poll()
 
         async with anyio.create_task_group() as tg:
             tg.start_soon(old.leadership.run)
-            await wait_until(lambda: old.leadership.is_leader)
+            await election_fixture.wait_until(lambda: old.leadership.is_leader)
             await other.leadership._poll()
             await anyio.sleep(pace.EXCHANGE_INTERVAL_S + pace.LEADER_TIMEOUT_S)
             network.before_answer[old.address] = elect_new_leader
@@ -72,7 +65,7 @@
         fake_store.write_delay_s['slow'] = 1.2
         async with anyio.create_task_group() as tg:
             tg.start_soon(slow.run)
-            await wait_until(lambda: fake_store.holders)
+            await election_fixture.wait_until(lambda: fake_store.holders)
             tg.start_soon(other.run)
             await anyio.sleep(2.0)
             tg.cancel_scope.cancel()
@@ -84,13 +77,15 @@
         old, other = members
         async with anyio.create_task_group() as tg:
             tg.start_soon(old.leadership.run)
-            await wait_until(lambda: old.leadership.is_leader)
+            await election_fixture.wait_until(lambda: old.leadership.is_leader)
             tg.start_soon(other.run)
             await anyio.sleep(2.0)
             fake_store.down.add('old')
             old.leadership.step_down('replaced at an engine')
             with anyio.fail_after(1.5):
-                await wait_until(lambda: other.leadership.is_leader)
+                await election_fixture.wait_until(
+                    lambda: other.leadership.is_leader
+                )
             tg.cancel_scope.cancel()
 
     @virtual_time.run_without_io
@@ -117,16 +112,24 @@
         stopping, other = members
         async with anyio.create_task_group() as tg:
             tg.start_soon(stopping.run)
-            await wait_until(lambda: stopping.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: stopping.leadership.is_leader
+            )
             tg.start_soon(other.exchange.run)
             await other.leadership._poll()
-            await wait_until(lambda: other.exchange.hears_leader)
+            await election_fixture.wait_until(
+                lambda: other.exchange.hears_leader
+            )
             lease_s = other.exchange.lease_s
             await stopping.leadership.release_lease()
-            await wait_until(lambda: not other.exchange.hears_leader)
+            await election_fixture.wait_until(
+                lambda: not other.exchange.hears_leader
+            )
             released_s = other.exchange.lease_s
             tg.start_soon(other.leadership.run)
-            await wait_until(lambda: other.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: other.leadership.is_leader
+            )
             renewed_s = other.exchange.lease_s
             tg.cancel_scope.cancel()
         self.assertGreater(lease_s, 0.0)
@@ -140,7 +143,7 @@
         fake_store.write_delay_s['stopping'] = 0.3
         async with anyio.create_task_group() as tg:
             tg.start_soon(member.leadership.run)
-            await wait_until(lambda: fake_store.holders)
+            await election_fixture.wait_until(lambda: fake_store.holders)
             await member.leadership.release_lease()
             await anyio.sleep(2.0)
             tg.cancel_scope.cancel()
@@ -155,7 +158,9 @@
         names = [f'front-{number}' for number in range(195)]
         fake_store, _, members = make_members(*names)
         tg.start_soon(members[0].run)
-        await wait_until(lambda: members[0].leadership.is_leader)
+        await election_fixture.wait_until(
+            lambda: members[0].leadership.is_leader
+        )
         for member in members[1:]:
             tg.start_soon(member.run)
         await anyio.sleep(5.0)
@@ -198,7 +203,9 @@
             network.link_bytes_per_s[member.address] = SLOW_LINK_BYTES_PER_S
         async with anyio.create_task_group() as tg:
             tg.start_soon(first.run)
-            await wait_until(lambda: first.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: first.leadership.is_leader
+            )
             first.list_servers(49)
             for server_id, state in first.shared_state.servers.states.items():
                 first.cluster.publish(server_id, state.residency)
@@ -207,7 +214,7 @@
             await anyio.sleep(3.0)
             del network.instances[first.address]
             fake_store.down.add('first')
-            await wait_until(lambda: leaders_of(others))
+            await election_fixture.wait_until(lambda: leaders_of(others))
             await anyio.sleep(exchange.RESPONSE_TIMEOUT_S)
             leader = next(m for m in others if m.leadership.is_leader)
             sent_bytes = network.sent_bytes[leader.address]
@@ -230,7 +237,9 @@
         first, second, other = members
         async with anyio.create_task_group() as tg:
             tg.start_soon(first.run)
-            await wait_until(lambda: first.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: first.leadership.is_leader
+            )
             first.list_servers(3)
             tg.start_soon(other.exchange.run)
             tg.start_soon(other.leadership.run)
@@ -238,7 +247,9 @@
             await first.leadership.release_lease()
             fake_store.down.add('other')
             tg.start_soon(second.run)
-            await wait_until(lambda: second.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: second.leadership.is_leader
+            )
             fake_store.down.clear()
             await anyio.sleep(3.0)
             tg.cancel_scope.cancel()
@@ -279,12 +290,16 @@
         large = election_fixture.Member('large', fake_store, network, **LARGE)
         async with anyio.create_task_group() as tg:
             tg.start_soon(large.run)
-            await wait_until(lambda: large.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: large.leadership.is_leader
+            )
             tg.start_soon(small[0].run)
             await anyio.sleep(3.0)
             del network.instances[large.address]
             fake_store.down.add('large')
-            await wait_until(lambda: small[0].leadership.is_leader, 6.0)
+            await election_fixture.wait_until(
+                lambda: small[0].leadership.is_leader, 6.0
+            )
             tg.cancel_scope.cancel()
 
 
@@ -303,12 +318,16 @@
         first, second = members
         async with anyio.create_task_group() as tg:
             tg.start_soon(first.run)
-            await wait_until(lambda: first.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: first.leadership.is_leader
+            )
             first.list_servers(2)
             tg.start_soon(second.run)
             await anyio.sleep(lease.MIN_TERM_S)
             cut_off(first)
-            await wait_until(lambda: second.leadership.is_leader, 3.0)
+            await election_fixture.wait_until(
+                lambda: second.leadership.is_leader, 3.0
+            )
             await anyio.sleep(2 * lease.MIN_TERM_S)
             self.assertEqual(leaders_of(members), ['second'])
             tg.cancel_scope.cancel()
@@ -319,7 +338,9 @@
         first, second = members
         async with anyio.create_task_group() as tg:
             tg.start_soon(first.run)
-            await wait_until(lambda: first.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: first.leadership.is_leader
+            )
             tg.start_soon(second.run)
             for member in members:
                 member.list_servers(2)
@@ -338,7 +359,9 @@
         (leader,) = members
         async with anyio.create_task_group() as tg:
             tg.start_soon(leader.leadership.run)
-            await wait_until(lambda: leader.leadership.is_leader)
+            await election_fixture.wait_until(
+                lambda: leader.leadership.is_leader
+            )
             fence = leader.leadership.fence
             for _ in range(4):
                 fake_store.lost_answers = 1
