servers: Heed entries after a restored store, and nothing that it takes back

Cause: "revisions only grow". The server had registered at revision 113; the store came back from a copy at 105, and the entry that said `draining` had revision 111, so all instances dropped it as older, on each list. Revisions that contain the era are newer then. But the copy may be older than what is known: it takes back that a server leaves and lists removed ones again until they have written, and an instance that had not called the store in the outage removed at once what the copy lacks.

Change: which entry is current is a module of its own, ServerEntries. At the first entry or list of an era a process that leaves stays leaving, removed servers stay removed for the three heartbeats in which an entry without its process lapses, and missing ones have their grace. Lists that are older than the one applied are ignored.

--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -1,13 +1,13 @@
 """Backend servers as this instance knows them."""
 
 import dataclasses
-import itertools
 import logging
 
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import digests
 from wagtailtide_gateway.control import evacuations as evacuations_
+from wagtailtide_gateway.control import server_entries
 from wagtailtide_gateway.control import stream_origins
 from wagtailtide_gateway.decisions import cold_servers as cold_decisions
 from wagtailtide_gateway.decisions import health
@@ -30,10 +30,6 @@
 # the longest time for which a stream that it began may be resumed.
 VERSION_TTL_S = stream_origins.ORIGIN_TTL_S
 
-# Seconds for which a server whose entry was removed is remembered: the entry
-# of a running process may lapse and come back.
-REMOVED_TTL_S = 60.0
-
 # Longest pause that a server can ask for, in seconds. A longer one is taken
 # for a mistake.
 MAX_PAUSE_S = 3_600.0
@@ -159,8 +155,8 @@
         A new process of the server has a state of its own.
 
         Args:
-            source: Id of the request whose response stated it, or the name of
-                the instance that reported it.
+            source: Id of the request whose response stated it, the name of the
+                instance that reported it, or where else it is known from.
         """
         if not self.states_leaving:
             self.states_leaving = True
@@ -237,8 +233,6 @@
         own_list_count: Number of whole lists that this instance has read.
         new_state_count: Number of servers, and of their restarts, that this
             instance has learned of.
-        entry_number: Number of the last change of an entry, other than of its
-            models.
         cold_rule_of: Function from the name of a service to its ColdRule, or
             None.
     """
@@ -249,25 +243,25 @@
         self._on_change = on_change
         self._store_recovered_at = None
         self._service_times = {}
-        self._numbers = itertools.count(1)
-        self._entries = {}
-        self._revisions = {}
-        self._list_revision = 0
+        self._entries = server_entries.ServerEntries()
         self._confirmed_at = float('-inf')
         self._list_failed_at = float('-inf')
         self._listed_since = None
         self._has_earlier_versions = False
         self._versions_left_at = {}
-        self._removed = {}
         self.states = {}
         self.health = health.Health()
         self.reachability = reachability.Reachability()
         self.has_list = False
         self.own_list_count = 0
         self.new_state_count = 0
-        self.entry_number = 0
         self.cold_rule_of = lambda service: None
 
+    @property
+    def entry_number(self):
+        """Number of the last change of an entry, other than of its models."""
+        return self._entries.last_change
+
     @property
     def is_cut_off(self):
         """Whether this instance reaches none of the listed servers."""
@@ -283,14 +277,14 @@
             revision: Revision of the store at which they were listed.
             now: Time in seconds.
         """
+        if self._entries.is_outdated_list(revision):
+            return
+        self._note_era(revision, now)
         listed = set()
         for obj in objects:
             listed.add(obj.name)
             self._upsert(obj, now)
-        self._list_revision = max(revision, self._list_revision)
-        for server_id in self._revisions.keys() - listed:
-            # The entry was removed, so its earlier revisions are out of date.
-            del self._revisions[server_id]
+        self._entries.note_list(revision, listed)
         for server_id in self.states.keys() - listed:
             self._handle_missing(server_id, now)
         self._note_listed(now)
@@ -312,9 +306,25 @@
         if changes:
             self._on_change()
 
-    def _number_entry(self, server_id, obj):
-        self.entry_number = next(self._numbers)
-        self._entries[server_id] = (self.entry_number, obj)
+    def _note_era(self, revision, now):
+        """Prepare for entries of a restored store, which may be older."""
+        if not self._entries.begins_era(revision, now):
+            return
+        leaving = [s for s in self.states.values() if s.server.leaving]
+        LOG.warning(
+            'server list restored',
+            extra={
+                'era': self._entries.era,
+                'revision': revision,
+                'servers': len(self.states),
+                'leaving': len(leaving),
+            },
+        )
+        for state in leaving:
+            # A process that leaves does not come back from that.
+            state.note_leaving(f'entry before era {self._entries.era}')
+        # Servers that registered after the copy was made write again.
+        self.note_store_recovered(now)
 
     def confirm(self, at):
         """Record that the list was current at a time in seconds."""
@@ -361,16 +371,12 @@
                 without a number.
         """
         if number:
-            return {
-                server_id: obj
-                for server_id, (change_number, obj) in self._entries.items()
-                if change_number > number
-            }
+            return self._entries.changed_since(number)
         current = self.entry_digests()
         entries = dict.fromkeys(known.keys() - current.keys())
         for server_id, digest in current.items():
             if known.get(server_id) != digest:
-                entries[server_id] = self._entries[server_id][1]
+                entries[server_id] = self._entries.latest(server_id)
         return entries
 
     def apply_entries(self, entries, now):
@@ -405,27 +411,18 @@
                 )
 
     def _upsert(self, obj, now):
-        known_revision = self._revisions.get(obj.name, self._list_revision)
-        if obj.revision < known_revision:
+        self._note_era(obj.revision, now)
+        if self._entries.is_outdated(obj):
             # The leader's list may be older than the own one, and its entry
             # would undo a later change, such as that the server leaves.
             return
-        try:
-            server = self._decode(obj)
-            digest = digests.server_digest(server)
-        except ports.DECODE_ERRORS as exc:
-            LOG.warning(
-                'server entry ignored',
-                extra={
-                    'server': obj.name,
-                    'revision': obj.revision,
-                    'reason': repr(exc),
-                },
-            )
+        server, digest = self._decode_entry(obj)
+        if server is None:
             return
-        is_new_revision = obj.revision != self._revisions.get(obj.name)
-        self._revisions[obj.name] = obj.revision
         state = known_state = self.states.get(server.id)
+        if state is None and self._entries.is_brought_back(server, now):
+            return
+        is_new_revision = self._entries.note(obj)
         if state is not None and state.server.residency.process_start_ms > (
             server.residency.process_start_ms
         ):
@@ -440,26 +437,7 @@
         if state is None or state.server.residency.process_start_ms != (
             server.residency.process_start_ms
         ):
-            if state is not None:
-                self._note_version_left(state, now)
-                # For requests whose connection is being opened.
-                cold_servers.record_suspected(state, 'replaced', now)
-            # The previous process's residency, loads and refusals do not apply
-            # to a restarted server.
-            state = self._take_removed(server, now) or self._new_state(server)
-            self.states[server.id] = state
-            self.reachability.forget(server.id)
-            self.new_state_count += 1
-            LOG.info(
-                'server listed',
-                extra={
-                    'server': server.id,
-                    'service': server.service,
-                    'software_version': server.software_version,
-                    'address': str(server.address),
-                    'revision': obj.revision,
-                },
-            )
+            state = self._start_state(state, server, obj.revision, now)
         elif server.leaving and not state.server.leaving:
             LOG.info(
                 'server leaves',
@@ -472,17 +450,63 @@
         if state.server.software_version != server.software_version:
             self._note_version_left(state, now)
         if is_changed:
-            self._number_entry(obj.name, obj)
+            self._entries.change(obj.name, obj)
         else:
-            # Other instances ignore revisions older than their own lists.
-            number, _ = self._entries[obj.name]
-            self._entries[obj.name] = (number, obj)
+            self._entries.refresh(obj)
         state.server = server
         state.missing_since = None
         if is_new_revision:
             starts = self.has_list and state is not known_state
             cold_servers.record_entry(state, starts, now)
 
+    def _start_state(self, previous, server, revision, now):
+        """Return the state of a server's process that is newly listed.
+
+        The previous process's residency, loads and refusals do not apply to a
+        restarted server.
+
+        Args:
+            previous: ServerState of its previous process, None without any.
+            server: The BackendServer in the entry.
+            revision: Revision of the entry.
+            now: Time in seconds.
+        """
+        if previous is not None:
+            self._note_version_left(previous, now)
+            # For requests whose connection is being opened.
+            cold_servers.record_suspected(previous, 'replaced', now)
+        state = self._return_state(server, now) or self._new_state(server)
+        self.states[server.id] = state
+        self.reachability.forget(server.id)
+        self.new_state_count += 1
+        LOG.info(
+            'server listed',
+            extra={
+                'server': server.id,
+                'service': server.service,
+                'software_version': server.software_version,
+                'address': str(server.address),
+                'revision': revision,
+            },
+        )
+        return state
+
+    def _decode_entry(self, obj):
+        """Return BackendServer and digest of an entry, None for invalid."""
+        try:
+            server = self._decode(obj)
+            return server, digests.server_digest(server)
+        except ports.DECODE_ERRORS as exc:
+            LOG.warning(
+                'server entry ignored',
+                extra={
+                    'server': obj.name,
+                    'revision': obj.revision,
+                    'reason': repr(exc),
+                },
+            )
+        return None, None
+
     def _new_state(self, server):
         cold = cold_decisions.ColdStart(
             lambda: self.cold_rule_of(server.service)
@@ -493,6 +517,19 @@
             evacuations=self._evacuations,
         )
 
+    def _return_state(self, server, now):
+        """Return the state of a process whose entry was away, or None.
+
+        The process still wants what it has stated: a pause, its limit, or to
+        leave.
+        """
+        state = self._entries.take_removed(server, now)
+        if state is not None:
+            state.reset_shared_data()
+            if state.server.leaving:
+                state.note_leaving('entry before its removal')
+        return state
+
     def _handle_missing(self, server_id, now):
         state = self.states.get(server_id)
         if state is None:
@@ -510,32 +547,13 @@
     def _delete(self, server_id, reason, now):
         state = self.states.pop(server_id)
         self._note_version_left(state, now)
-        self._removed[server_id] = (state, now)
-        self._number_entry(server_id, None)
+        self._entries.note_removed(state, now)
+        self._entries.change(server_id, None)
         self.health.retain(self.states.keys())
         self.reachability.forget(server_id)
         LOG.info('server gone', extra={'server': server_id, 'reason': reason})
         self._on_change()
 
-    def _take_removed(self, server, now):
-        """Return the state of a process whose entry was away, or None.
-
-        The process still wants what it has stated: a pause, its limit, or to
-        leave.
-        """
-        self._removed = {
-            server_id: (state, removed_at)
-            for server_id, (state, removed_at) in self._removed.items()
-            if now - removed_at <= REMOVED_TTL_S
-        }
-        state, _ = self._removed.pop(server.id, (None, None))
-        if state is None or state.server.residency.process_start_ms != (
-            server.residency.process_start_ms
-        ):
-            return None
-        state.reset_shared_data()
-        return state
-
     def _note_version_left(self, state, now):
         server = state.server
         self._versions_left_at[(server.service, server.software_version)] = now
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -2,6 +2,7 @@
 
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import store_era
 
 from tests import builders
 
@@ -333,3 +334,115 @@
         leader.apply_changes([ports.Change(stored(changed, 2), False)], 1.0)
         sync_entries(leader, follower, 1.0)
         self.assertEqual(follower.states['s1'].server.software_version, 'v1.1')
+
+
+def restored(server, number, era=2):
+    """Return the StoredObject of an entry in a restored store."""
+    return ports.StoredObject(
+        server.id, store_era.qualify(number, era), server
+    )
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """Entries of a store that came back from an older copy."""
+
+    def list_restored(self, view, *listed, number=5, now=2.0):
+        revision = store_era.qualify(number, 2)
+        objects = [restored(server, number) for server in listed]
+        view.apply_list(objects, revision, now)
+
+    def test_leaving_with_a_lower_revision_number_is_heeded(self):
+        # Guards against requests to a server that left after the restore:
+        # its entry was dropped as older than the one before.
+        view = make_view(builders.make_server('s1'), revision=113)
+        self.list_restored(view, builders.make_server('s1'), number=106)
+        leaving = builders.make_server('s1', leaving=True)
+        self.list_restored(view, leaving, number=111)
+        self.assertFalse(view.states['s1'].accepts_requests)
+
+    def test_server_that_registers_after_the_restore_is_used(self):
+        view = make_view(builders.make_server('s1'), revision=113)
+        servers_ = [builders.make_server(id_) for id_ in ('s1', 's2')]
+        self.list_restored(view, *servers_, number=106)
+        self.assertTrue(view.states['s2'].accepts_requests)
+
+    def test_late_entry_of_the_era_before_is_ignored(self):
+        view = make_view(builders.make_server('s1'), revision=113)
+        leaving = builders.make_server('s1', leaving=True)
+        self.list_restored(view, leaving)
+        view.apply_entries(
+            {'s1': stored(builders.make_server('s1'), 120)}, 2.1
+        )
+        view.apply_entries(
+            {'s2': stored(builders.make_server('s2'), 120)}, 2.1
+        )
+        view.apply_list([stored(builders.make_server('s1'), 121)], 121, 2.2)
+        self.assertFalse(view.states['s1'].accepts_requests)
+        self.assertNotIn('s2', view.states)
+
+    def test_copy_does_not_take_back_that_a_server_leaves(self):
+        # Guards against requests to a server whose leaving is newer than the
+        # copy, until it writes its entry again.
+        leaving = builders.make_server('s1', leaving=True)
+        view = make_view(leaving, revision=9)
+        self.list_restored(view, builders.make_server('s1'))
+        self.assertFalse(view.states['s1'].accepts_requests)
+
+    def test_leader_tells_the_others_what_the_copy_takes_back(self):
+        view = make_view(builders.make_server('s1', leaving=True), revision=9)
+        self.list_restored(view, builders.make_server('s1'))
+        self.assertTrue(view.states['s1'].states_leaving)
+
+    def test_new_process_of_a_server_that_left_is_used(self):
+        view = make_view(builders.make_server('s1', leaving=True), revision=9)
+        started = builders.make_server(
+            's1', residency=builders.make_residency(process_start_ms=2)
+        )
+        self.list_restored(view, started)
+        self.assertTrue(view.states['s1'].accepts_requests)
+
+    def test_copy_does_not_bring_a_removed_server_back(self):
+        # Guards against requests to a server that leaves without saying so:
+        # its entry was removed after the copy was made.
+        server = builders.make_server('s1')
+        view = make_view(server)
+        view.apply_list([], 9, 1.0)
+        self.list_restored(view, server, now=2.0)
+        self.list_restored(view, server, now=5.9)
+        self.assertNotIn('s1', view.states)
+        # Without its process the entry would have lapsed.
+        self.list_restored(view, server, now=6.1)
+        self.assertTrue(view.states['s1'].accepts_requests)
+
+    def test_server_removed_after_the_restore_may_come_back(self):
+        server = builders.make_server('s1')
+        view = make_view(server)
+        self.list_restored(view, server, now=2.0)
+        self.list_restored(view, number=6, now=4.1)
+        self.assertNotIn('s1', view.states)
+        self.list_restored(view, server, number=7, now=4.5)
+        self.assertTrue(view.states['s1'].accepts_requests)
+
+    def test_server_that_the_copy_lacks_may_write_its_entry_again(self):
+        # Guards against a server that is removed at once by an instance that
+        # did not call the store while it was away.
+        server = builders.make_server('s1')
+        view = make_view(server, revision=113)
+        self.list_restored(view, now=2.0)
+        self.assertFalse(view.states['s1'].accepts_requests)
+        self.list_restored(view, server, number=6, now=3.5)
+        self.assertTrue(view.states['s1'].accepts_requests)
+
+    def test_missing_server_does_not_count_as_one_that_leaves(self):
+        server = builders.make_server('s1')
+        view = make_view(server, revision=113)
+        view.states['s1'].reported_leaving = True
+        self.list_restored(view, server)
+        self.assertFalse(view.states['s1'].states_leaving)
+
+    def test_earlier_list_that_arrives_late_is_ignored(self):
+        # Guards against a server that is taken for removed because a list
+        # that was made before it registered is answered last.
+        view = make_view(builders.make_server('s1'), revision=5)
+        view.apply_list([], 4, 1.0)
+        self.assertTrue(view.states['s1'].accepts_requests)
