sync: Confirm the configuration only by a store that shows it

Callers would see a withdrawn key that stays valid: an instance that lacks the newest version, and reads an older one or none from a restored store, took its own for confirmed, and trusted its keys for 3.8 s more.

Cause: "what the store shows is the newest". Any list, watch or read confirmed the version in force, whichever version it showed.

Change: it confirms only if it shows that version or a newer one. Reads that show an older one are repeated at the pace of failed ones, and one line is logged for each such object.

--- a/packages/gateway/src/wagtailtide_gateway/control/config.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/config.py
@@ -24,6 +24,7 @@
         self.deployment = None
         self.value = None
         self.confirmation = trust.Confirmation(None)
+        self._shown = None
 
     @property
     def version(self):
@@ -42,6 +43,10 @@
             value: Undecoded value.
             source: Origin of the value, for the log.
             revision: Revision of the object in the store, for the log.
+
+        Returns:
+            Whether the value is not older than the version in force. An
+            invalid one is not: the operator has written it after that.
         """
         try:
             found = self._decode(value)
@@ -55,9 +60,10 @@
                     'reason': repr(exc),
                 },
             )
-            return
+            return True
         if found.version <= self.version:
-            return
+            self._note_shown(found.version, source, revision)
+            return found.version == self.version
         previous = self.version
         self.deployment, self.value = found, value
         LOG.info(
@@ -71,6 +77,21 @@
             },
         )
         self._on_change()
+        return True
+
+    def _note_shown(self, version, source, revision):
+        """Log once that an older version than that in force is shown."""
+        shown, self._shown = self._shown, (version, revision)
+        if version < self.version and shown != self._shown:
+            LOG.warning(
+                'older config ignored',
+                extra={
+                    'version': version,
+                    'kept_version': self.version,
+                    'source': source,
+                    'revision': revision,
+                },
+            )
 
     def confirm(self, at):
         """Record that the version in force was the newest at a time.
--- a/packages/gateway/src/wagtailtide_gateway/control/sync.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sync.py
@@ -77,6 +77,9 @@
         self._config = shared_state.config
         self._servers = shared_state.servers
         self._clock = clock
+        # Whether the store shows the configuration in force. One restored from
+        # a copy may show an older one, until the operator writes again.
+        self._shows_current = False
         self._reachable = True
         self._regained = anyio.Event()
 
@@ -96,6 +99,7 @@
             try:
                 if revision is None:
                     objects, revision = await self._client.list_all(kind)
+                    self._shows_current = False
                 else:
                     changes, revision = await self._client.watch(
                         kind, revision, WATCH_WAIT_S
@@ -166,8 +170,10 @@
     def _apply_config(self, objects, sent_at):
         for obj in objects:
             if obj.name == self._port.config_name:
-                self._config.apply_if_newer(obj.value, 'store', obj.revision)
-        if self._config.deployment is not None:
+                self._shows_current = self._config.apply_if_newer(
+                    obj.value, 'store', obj.revision
+                )
+        if self._shows_current and self._config.deployment is not None:
             self._config.confirm(sent_at)
 
     async def _refresh_old_config(self):
@@ -191,17 +197,17 @@
                 obj = await self._client.get(kind, name)
             except (stores.StoreUnavailable, stores.Conflict) as exc:
                 self._note_unavailable('config', exc)
-                await self._pause(
-                    retry_delay_s(failures, MAX_URGENT_RETRY_DELAY_S)
-                )
-                failures += 1
-                continue
-            failures = 0
-            self._note_available()
-            if obj is not None:
-                self._config.apply_if_newer(obj.value, 'store', obj.revision)
-                if self._config.deployment is not None:
-                    self._config.confirm(sent_at)
+            else:
+                self._note_available()
+                self._shows_current = False
+                self._apply_config([] if obj is None else [obj], sent_at)
+                if self._shows_current:
+                    failures = 0
+                    continue
+            await self._pause(
+                retry_delay_s(failures, MAX_URGENT_RETRY_DELAY_S)
+            )
+            failures += 1
 
     def _refresh_age_s(self):
         return trust.refresh_age_s(
--- a/packages/gateway/tests/control/test_sync.py
+++ b/packages/gateway/tests/control/test_sync.py
@@ -243,3 +243,69 @@
             await anyio.sleep(0.1)
             tg.cancel_scope.cancel()
         self.assertGreater(client.watches, refused)
+
+
+class ShownConfigClient:
+    """Client of a store that shows one version of the configuration.
+
+    Attributes:
+        version: The version, None if the store has none.
+        watch_s: Seconds until a watch ends without a change.
+    """
+
+    def __init__(self, version):
+        self.version = version
+        self.watch_s = 0.5
+
+    async def get(self, kind, name):
+        """Return the configuration, None without one."""
+        await anyio.sleep(0.01)
+        if self.version is None:
+            return None
+        value = types.SimpleNamespace(version=self.version, routes=())
+        return ports.StoredObject('main', 1, value)
+
+    async def list_all(self, kind):
+        """Return the configuration and the revision of the list."""
+        found = await self.get(kind, 'main')
+        return [] if found is None else [found], 1
+
+    async def watch(self, kind, revision, wait_s):
+        """Return no changes."""
+        await anyio.sleep(self.watch_s)
+        return [], revision
+
+
+class ConfirmationTest(unittest.TestCase):
+    """A configuration is only confirmed by a store that shows it."""
+
+    async def age_s(self, task_name, client):
+        """Return the age of version 5 after 4 s with a store."""
+        store_sync = SyncTest.make_sync(self, client)
+        view = config.ConfigView(
+            lambda value: value, anyio.current_time, lambda: None
+        )
+        view.deployment = types.SimpleNamespace(version=5, routes=())
+        view.confirm(anyio.current_time())
+        store_sync._config = view
+        with anyio.move_on_after(4.0):
+            await getattr(store_sync, task_name)()
+        self.assertGreaterEqual(view.version, 5)
+        return view.age_s
+
+    @virtual_time.run_without_io
+    async def test_older_configuration_of_a_restored_store(self):
+        # Guards against a withdrawn key that stays valid: an instance that
+        # lacks the last version took its own for the newest one, as the store
+        # came back with an older one.
+        for task_name in ('_follow_config', '_refresh_old_config'):
+            for version, is_confirmed in (
+                (4, False),
+                (None, False),
+                (5, True),
+                (6, True),
+            ):
+                with self.subTest(task_name, version=version):
+                    client = ShownConfigClient(version)
+                    age_s = await self.age_s(task_name, client)
+                    self.assertEqual(age_s < 3.0, is_confirmed, age_s)
