evacuations: Keep a zone evacuated that the copy of a restored store lacks

Before the eras, evacuations after a restore were not heeded until the revisions had caught up; with them, the copy would have returned a zone until the operator had written its evacuation again.

Change: for the two seconds in which it is written again, evacuations that the copy lacks stay in force.

Result: test_revision_numbers_of_a_restored_store_count_anew failed without the era in revisions, test_copy_of_a_restored_store_does_not_return_a_zone without the two seconds; both pass.

--- a/packages/gateway/src/wagtailtide_gateway/control/evacuations.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/evacuations.py
@@ -11,9 +11,14 @@
 
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import sections
+from wagtailtide_gateway.control import store_era
 
 LOG = logging.getLogger(__name__)
 
+# Seconds after a restore of the store for which evacuations that its copy
+# lacks stay in force, until the operator has written them again.
+REWRITE_S = 2.0
+
 
 class ZoneState(enum.Enum):
     """State of an availability zone; the value is the label of the metric."""
@@ -68,7 +73,9 @@
         self.requests = collections.Counter()
         self._on_change = on_change
         self._revisions = {}
-        self._list_revision = 0
+        self._list_revision = -math.inf
+        self._era = None
+        self._era_began_at = -math.inf
         self._confirmed_at = -math.inf
         self._ignored = set()
 
@@ -143,6 +150,9 @@
         if list_revision < self._list_revision:
             return
         self._list_revision = list_revision
+        self._note_era(store_era.era_of(list_revision), current_at)
+        if current_at - self._era_began_at < REWRITE_S:
+            revisions = self._revisions | revisions
         if revisions == self._revisions:
             return
         previous, self._revisions = self._revisions, revisions
@@ -156,6 +166,11 @@
             self._on_return(zone)
         self._on_change()
 
+    def _note_era(self, era, now):
+        if self._era is not None and era > self._era:
+            self._era_began_at = now
+        self._era = era
+
     def observe(self, servers, now):
         """Update the states of all zones from the servers and their loads.
 
--- a/packages/gateway/tests/control/test_evacuations.py
+++ b/packages/gateway/tests/control/test_evacuations.py
@@ -7,6 +7,7 @@
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import store_era
 from wagtailtide_gateway.decisions import cold_servers
 
 from tests import builders
@@ -59,6 +60,27 @@
         list_zones(view, 5, 10.0, 'z1')
         self.assertFalse(view.is_evacuated('z1'))
 
+    def test_copy_of_a_restored_store_does_not_return_a_zone(self):
+        # Guards against requests to a zone whose evacuation is newer than the
+        # copy that the store came back from, until it is written again.
+        view = make_view()
+        list_zones(view, 50, 10.0, 'z1', 'z2')
+        list_zones(view, store_era.qualify(7, 2), 12.0)
+        self.assertTrue(view.is_evacuated('z1'))
+        # Written again; the other one has ended meanwhile.
+        list_zones(view, store_era.qualify(9, 2), 13.0, 'z1')
+        list_zones(view, store_era.qualify(9, 2), 14.1, 'z1')
+        self.assertTrue(view.is_evacuated('z1'))
+        self.assertFalse(view.is_evacuated('z2'))
+
+    def test_revision_numbers_of_a_restored_store_count_anew(self):
+        # Guards against evacuations that are not heeded until the revisions
+        # have caught up.
+        view = make_view()
+        list_zones(view, 50, 10.0)
+        list_zones(view, store_era.qualify(7, 2), 12.0, 'z1')
+        self.assertTrue(view.is_evacuated('z1'))
+
     def test_older_list_does_not_make_the_zones_older(self):
         view = make_view()
         list_zones(view, 5, 10.0)
