brittle servers: Grant their slots, so that they do not topple each other

Cause: the statement was not read, and "a rejected request may be tried elsewhere at once". Twelve instances sent by loads of a moment ago, up to more than the slots, each rejection went on to the next server, and a server that came back got the whole backlog at once.

Change: while the servers of a service state to be brittle, a request needs a slot that the leader has granted. It counts what each instance says it uses and what it has granted since; free slots are kept for waiting requests up to a fair share. A restarted server gets its slots step by step, one that rejects gets less, and without a leader instances go on with what they have for two seconds, then take turns for half of the slots. Nothing of it runs while no server states to be brittle.

--- a/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/cluster_state.py
@@ -158,13 +158,17 @@
         servers: Its ServerView.
         leadership: Its Leadership.
         section_set: Sections of the instance, None without any.
+        brittle: BrittleServers of the instance, None without any.
 
     Attributes:
         adapter_requests: Requested adapters with the time of the request.
     """
 
-    def __init__(self, config, servers, leadership, section_set=None):
+    def __init__(
+        self, config, servers, leadership, section_set=None, brittle=None
+    ):
         self._sections = section_set or sections.Sections()
+        self._brittle = brittle
         self._servers = servers
         self._config = config
         self._leadership = leadership
@@ -181,7 +185,7 @@
         self._crashes = {}
         self._proved = {}
         self._loading = {}
-        self._limits = server_limits.ClusterLimits(servers)
+        self._limits = server_limits.ClusterLimits(servers, brittle)
         self._origins = stream_origins.OriginDirectory()
         self._peers = peers.PeerAssignment()
         self._first_request_at = {}
@@ -196,7 +200,11 @@
         if self._fence == self._leadership.fence:
             return
         self.__init__(
-            self._config, self._servers, self._leadership, self._sections
+            self._config,
+            self._servers,
+            self._leadership,
+            self._sections,
+            self._brittle,
         )
         self._sections.start_term()
         self._fence = self._leadership.fence
@@ -387,10 +395,27 @@
         """Return how many requests of others wait for a server's permit."""
         return self._limits.others_waiting(server_id, instance)
 
+    def wanted_permits(self, server_id):
+        """Return how many permits instances wait for, by their names."""
+        return self._limits.wanted_permits(server_id)
+
     def load_of(self, server_id):
         """Return the number of requests in a server, from all instances."""
         return self._loads[server_id]
 
+    def load_of_others(self, server_id, instances):
+        """Return the number of requests in a server from other instances.
+
+        Args:
+            server_id: Id of the server.
+            instances: Names of the instances that do not count.
+        """
+        return sum(
+            received.report.loads.get(server_id, 0)
+            for name, received in self._reports.items()
+            if name not in instances
+        )
+
     def is_unreachable(self, server_id):
         """Return whether a server is taken to accept no connections.
 
--- a/packages/gateway/src/wagtailtide_gateway/control/sections.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/sections.py
@@ -36,6 +36,7 @@
     CLASS_LOADS = 6
     SERVER_BATCHES = 7
     MEMORY_RESERVATIONS = 8
+    BRITTLE_SERVERS = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wagtailtide_gateway/control/server_limits.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/server_limits.py
@@ -132,10 +132,12 @@
 
     Args:
         servers: ServerView of the leader.
+        brittle: Its BrittleServers, None if no server is ever brittle.
     """
 
-    def __init__(self, servers):
+    def __init__(self, servers, brittle=None):
         self._servers = servers
+        self._brittle = brittle
         self._statements = {}
         self._waiting = {}
         self._total_waiting = collections.Counter()
@@ -158,12 +160,23 @@
         granted = {}
         for server_id, wanted in report.permits.items():
             per_s, max_burst = self._permit_rate(server_id, now)
+            slots = self._grant_slots(server_id, report.instance, now)
             if per_s is not None:
+                wanted = wanted if slots is None else slots
                 granted[server_id] = self._buckets.grant(
                     server_id, per_s, wanted, now, max_burst
                 )
+            elif slots is not None:
+                granted[server_id] = slots
         return {s: count for s, count in granted.items() if count}
 
+    def _grant_slots(self, server_id, instance, now):
+        """Return the slots granted at a brittle server, None at others."""
+        if self._brittle is None:
+            return None
+        wanted = self.wanted_permits(server_id)
+        return self._brittle.grant(server_id, instance, wanted, now)
+
     def shared_with(self, report, now):
         """Return the SharedLimit by server id for the sender of a report.
 
@@ -203,6 +216,16 @@
         is_ramp = cold_per_s > rule.permits_per_s
         return cold_per_s, None if is_ramp else rule.burst
 
+    def wanted_permits(self, server_id):
+        """Return how many permits instances wait for, by their names."""
+        if not self._total_waiting[server_id]:
+            return {}
+        return {
+            instance: permits[server_id]
+            for instance, (_, permits) in self._waiting.items()
+            if permits.get(server_id)
+        }
+
     def others_waiting(self, server_id, instance):
         """Return how many requests wait for a permit at other instances."""
         _, permits = self._waiting.get(instance, (0.0, {}))
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -9,6 +9,7 @@
 from wagtailtide_gateway.control import evacuations as evacuations_
 from wagtailtide_gateway.control import server_entries
 from wagtailtide_gateway.control import stream_origins
+from wagtailtide_gateway.decisions import brittle_servers
 from wagtailtide_gateway.decisions import cold_servers as cold_decisions
 from wagtailtide_gateway.decisions import health
 from wagtailtide_gateway.decisions import reachability
@@ -63,6 +64,8 @@
         evacuations: EvacuationView of the instance.
         capacity: Learned Capacity, the nominal one unless it is learned.
         logged_capacity: Capacity in the last log line about it.
+        predecessor: ServerState of the previous process, None without any.
+            Requests may have been sent to this process before it was listed.
     """
 
     server: backend.BackendServer
@@ -83,6 +86,13 @@
     )
     capacity: server_capacity.Capacity = server_capacity.NOMINAL
     logged_capacity: server_capacity.Capacity = server_capacity.NOMINAL
+    predecessor: 'ServerState | None' = None
+
+    @property
+    def requests_sent(self):
+        """Requests of this instance that may be in the server."""
+        previous = self.predecessor.own_load if self.predecessor else 0
+        return self.own_load + previous
 
     @property
     def sustained_slots(self):
@@ -235,6 +245,7 @@
             instance has learned of.
         cold_rule_of: Function from the name of a service to its ColdRule, or
             None.
+        brittle_limit_of: Function from a BackendServer to its BrittleLimit.
     """
 
     def __init__(self, decode, on_change, evacuations=None):
@@ -256,6 +267,7 @@
         self.own_list_count = 0
         self.new_state_count = 0
         self.cold_rule_of = lambda service: None
+        self.brittle_limit_of = lambda server: brittle_servers.BrittleLimit()
 
     @property
     def entry_number(self):
@@ -476,6 +488,9 @@
             # For requests whose connection is being opened.
             cold_servers.record_suspected(previous, 'replaced', now)
         state = self._return_state(server, now) or self._new_state(server)
+        if previous is not None:
+            previous.predecessor = None
+            state.predecessor = previous
         self.states[server.id] = state
         self.reachability.forget(server.id)
         self.new_state_count += 1
@@ -513,7 +528,9 @@
         )
         return ServerState(
             server,
-            limit=server_limits.ServerLimit(cold),
+            limit=server_limits.ServerLimit(
+                cold, self.brittle_limit_of(server)
+            ),
             evacuations=self._evacuations,
         )
 
--- a/packages/gateway/src/wagtailtide_gateway/decisions/server_limits.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/server_limits.py
@@ -10,14 +10,16 @@
 to a part of the limit, because a leader that the instance does not hear may
 still grant all of it to others.
 
-Servers that have just started are limited in the same way (`cold_servers`).
-If both limits apply, the smaller one does.
+Servers that have just started are limited in the same way (`cold_servers`),
+and so are brittle ones (`brittle_servers`), whose permits are for slots. The
+smallest of the limits applies.
 """
 
 import collections
 import dataclasses
 import random
 
+from wagtailtide_gateway.decisions import brittle_servers
 from wagtailtide_gateway.decisions import cold_servers
 
 # A permit lapses after this many seconds. It covers a round trip to a slow
@@ -70,18 +72,21 @@
 
     Args:
         cold: ColdStart of the server, None if it is never cold.
+        brittle: BrittleLimit of the server, None if it is never brittle.
 
     Attributes:
         statement: The newest Statement known.
         cold: ColdStart of the server.
+        brittle: BrittleLimit of the server.
         waiting: Number of requests of this instance that wait for a permit.
         others_waiting: Number of requests of other instances that wait for
             one, from the last update.
     """
 
-    def __init__(self, cold=None):
+    def __init__(self, cold=None, brittle=None):
         self.statement = NO_STATEMENT
         self.cold = cold or cold_servers.ColdStart()
+        self.brittle = brittle or brittle_servers.BrittleLimit()
         self.waiting = 0
         self.others_waiting = 0
         self._expiries = collections.deque()
@@ -98,20 +103,33 @@
 
     def present_per_s(self, now):
         """Return the requests a second for all instances, None for any."""
-        cold_per_s = self.cold.per_s(now)
-        if cold_per_s is None or self.per_s is None:
-            return self.per_s if cold_per_s is None else cold_per_s
-        return min(cold_per_s, self.per_s)
+        per_s = (
+            self.per_s
+            if self.brittle.per_s is None
+            else (self._per_s_in_turns)
+        )
+        return _min(self.cold.per_s(now), per_s)
 
-    def queue_order(self, now):
+    @property
+    def _per_s_in_turns(self):
+        """Requests a second without a cold period, None for any."""
+        return _min(self.per_s, self.brittle.per_s)
+
+    def queue_order(self, now, free_slots=0.0):
         """Return a key that orders limited servers by their queues.
 
         First the seconds that the server takes for all waiting requests.
         Equal queues, such as empty ones, are in another order on each
         instance: otherwise all would wait for the same server.
+
+        Args:
+            now: Time in seconds.
+            free_slots: Slots of the server that are free, as far as known.
         """
         per_s = self.present_per_s(now)
         waiting = self.waiting + self.others_waiting
+        if self.brittle.per_s is not None:
+            waiting -= free_slots
         return (waiting / per_s if per_s else 0.0, self._phase)
 
     def update(self, statement):
@@ -141,6 +159,9 @@
             ttl_s = cold_servers.PERMIT_TTL_S
         expires_at = requested_at + ttl_s
         self._expiries.extend([expires_at] * count)
+        if self.brittle.per_s is not None:
+            # The next request need not wait until slots are asked for again.
+            self._requested_at = float('-inf')
 
     def start_permit_request(self, now):
         """Return whether permits should be requested again now."""
@@ -165,25 +186,34 @@
         if instances is None:
             return self.present_per_s(now)
         rates = []
-        if self.per_s is not None:
+        if self._per_s_in_turns is not None:
             rates.append(1.0 / self._cycle_s(instances))
         if self.cold.is_limited(now):
             rates.append(self.cold.turns_per_s(instances))
         return min(rates)
 
-    def allows(self, instances, now):
+    def allows(self, instances, now, slots=1, own_load=0):
         """Return whether a request may be sent to the server now.
 
         Args:
             instances: As for `usable_per_s`.
             now: Time in seconds.
+            slots: Slots of the server.
+            own_load: Requests of this instance in it.
         """
+        is_brittle = self.brittle.per_s is not None
+        if is_brittle and self.brittle.is_paused(now):
+            return False
         has_permit = any(expires_at > now for expires_at in self._expiries)
         if has_permit or instances is None:
             return has_permit
+        if is_brittle and not self.brittle.allows_turn(
+            slots, own_load, instances, now
+        ):
+            return False
         if self.cold.is_limited(now) and not self.cold.is_turn(instances, now):
             return False
-        return self.per_s is None or self._is_turn(instances, now)
+        return self._per_s_in_turns is None or self._is_turn(instances, now)
 
     def record_request(self, now):
         """Use a permit or the present turn for a request."""
@@ -194,18 +224,58 @@
             self._sent_in_turn_at = now
             self.cold.record_turn(now)
 
+    def slots_in_use(self, own_load, now):
+        """Return the slots that requests use or that have been granted.
+
+        Args:
+            own_load: Number of requests of this instance in the server.
+            now: Time in seconds.
+        """
+        self._drop_expired(now)
+        return own_load + len(self._expiries)
+
+    def record_end(self, own_load, has_waiting, now):
+        """Record the end of a request.
+
+        Its slot at a brittle server is kept for one that waits and can use it.
+
+        Args:
+            own_load: As for `slots_in_use`, without this request.
+            has_waiting: Whether requests for the service wait here.
+            now: Time in seconds.
+
+        Returns:
+            Whether others wait for the slot, and should get it soon.
+        """
+        if self.brittle.per_s is None:
+            return False
+        in_use = self.slots_in_use(own_load, now) + 1
+        if has_waiting and self.brittle.keeps_slot(in_use, now):
+            self._expiries.appendleft(now + brittle_servers.KEPT_SLOT_S)
+            return False
+        return self.others_waiting > 0
+
     def _drop_expired(self, now):
         while self._expiries and self._expiries[0] <= now:
             self._expiries.popleft()
 
     def _cycle_s(self, instances):
-        return instances / (self.per_s * LEADERLESS_PART)
+        return instances / (self._per_s_in_turns * LEADERLESS_PART)
 
     def _is_turn(self, instances, now):
         cycle_s = self._cycle_s(instances)
         in_cycle_s = (now + self._phase * cycle_s) % cycle_s
         started_at = now - in_cycle_s
-        return in_cycle_s < TURN_S and self._sent_in_turn_at < started_at
+        # The turns of all instances do not begin together as their slots end.
+        last_at = max(self._sent_in_turn_at, self.brittle.held_until)
+        return in_cycle_s < TURN_S and last_at < started_at
+
+
+def _min(limit, other):
+    """Return the smaller one of two limits, None if there is neither."""
+    if limit is None or other is None:
+        return other if limit is None else limit
+    return min(limit, other)
 
 
 @dataclasses.dataclass
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -9,6 +9,7 @@
 
 from wagtailtide_gateway import metrics as metrics_
 from wagtailtide_gateway import shared_state as shared_state_
+from wagtailtide_gateway.control import brittle_servers
 from wagtailtide_gateway.control import cluster_state as cluster_state_
 from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import engine_controller
@@ -29,6 +30,7 @@
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.model import deployment
+from wagtailtide_gateway.serving import availability
 from wagtailtide_gateway.serving import capacity_recorder
 from wagtailtide_gateway.serving import crash_detector
 from wagtailtide_gateway.serving import explanation
@@ -94,6 +96,14 @@
         self.shared_state.servers.cold_rule_of = functools.partial(
             cold_servers.rule_of, cfg, self.shared_state.config
         )
+        brittle = brittle_servers.BrittleServers(
+            self.shared_state.servers,
+            lambda: self.cluster,
+            lambda service: self.shared_state.servers.service_time_s(
+                service, availability.DEFAULT_ENGINE_SERVICE_S
+            ),
+        )
+        self.shared_state.servers.brittle_limit_of = brittle.limit_of
         self._pool = outgoing.ConnectionPool()
         era = store_era.StoreEra()
         client = store.StoreClient(
@@ -113,7 +123,9 @@
             self.shared_state.servers,
             self.leadership,
             self.shared_state.sections,
+            brittle,
         )
+        self.shared_state.sections.add(brittle.section())
         self.shared_state.sections.add(
             cold_servers.ColdServers(
                 self.shared_state.servers, self.cluster.others_waiting
@@ -450,6 +462,7 @@
                 'slots_share': state.capacity.slots_share,
                 'slowdown': state.capacity.slowdown,
                 'cold_per_s': state.limit.cold.per_s(now),
+                'brittle_per_s': state.limit.brittle.per_s,
                 'failure_rate': shared_state.servers.health.failure_rate(
                     server_id, now
                 ),
--- a/packages/gateway/src/wagtailtide_gateway/ports.py
+++ b/packages/gateway/src/wagtailtide_gateway/ports.py
@@ -46,6 +46,8 @@
             this instance, or None if it states no pause.
         cold_remaining_s: Seconds for which the server states that it is still
             cold, or None.
+        tolerated_rejections: Rejections in a second beyond which the server
+            states that it falls over, or None if it is not brittle.
         headers: Headers to forward to the caller.
     """
 
@@ -59,6 +61,7 @@
     states_leaving: bool
     stated_pause_s: float | None
     cold_remaining_s: float | None
+    tolerated_rejections: float | None
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/availability.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/availability.py
@@ -232,7 +232,11 @@
             reserves: As for `best_free`.
         """
         instances = self._exchange.leaderless_instances
-        permitted = [s for s in limited if s.limit.allows(instances, now)]
+        permitted = [
+            s
+            for s in limited
+            if s.limit.allows(instances, now, s.server.slots, s.own_load)
+        ]
         if not permitted:
             return None
         return self.best_free(job, permitted, reserves)[1]
@@ -301,7 +305,7 @@
         cold_s = (
             max(0.0, state.limit.cold.opens_at - now)
             for state in self.capable(job, now)
-            if state.limit.per_s is None
+            if state.limit.per_s is None and state.limit.cold.is_limited(now)
         )
         return min(loading_s, *cold_s, math.inf)
 
@@ -355,6 +359,9 @@
     def _candidate(self, state, now, view):
         server = state.server
         load, less_urgent, ahead = state.load, 0.0, 0.0
+        if state.limit.brittle.per_s is not None:
+            # A permit is for a free slot, whatever the last known load is.
+            load = min(load, server.slots - 1)
         if view is not None:
             load, less_urgent, ahead = view.loads_of(state)
         return server_choice.Candidate(
--- a/packages/gateway/src/wagtailtide_gateway/serving/finder.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/finder.py
@@ -215,11 +215,15 @@
         """Request a permit of the limited server with the shortest queue."""
         now = anyio.current_time()
         _, limited = self._availability.capable_by_limit(job, now)
-        limits = [state.limit for state in limited]
-        if waiter.limit not in limits:
-            waiter.wait_for_permit(
-                min(limits, key=lambda x: x.queue_order(now), default=None)
+        if waiter.limit not in [state.limit for state in limited]:
+            shortest = min(
+                limited,
+                key=lambda state: state.limit.queue_order(
+                    now, state.server.slots - state.load
+                ),
+                default=None,
             )
+            waiter.wait_for_permit(shortest and shortest.limit)
         if waiter.limit is not None and waiter.limit.start_permit_request(now):
             self._exchange.start_now()
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -458,6 +458,10 @@
             job.tracker.end(now)
             job.tracker = None
         state.own_load -= 1
+        queues = self._shared_state.wait_queues
+        has_waiting = queues.has_waiting(job.service.name)
+        if state.limit.record_end(state.own_load, has_waiting, now):
+            self._exchange.start_now()
         self._memory.record_end(job, state, job.held_tokens)
         if job.req.model is not None:
             self._shared_state.demand.record_end(*job.demand_key)
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -9,6 +9,7 @@
 
 from wagtailtide_gateway.control import cold_servers
 from wagtailtide_gateway.control import server_limits as limits
+from wagtailtide_gateway.decisions import brittle_servers
 from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.http import outgoing
 
@@ -269,6 +270,25 @@
         anyio.current_time(),
     )
     _record_limit(state, response, attempt_id)
+    _record_brittleness(state, response, attempt_id)
+
+
+def _record_brittleness(state, response, attempt_id):
+    """Record whether a server falls over when it rejects too much.
+
+    As with limits, only a signed response shows that it no longer does.
+    """
+    if response.attempt_id != attempt_id:
+        return
+    now, limit = anyio.current_time(), state.limit.brittle
+    if response.tolerated_rejections is not None or response.signed:
+        statement = brittle_servers.Statement(
+            response.tolerated_rejections, now
+        )
+        limit.update(statement, attempt_id)
+    has_no_room = response.not_run and response.stated_pause_s is None
+    if has_no_room and limit.per_s is not None:
+        limit.note_rejected(now)
 
 
 def _record_limit(state, response, attempt_id):
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_rows.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_rows.py
@@ -189,7 +189,9 @@
         return 'limited', 'a server without a limit is free'
     per_s = state.limit.present_per_s(now)
     cold = 'cold, ' if state.limit.cold.is_limited(now) else ''
-    return 'limited', f'{cold}{per_s:.2f} requests a second; no permit now'
+    brittle = 'brittle, ' if state.limit.brittle.per_s is not None else ''
+    kind = f'{cold}{brittle}'
+    return 'limited', f'{kind}{per_s:.2f} requests a second; no permit now'
 
 
 def _why_full(state):
--- a/packages/gateway/src/wagtailtide_gateway/serving/wait_queue.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/wait_queue.py
@@ -61,6 +61,10 @@
             for waiter in self._queues.get(name, ()):
                 waiter.wake_event.set()
 
+    def has_waiting(self, service):
+        """Return whether requests for a service wait."""
+        return bool(self._queues.get(service))
+
     @property
     def count(self):
         """Number of waiting requests."""
