servers: Ask again what versions came after a time without a list

Report of other operators: during a release one instance was out of step, and streams of the new version went on there at another one. Looked for here: an instance that is cut off from the others asks the leader, reads the records in the store and reads the lease, so a stream that it does not know waits or goes on at its own version. One that stood still believes its list at once: for up to 0.65 s, until it looks at the lease, the only version listed counts as the only one that there was, also if another one came and went meanwhile.

Change: two lists that are 2 s or more apart, time in suspend included, make the versions uncertain until the lease, which states those known lately, has been read again.

Result: test_instance_that_stood_still_asks_what_versions_came failed before ("'v1' is not None") and passes.

--- a/packages/gateway/src/wagtailtide_gateway/control/exchange.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/exchange.py
@@ -206,10 +206,13 @@
                 for crash in self._leadership.first_crashes
             )
             self._leadership.first_crashes = ()
+        servers = self._shared_state.servers
         versions = self._leadership.earlier_versions
         if versions is not None:
             self._leadership.earlier_versions = None
-            self._shared_state.servers.note_earlier_versions(versions, now)
+            servers.note_earlier_versions(versions, now)
+        elif servers.has_list and not servers.knows_all_versions(now):
+            self._leadership.request_record()
 
     def _discard_old_residencies(self):
         """Route by an own list if there is one since the last update.
--- a/packages/gateway/src/wagtailtide_gateway/control/leadership.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/leadership.py
@@ -23,6 +23,10 @@
 # answer. A random factor spreads the reads of the instances.
 POLL_INTERVAL_S = 0.5
 
+# Shortest time in seconds between two reads of a lease whose leader answers,
+# for the software versions in it.
+RECORD_INTERVAL_S = 1.0
+
 # Timeout of a renewal, shorter than that of other calls: a renewal without an
 # answer has to be repeated before the lease expires.
 RENEWAL_TIMEOUT_S = 0.6
@@ -75,6 +79,8 @@
         self._others_resigned_fence = 0
         self._highest_fence = 0
         self._restored = anyio.Event()
+        self._wants_record = False
+        self._record_read_at = float('-inf')
         self._stopping = False
         self.record = None
         self.fence = None
@@ -175,6 +181,13 @@
         )
         self._last_response_at = float('-inf')
 
+    def request_record(self):
+        """Read the lease soon, although the leader answers.
+
+        Its writer may know software versions that this instance has missed.
+        """
+        self._wants_record = True
+
     def step_down(self, reason):
         """Stop leading, because the lease has expired or was taken over.
 
@@ -252,6 +265,8 @@
     async def _renew(self):
         """Renew the lease; return whether the store confirmed it."""
         summary = self._cluster_summary()
+        if not summary.knows_all_versions:
+            self._add_earlier_versions(self.record)
         record = dataclasses.replace(
             self.record,
             renewals=self.record.renewals + 1,
@@ -356,6 +371,11 @@
     async def _poll(self):
         silent_s = self._clock() - self._last_response_at
         is_known = self.record is not None and not self._is_outdated
+        now = self._clock()
+        if self._wants_record and now - self._record_read_at > (
+            RECORD_INTERVAL_S
+        ):
+            is_known = False
         if is_known and not pace.is_leader_lost(
             silent_s, self._exchange_failed, self._exchange_interval_s
         ):
@@ -453,6 +473,7 @@
         except (stores.StoreUnavailable, stores.Conflict) as exc:
             LOG.info('duty unknown', extra={'reason': str(exc)})
             return False
+        self._wants_record, self._record_read_at = False, self._clock()
         self._stored = found
         self._revision = None if obj is None else obj.revision
         if self.record is None or not self._is_outdated:
--- a/packages/gateway/src/wagtailtide_gateway/control/servers.py
+++ b/packages/gateway/src/wagtailtide_gateway/control/servers.py
@@ -31,6 +31,10 @@
 # the longest time for which a stream that it began may be resumed.
 VERSION_TTL_S = stream_origins.ORIGIN_TTL_S
 
+# An instance that has no current list for this many seconds may have missed a
+# server that came and went. Leaving alone takes a server this long.
+VERSION_GAP_S = 2.0
+
 # Longest pause that a server can ask for, in seconds. A longer one is taken
 # for a mistake.
 MAX_PAUSE_S = 3_600.0
@@ -234,6 +238,8 @@
         on_change: Function that is called when the servers change.
         evacuations: EvacuationView of the instance, None if zones cannot be
             evacuated.
+        suspended_s: Function that returns for how many seconds the machine
+            was suspended, a time that the other times do not include.
 
     Attributes:
         states: ServerState by server id.
@@ -248,7 +254,16 @@
         brittle_limit_of: Function from a BackendServer to its BrittleLimit.
     """
 
-    def __init__(self, decode, on_change, evacuations=None):
+    def __init__(
+        self,
+        decode,
+        on_change,
+        evacuations=None,
+        suspended_s=lambda: 0.0,
+    ):
+        self._suspended_s = suspended_s
+        # Time up to which the list was followed, time in suspend included.
+        self._followed_until = None
         self._evacuations = evacuations or evacuations_.EvacuationView()
         self._decode = decode
         self._on_change = on_change
@@ -341,6 +356,27 @@
     def confirm(self, at):
         """Record that the list was current at a time in seconds."""
         self._confirmed_at = max(at, self._confirmed_at)
+        self._note_gap(at)
+
+    def _note_gap(self, at):
+        """Forget that all versions are known if some may have been missed."""
+        until = at + self._suspended_s()
+        previous, self._followed_until = self._followed_until, until
+        if previous is None:
+            return
+        self._followed_until = max(until, previous)
+        if until - previous < VERSION_GAP_S:
+            return
+        if self.knows_all_versions(at):
+            LOG.info(
+                'software versions uncertain',
+                extra={
+                    'gap_s': round(until - previous, 2),
+                    'versions': len(self.software_versions(at)),
+                },
+            )
+        self._has_earlier_versions = False
+        self._listed_since = at
 
     def age_s(self, now):
         """Return the seconds since the list was last known to be current."""
--- a/packages/gateway/src/wagtailtide_gateway/shared_state.py
+++ b/packages/gateway/src/wagtailtide_gateway/shared_state.py
@@ -91,7 +91,10 @@
             ),
         )
         self.servers = servers.ServerView(
-            port.decode_server, self.wait_queues.wake, self.evacuations
+            port.decode_server,
+            self.wait_queues.wake,
+            self.evacuations,
+            lambda: clock() - anyio.current_time(),
         )
         self.local_quota = quota.LocalQuota()
         self.demand = demand.DemandCounter()
--- a/packages/gateway/tests/control/election_fixture.py
+++ b/packages/gateway/tests/control/election_fixture.py
@@ -253,6 +253,7 @@
 
     Attributes:
         store: The FakeStore.
+        network: The FakeNetwork.
         leadership: Its Leadership.
         cluster: Its ClusterState.
         exchange: Its Exchange.
@@ -263,6 +264,7 @@
     def __init__(self, name, fake_store, network, **changes):
         self.name = name
         self.store = fake_store
+        self.network = network
         self.address = backend.Address(f'10.0.0.{len(network.instances)}', 1)
         network.instances[self.address] = self
         cfg = builders.make_settings(
--- a/packages/gateway/tests/control/test_servers.py
+++ b/packages/gateway/tests/control/test_servers.py
@@ -1,3 +1,4 @@
+import functools
 import unittest
 
 from wagtailtide_gateway import ports
@@ -13,8 +14,8 @@
     return obj.value
 
 
-def make_view(*listed, revision=1, now=0.0):
-    view = servers.ServerView(decode, lambda: None)
+def make_view(*listed, revision=1, now=0.0, **options):
+    view = servers.ServerView(decode, lambda: None, **options)
     objects = [stored(server, revision) for server in listed]
     view.apply_list(objects, revision, now)
     return view
@@ -317,6 +318,27 @@
         self.assertFalse(view.may_have_several_versions(1.0))
         self.assertFalse(view.may_have_several_versions(self.SETTLED_S))
 
+    def test_version_may_be_missed_while_no_list_is_current(self):
+        # Guards against a stream that goes on at another version: servers of
+        # the version that began it came and went while this instance stood
+        # still, or was cut off from the store and the leader.
+        for passed_s, suspended_s in ((5.0, 0.0), (0.1, 5.0)):
+            with self.subTest(suspended_s=suspended_s):
+                suspended = iter((0.0, 0.0, suspended_s))
+                view = make_view(
+                    builders.make_server('s1'),
+                    suspended_s=functools.partial(next, suspended),
+                )
+                now = self.SETTLED_S
+                view.confirm(now)
+                view.confirm(now + 1.5)
+                self.assertEqual(view.only_version('engines', now), 'v1')
+                now += 1.5 + passed_s
+                view.confirm(now)
+                self.assertIsNone(view.only_version('engines', now))
+                view.note_earlier_versions((('engines', 'v1'),), now)
+                self.assertEqual(view.only_version('engines', now), 'v1')
+
     def test_versions_of_other_services_do_not_count(self):
         view = make_view(
             builders.make_server('s1'),
--- a/packages/gateway/tests/control/test_stream_origins.py
+++ b/packages/gateway/tests/control/test_stream_origins.py
@@ -224,6 +224,51 @@
                 self.assertEqual(servers.only_version('engines', now), only)
                 tg.cancel_scope.cancel()
 
+    @virtual_time.run_without_io
+    async def test_instance_that_stood_still_asks_what_versions_came(self):
+        # Guards against a stream that goes on at the only version listed: its
+        # own came and went while this instance stood still.
+        async with running_cluster({}) as (members, _):
+            leader, *_ = members
+            late = election_fixture.Member(
+                'late', leader.store, leader.network
+            )
+            servers = late.shared_state.servers
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(keep_list, leader)
+                with anyio.move_on_after(3.0):
+                    await late.run()
+                self.assertEqual(only_version(late), 'v1')
+                leader.apply_list(
+                    {'s1': ['m1'], 's9': ['m1']}, 3, {'s9': 'v9'}
+                )
+                await anyio.sleep(2.0)
+                leader.apply_list({'s1': ['m1']}, 4)
+                await anyio.sleep(2.0)
+                # The next look at the lease comes up to 0.65 s later.
+                tg.start_soon(late.exchange.run)
+                await late.exchange.wait_for_exchange(1.0)
+                self.assertEqual(set(servers.states), {'s1'})
+                self.assertIsNone(only_version(late))
+                tg.start_soon(late.leadership.run)
+                await anyio.sleep(2.0)
+                versions = servers.software_versions(anyio.current_time())
+                self.assertIn(('engines', 'v9'), versions)
+                self.assertIsNone(only_version(late))
+                tg.cancel_scope.cancel()
+
+
+async def keep_list(member):
+    """Confirm the list of a member, as its reads do."""
+    while True:
+        member.shared_state.servers.confirm(anyio.current_time())
+        await anyio.sleep(0.4)
+
+
+def only_version(member):
+    now = anyio.current_time()
+    return member.shared_state.servers.only_version('engines', now)
+
 
 V1 = ('engines', 'v1')
 V2 = ('engines', 'v1.1')
