gateway: Send nothing in a stop that its end would cut

It can happen here: a request that a server rejects late is sent on to the next one until the process ends (504, may have run), and streams are accepted for 2.8 s, also by a service whose streams take longer than is left.

Else it gets 503 at once and may return to another instance.

--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -24,6 +24,7 @@
 from wagtailtide_gateway.control import store
 from wagtailtide_gateway.control import store_era
 from wagtailtide_gateway.control import sync
+from wagtailtide_gateway.decisions import graceful_stop
 from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.decisions import trust
 from wagtailtide_gateway.http import body_memory
@@ -50,9 +51,6 @@
 # Delay before a failed background task is restarted.
 TASK_RESTART_DELAY_S = 0.5
 
-# Time reserved between the end of the graceful stop and the kill.
-STOP_MARGIN_S = 0.4
-
 # Time for the error responses of requests that the stop cuts.
 CUT_RESPONSES_S = 0.1
 
@@ -368,7 +366,7 @@
         self.gateway.begin_stop()
         await self.leadership.release_lease()
         await anyio.sleep(CLOSE_IDLE_AFTER_S)
-        deadline_at = started_at + self._cfg.stop_s - STOP_MARGIN_S
+        deadline_at = started_at + self._cfg.stop_s - graceful_stop.MARGIN_S
         while anyio.current_time() < deadline_at:
             await self._callers.close_idle()
             if not self._callers.open_count + self._forwarding.open_count:
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -8,6 +8,7 @@
 from wagtailtide_core.errors import kinds
 
 from wagtailtide_gateway import ports
+from wagtailtide_gateway.decisions import graceful_stop
 from wagtailtide_gateway.decisions import retries
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.model import deployment
@@ -29,10 +30,6 @@
 # A started stream that no server takes over asks again after this time.
 RESUME_RETRY_INTERVAL_S = 0.25
 
-# New requests are accepted for this long after the stop signal. Later ones
-# might not finish before the process is killed.
-ACCEPT_AFTER_STOP_S = 2.8
-
 # Largest number of prompt segments in the line that ends a request.
 MAX_LOGGED_PARTS = 8
 
@@ -80,6 +77,7 @@
         self._quarantine = quarantine
         self._crash_detector = crash_detector
         self._instance = cfg.instance
+        self._stop_s = cfg.stop_s
         self._metrics = metrics
         self._recorder = recorder
         self._access = access.Access(cfg, shared_state, exchange)
@@ -171,7 +169,24 @@
         since = self._stopping_since
         if since is None:
             return
-        if anyio.current_time() - since > ACCEPT_AFTER_STOP_S:
+        if anyio.current_time() - since > graceful_stop.ACCEPT_AFTER_S:
+            raise _shutting_down_error()
+
+    def _refuse_if_cut_soon(self, job):
+        """Refuse a request that the end of this process would cut.
+
+        Raises:
+            ServingError: This instance is stopping and too little time is
+                left.
+        """
+        since = self._stopping_since
+        if since is None or job.has_response_started:
+            return
+        elapsed_s = anyio.current_time() - since
+        service_s = self._shared_state.servers.service_time_s(
+            job.service.name, 0.0
+        )
+        if not graceful_stop.can_finish(elapsed_s, self._stop_s, service_s):
             raise _shutting_down_error()
 
     @contextlib.contextmanager
@@ -251,6 +266,7 @@
             if failure is not None:
                 await self._require_retry(job, state, failure, relay)
             state = await self._finder.find(job)
+            self._refuse_if_cut_soon(job)
             self._access.require_current_key(job)
             self._quarantine.admit(job)
             failure = await self._attempt(job, state, relay, out)
