outgoing: Close no idle connection that others may take meanwhile

Cause: close_idle_to awaited inside a loop over connections that a concurrent acquire took and closed ("deque mutated during iteration"), and acquire could take one that was being closed ("file descriptor cannot be a negative integer").

Change: a connection leaves the pool before it is closed.

Result: test_requests_while_idle_connections_are_closed failed with that RuntimeError before, and passes. It runs on asyncio, as instances do: on trio, on which the other tests run, closing a connection lets no other task run.

--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -378,8 +378,11 @@
 
     async def close_idle_to(self, address):
         """Close the idle connections to an address."""
-        for conn in self._idle.pop(address, ()):
-            await conn.close()
+        idle = self._idle[address]
+        # Others may use the connections meanwhile, so none that is being
+        # closed stays among them.
+        while idle:
+            await idle.popleft().close()
 
     async def close(self):
         """Close all idle connections."""
--- a/packages/gateway/tests/http/test_outgoing.py
+++ b/packages/gateway/tests/http/test_outgoing.py
@@ -114,6 +114,34 @@
         self.assertEqual(pool.opened_count, 2)
 
 
+class ClosingPoolTest(unittest.TestCase):
+    """Connections are used while others to their address are closed."""
+
+    def test_requests_while_idle_connections_are_closed(self):
+        # Guards against requests that fail for a pool that changes while its
+        # connections to a crashed server are closed. On asyncio, closing one
+        # lets other tasks run.
+        anyio.run(self._call_and_close, backend='asyncio')
+
+    async def _call_and_close(self):
+        pool = outgoing.ConnectionPool()
+        async with serving(respond_always) as address:
+            for _ in range(outgoing.MAX_IDLE_PER_ADDRESS):
+                await pool.open_idle(address)
+            await anyio.sleep(0.01)
+
+            async def call_on_new_connection():
+                conn = await pool.acquire(address, max_idle_s=0.0)
+                head = await conn.request(b'GET', b'/', HEADERS)
+                self.assertEqual(head.status, 200)
+                await conn.close()
+
+            async with anyio.create_task_group() as tg:
+                for _ in range(3):
+                    tg.start_soon(call_on_new_connection)
+                    tg.start_soon(pool.close_idle_to, address)
+
+
 class BufferTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_kernel_keeps_little_for_a_server_that_reads_nothing(self):
