access: Run no request for the organisation that held its key before

Cause: the key was checked again before the request was sent, but only whether any organisation holds it.

Change: a request whose key has another holder by then is rejected as not run and may return at once; its rate, priority and place in the queue were those of the old holder.

Result: test_key_that_was_passed_on_while_a_request_waited failed before ("ServingError not raised") and passes.

--- a/packages/gateway/src/wagtailtide_gateway/serving/access.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/access.py
@@ -75,20 +75,30 @@
         """Reject a request if its key may have been withdrawn.
 
         Called again just before the request is sent to a server, because the
-        key may have been withdrawn while the request waited.
+        key may have been withdrawn, or have been passed to another
+        organisation, while the request waited.
 
         Raises:
-            ServingError: The key was withdrawn, or the configuration is too
-                old to tell.
+            ServingError: The key was withdrawn or passed on, or the
+                configuration is too old to tell.
         """
         if job.organisation is None:
             return
-        deployment = self._config.deployment
-        if job.req.api_key not in deployment.organisations:
+        holder = self._config.deployment.organisations.get(job.req.api_key)
+        if holder is None:
             raise kinds.ServingError(
                 kinds.ErrorKind.KEY_INVALID,
                 'the API key was withdrawn; use a current one',
             )
+        if holder.name != job.organisation.name:
+            # Its rate, priority and place in the queue are those of the
+            # organisation that held the key before.
+            raise kinds.ServingError(
+                kinds.ErrorKind.KEYS_UNCONFIRMED,
+                'the API key was passed to another organisation while the '
+                'request waited; retry',
+                retry_after_s=RETRY_ELSEWHERE_AFTER_S,
+            )
         self.require_confirmed_keys()
 
     def require_confirmed_keys(self):
--- a/packages/gateway/tests/serving/test_access.py
+++ b/packages/gateway/tests/serving/test_access.py
@@ -141,3 +141,36 @@
             await charged.charge(job)
         self.assertIs(caught.exception.kind, kinds.ErrorKind.RATE_UNCONFIRMED)
         self.assertLess(anyio.current_time(), 2.0)
+
+
+class CurrentKeyTest(unittest.TestCase):
+    @virtual_time.run_without_io
+    async def test_key_that_was_passed_on_while_a_request_waited(self):
+        # Guards against a request that runs for the organisation which held
+        # its key before: its name goes to the server.
+        charged, _, job = make_access()
+        job.req = types.SimpleNamespace(api_key='k1')
+        rows = {
+            'same organisation': ('club', None),
+            'another organisation': (
+                'guild',
+                kinds.ErrorKind.KEYS_UNCONFIRMED,
+            ),
+            'none': (None, kinds.ErrorKind.KEY_INVALID),
+        }
+        for name, (holder, expected) in rows.items():
+            keys = {}
+            if holder is not None:
+                keys['k1'] = builders.make_organisation(name=holder)
+            charged._config = types.SimpleNamespace(
+                deployment=builders.make_deployment(organisations=keys),
+                age_s=0.0,
+            )
+            with self.subTest(name):
+                if expected is None:
+                    charged.require_current_key(job)
+                    continue
+                with self.assertRaises(kinds.ServingError) as caught:
+                    charged.require_current_key(job)
+                self.assertIs(caught.exception.kind, expected)
+                self.assertIs(caught.exception.fate, kinds.Fate.NOT_RUN)
