tests: Give the fleets of the scheduler a clock

Change: the fleets pass the clock of the event loop. The one test that built a fleet outside a loop runs in one; its assertions are the same.

--- a/packages/gateway/tests/serving/scheduling_fleet.py
+++ b/packages/gateway/tests/serving/scheduling_fleet.py
@@ -204,7 +204,7 @@
         self.is_cut_off = False
         self.shared = shared_state.SharedState(
             port,
-            None,
+            anyio.current_time,
             limits_engine_memory=fleet.limits_memory,
             schedules_shares=schedules_shares,
             divides_slots=schedules_shares,
--- a/packages/gateway/tests/serving/test_scheduler.py
+++ b/packages/gateway/tests/serving/test_scheduler.py
@@ -26,7 +26,8 @@
             recorded_decisions.digest(), recorded_decisions.DIGEST
         )
 
-    def test_nothing_is_exchanged(self):
+    @virtual_time.run_without_io
+    async def test_nothing_is_exchanged(self):
         fleet = scheduling_fleet.Fleet(size=2, schedules_shares=False)
         shared = fleet.instances[0].shared
         self.assertIsNone(shared.scheduler)
