server calls: Take no response for whole whose process may have changed

Cause: whether such a response was cut off by a crash was decided by whether the server's address refuses connections. False assumption: an address that accepts connections belongs to the same process. An instance that stood still for longer than a server takes to restart, or whose link was cut, reads the end when the next process is listening.

If no byte of the response came for a second on the clock that counts suspend, or the connection attempt had no result in time, the list of servers is read anew, and the response counts as whole only if the same process is still in it. A list that can't be read within a second leaves it cut off: callers can take up a stream, not one that was ended.

Remains: a list that is read in the milliseconds between the return of a server and the writing of its entry shows the process that has ended.

--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -353,19 +353,25 @@
             await conn.close()
 
     async def is_refused(self, address):
-        """Return whether an address refuses a new connection.
+        """Return whether an address refuses a new connection."""
+        return await self.accepts(address) is False
 
-        If the connection is established, it is kept for the next request.
+    async def accepts(self, address):
+        """Return whether an address accepts a new connection.
+
+        None if that is not known in time. An established connection is kept
+        for the next request.
         """
         conn = None
         with anyio.move_on_after(PROBE_TIMEOUT_S):
             try:
                 conn = await self._open(address)
             except ConnectionBroken:
-                return True
-        if conn is not None:
-            self._idle[address].append(conn)
-        return False
+                return False
+        if conn is None:
+            return None
+        self._idle[address].append(conn)
+        return True
 
     async def release(self, conn):
         """Keep a connection for reuse, or close it if that is impossible."""
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -38,6 +38,7 @@
 from wagtailtide_gateway.serving import forward_messages
 from wagtailtide_gateway.serving import forwarding
 from wagtailtide_gateway.serving import gateway
+from wagtailtide_gateway.serving import process_check
 from wagtailtide_gateway.serving import quarantine as quarantine_
 
 LOG = logging.getLogger(__name__)
@@ -174,20 +175,24 @@
         quarantine = quarantine_.Quarantine(
             self.shared_state, lambda: self.exchange.is_leader
         )
+        self._origin_reader = origin_reader.OriginReader(
+            client,
+            store_port,
+            self.shared_state,
+            lambda: self.leadership.first_revision,
+        )
+        check = process_check.ProcessCheck(
+            self.shared_state.servers, self._origin_reader.read_list, clock
+        )
         self._forwarding = forwarding.ForwardingService(
             backend_port,
             self._pool,
             self.shared_state,
             quarantine,
             detector,
+            check,
             lambda: self.gateway.is_stopping,
         )
-        self._origin_reader = origin_reader.OriginReader(
-            client,
-            store_port,
-            self.shared_state,
-            lambda: self.leadership.first_revision,
-        )
         self._origin_writer = origin_store.OriginWriter(
             client,
             store_port,
@@ -207,6 +212,7 @@
             detector,
             self.metrics,
             self._origin_reader,
+            check,
             recorder,
         )
         self._bodies = body_memory.BodyMemory()
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -58,6 +58,7 @@
         shared_state: The SharedState of the instance.
         quarantine: The Quarantine of the instance.
         crash_detector: CrashDetector of the instance.
+        process_check: ProcessCheck of the instance.
         is_stopping: Function that returns whether the process is stopping.
 
     Attributes:
@@ -71,8 +72,10 @@
         shared_state,
         quarantine,
         crash_detector,
+        process_check,
         is_stopping,
     ):
+        self._process_check = process_check
         self._backend_port = backend_port
         self._pool = pool
         self._servers = shared_state.servers
@@ -181,6 +184,7 @@
             self._pool,
             state,
             self._servers.reachability,
+            self._process_check,
         )
         job = ForwardedJob(forward.fingerprint, forward.part_fingerprints)
         broken_at = None
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -48,6 +48,7 @@
         crash_detector: CrashDetector of the instance.
         metrics: The Metrics.
         origin_reader: OriginReader of the instance.
+        process_check: ProcessCheck of the instance.
         recorder: CapacityRecorder, None if no capacity is learned.
 
     Attributes:
@@ -66,8 +67,10 @@
         crash_detector,
         metrics,
         origin_reader,
+        process_check,
         recorder=None,
     ):
+        self._process_check = process_check
         self._caller_port = caller_port
         self._backend_port = backend_port
         self._shared_state = shared_state
@@ -412,6 +415,7 @@
                 self._pool,
                 state,
                 servers.reachability,
+                self._process_check,
                 job.send_limit_at(),
             )
         job.peers.append(peer.instance)
--- a/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/server_call.py
@@ -70,6 +70,7 @@
         pool: ConnectionPool of the backend servers.
         state: ServerState of the server.
         reachability: Reachability of the servers.
+        check: The ProcessCheck.
         send_limit_at: Time in seconds after which nothing is sent, because
             the caller has given up.
 
@@ -86,8 +87,11 @@
         pool,
         state,
         reachability,
+        check,
         send_limit_at=math.inf,
     ):
+        self._check = check
+        self._watch = None
         self._send_limit_at = send_limit_at
         self._backend_port = backend_port
         self._pool = pool
@@ -156,10 +160,11 @@
                 belong to another request.
         """
         sent_at = anyio.current_time()
+        self._watch = self._check.watch(self._state)
         head = await self._conn.request(
             request.method, request.target, request.headers, request.body
         )
-        self._reachability.record_bytes(anyio.current_time())
+        self._note_bytes()
         response = self._decode(head)
         for _ in range(outgoing.MAX_STRAY_RESPONSES):
             if response.attempt_id in (None, request.attempt_id):
@@ -204,9 +209,13 @@
             ConnectionBroken: The connection failed before the body's end.
         """
         data = await self._conn.read_data()
-        self._reachability.record_bytes(anyio.current_time())
+        self._note_bytes()
         return data
 
+    def _note_bytes(self):
+        self._watch.note_bytes()
+        self._reachability.record_bytes(anyio.current_time())
+
     async def read_body(self):
         """Return the complete body; raises ConnectionBroken."""
         return await self._conn.read_body()
@@ -217,10 +226,15 @@
         A response without a length or chunks ends with its connection, and
         the connections of a server that crashed end as well.
         """
-        return (
-            self.framing is outgoing.Framing.CLOSE
-            and await self._pool.is_refused(self._state.server.address)
-        )
+        if self.framing is not outgoing.Framing.CLOSE:
+            return False
+        accepts = await self._pool.accepts(self._state.server.address)
+        if accepts is False:
+            return True
+        if accepts and not self._watch.was_silent:
+            return False
+        # It may have crashed some time ago, and be back.
+        return not await self._watch.has_lived_on()
 
     async def keep_connection(self):
         """Return the connection to the pool after a complete response."""
--- a/packages/gateway/tests/serving/test_forwarding.py
+++ b/packages/gateway/tests/serving/test_forwarding.py
@@ -79,6 +79,7 @@
             types.SimpleNamespace(servers=view),
             None,
             None,
+            None,
             lambda: is_stopping,
         )
         request = types.SimpleNamespace(
--- a/packages/gateway/tests/serving/test_server_call.py
+++ b/packages/gateway/tests/serving/test_server_call.py
@@ -72,6 +72,7 @@
             self.pool,
             self.state,
             reachability.Reachability(),
+            None,
             self.job.send_limit_at(),
         )
 
