incoming: Hold each request to the limits in force as it begins

Cause: a connection took the limits when it was accepted. False assumption: a connection lives shorter than a configuration.

Change: the limits are read as the first bytes of each request arrive. If the header limit changed, the parser is replaced between two requests; bytes of pipelined requests move to the new one. An idle wait that has begun keeps its timeout.

Related paths: the limits of connections to servers and between instances are constants; the memory of bodies is that of the machine.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -167,7 +167,8 @@
     Args:
         stream: The TCP stream.
         handle: Coroutine function from (IncomingRequest, Responder).
-        limits: CallerLimits.
+        limits: Function that returns the CallerLimits in force. A request is
+            held to those that are in force when its first bytes arrive.
         stopping: Function that returns whether the process is stopping.
         bodies: BodyMemory of the instance.
 
@@ -179,16 +180,30 @@
         self._bodies = bodies or body_memory.BodyMemory()
         self._stream = stream
         self._handle = handle
-        self._limits = limits
+        self._limits_in_force = limits
+        self._limits = limits()
         self._stopping = stopping
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._h11 = self._new_parser()
         self._unparsed = bytearray()
         self._caller_disconnected = False
         self._closed = False
         self.busy = False
 
+    def _new_parser(self):
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+
+    def _update_limits(self):
+        """Take over the limits in force, between two requests."""
+        previous, self._limits = self._limits, self._limits_in_force()
+        if self._limits.max_header_bytes == previous.max_header_bytes:
+            return
+        unparsed, _ = self._h11.trailing_data
+        self._h11 = self._new_parser()
+        if unparsed:
+            self._h11.receive_data(unparsed)
+
     async def serve(self):
         """Serve requests until the connection ends."""
         try:
@@ -255,6 +270,7 @@
             if self._closed or not self._unparsed:
                 return None
         self.busy = True
+        self._update_limits()
         with anyio.move_on_after(self._limits.header_timeout_s) as scope:
             request = await self._next_event()
         if scope.cancelled_caught:
@@ -442,7 +458,7 @@
         conn = CallerConnection(
             stream,
             self._handle,
-            self._limits(),
+            self._limits,
             self._stopping,
             self._bodies,
         )
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -1,4 +1,5 @@
 import contextlib
+import dataclasses
 import errno
 import unittest
 from unittest import mock
@@ -26,13 +27,15 @@
 
 
 @contextlib.asynccontextmanager
-async def listening(handle=echo, stopping=lambda: False):
+async def listening(
+    handle=echo, stopping=lambda: False, limits=lambda: LIMITS
+):
     """Yield a function that opens a connection to a listener."""
     listener = await anyio.create_tcp_listener(local_host=LISTEN_IP)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     await listener.aclose()
     address = backend.Address(LISTEN_IP, port)
-    served = incoming.Listener(address, handle, stopping, lambda: LIMITS)
+    served = incoming.Listener(address, handle, stopping, limits)
     await served.listen()
     async with anyio.create_task_group() as tg:
         tg.start_soon(served.serve)
@@ -333,7 +336,7 @@
             b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
         )
         stream.conn = incoming.CallerConnection(
-            stream, record, LIMITS, lambda: True
+            stream, record, lambda: LIMITS, lambda: True
         )
         await stream.conn.serve()
         self.assertEqual(handled, [])
@@ -344,3 +347,67 @@
             stream = await connect()
             with anyio.fail_after(LIMITS.idle_timeout_s + 0.5):
                 self.assertEqual(await read_all(stream), b'')
+
+
+class ChangedLimitsTest(unittest.TestCase):
+    """A connection that was opened before the limits changed.
+
+    Guards against requests on connections that callers keep open, held to the
+    limits of a configuration that is no longer in force.
+    """
+
+    async def replies(self, requests, **changes):
+        """Return what follows after a change, one request after another."""
+        current = [LIMITS]
+        async with listening(limits=lambda: current[0]) as connect:
+            stream = await connect()
+            await stream.send(b'GET /first HTTP/1.1\r\nHost: a\r\n\r\n')
+            self.assertIn(b'/first', await stream.receive())
+            current[0] = dataclasses.replace(LIMITS, **changes)
+            await stream.send(requests)
+            with anyio.fail_after(60):
+                return await read_all(stream)
+
+    @virtual_time.run_in_virtual_time
+    async def test_smaller_body_limit_holds_for_the_next_request(self):
+        reply = await self.replies(
+            b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 60\r\n\r\n'
+            + b'x' * 60,
+            max_body_bytes=50,
+        )
+        self.assertIn(b' 413 ', reply)
+
+    @virtual_time.run_in_virtual_time
+    async def test_pipelined_request_is_kept_as_the_header_limit_changes(self):
+        current = [LIMITS]
+
+        async def change(request, out):
+            current[0] = dataclasses.replace(LIMITS, max_header_bytes=2_000)
+            await echo(request, out)
+
+        async with listening(change, limits=lambda: current[0]) as connect:
+            stream = await connect()
+            await stream.send(
+                b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\n'
+                b'GET /2 HTTP/1.1\r\nHost: a\r\n\r\n'
+            )
+            with anyio.fail_after(60):
+                replies = await read_all(stream)
+        self.assertIn(b'/1', replies)
+        self.assertIn(b'/2', replies)
+
+    @virtual_time.run_in_virtual_time
+    async def test_smaller_header_limit_holds_for_the_next_request(self):
+        reply = await self.replies(
+            b'GET /2 HTTP/1.1\r\nHost: a\r\nX-Long: ' + b'x' * 700,
+            max_header_bytes=500,
+        )
+        self.assertIn(b' 431 ', reply)
+
+    @virtual_time.run_in_virtual_time
+    async def test_shorter_idle_timeout_holds_after_the_next_request(self):
+        started_at = anyio.current_time()
+        await self.replies(
+            b'GET /2 HTTP/1.1\r\nHost: a\r\n\r\n', idle_timeout_s=1.0
+        )
+        self.assertLess(anyio.current_time() - started_at, 2.0)
