--- a/packages/gateway/tests/control/test_class_loads.py
+++ b/packages/gateway/tests/control/test_class_loads.py
@@ -5,7 +5,7 @@
 import cbor2
 from wagtailtide_gateway.control import class_loads
 from wagtailtide_gateway.control import fields
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_testing import virtual_time
 
 from tests import builders
@@ -13,7 +13,7 @@
 
 def make_loads(process_start_ms=1, others_load=100):
     residency = builders.make_residency(['m1'], process_start_ms)
-    state = servers.ServerState(
+    state = server_state.ServerState(
         builders.make_server(residency=residency), others_load=others_load
     )
     view = types.SimpleNamespace(states={'s1': state})
@@ -64,7 +64,7 @@
         loads, state = make_loads()
         loads.record_start(state, 2)
         loads.section().apply({'s1': [2, 9]}, anyio.current_time())
-        new_state = servers.ServerState(
+        new_state = server_state.ServerState(
             builders.make_server(residency=builders.make_residency(['m1'], 2))
         )
         loads._servers.states['s1'] = new_state
@@ -141,7 +141,7 @@
         # 124 instances, 56 servers with 24 requests of two less urgent
         # classes. Guards against a section that fills the leader's link.
         states = {
-            f'engine-{n}': servers.ServerState(
+            f'engine-{n}': server_state.ServerState(
                 builders.make_server(f'engine-{n}'), others_load=24
             )
             for n in range(56)
--- a/packages/gateway/tests/control/test_cluster_state.py
+++ b/packages/gateway/tests/control/test_cluster_state.py
@@ -5,7 +5,7 @@
 import anyio
 from wagtailtide_gateway.control import cluster_state
 from wagtailtide_gateway.control import messages
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_testing import virtual_time
 
 from tests import builders
@@ -112,7 +112,7 @@
         # Incident 009: two of three instances reach no server.
         cluster = make_cluster()
         cluster._servers.states = {
-            name: servers.ServerState(builders.make_server(name))
+            name: server_state.ServerState(builders.make_server(name))
             for name in ('s1', 's2')
         }
         for name in ('front-1', 'front-2'):
@@ -213,7 +213,7 @@
     async def test_server_that_told_one_instance_that_it_leaves_is_left(self):
         cluster = make_cluster()
         server = builders.make_server('s1')
-        state = servers.ServerState(server)
+        state = server_state.ServerState(server)
         cluster._servers.states['s1'] = state
         started_ms = server.residency.process_start_ms
         earlier = {'leaving': {'s1': started_ms - 1, 's9': 1}}
--- a/packages/gateway/tests/control/test_engine_memory.py
+++ b/packages/gateway/tests/control/test_engine_memory.py
@@ -6,7 +6,7 @@
 from wagtailtide_core.errors import kinds
 from wagtailtide_gateway.control import engine_memory
 from wagtailtide_gateway.control import memory_reports
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import engine_memory as decisions
 from wagtailtide_testing import virtual_time
 
@@ -17,7 +17,7 @@
 
 def make_memory(process_start_ms=1):
     residency = builders.make_residency(['m1'], process_start_ms)
-    state = servers.ServerState(builders.make_server(residency=residency))
+    state = server_state.ServerState(builders.make_server(residency=residency))
     view = types.SimpleNamespace(states={'s1': state})
     return engine_memory.EngineMemory(view), state
 
@@ -45,7 +45,7 @@
 def make_states(engines):
     residency = builders.make_residency(['m1'], 1)
     return [
-        servers.ServerState(
+        server_state.ServerState(
             builders.make_server(f's{index:02}', residency=residency)
         )
         for index in range(engines)
@@ -513,7 +513,7 @@
         memory, state = make_memory()
         memory.record_start(make_job(), state)
         new = builders.make_residency(['m1'], 2)
-        memory._servers.states['s1'] = servers.ServerState(
+        memory._servers.states['s1'] = server_state.ServerState(
             builders.make_server(residency=new)
         )
         self.assertEqual(memory.section().make_report()[0], {})
--- a/packages/gateway/tests/control/test_prober.py
+++ b/packages/gateway/tests/control/test_prober.py
@@ -6,7 +6,7 @@
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import prober
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import cold_servers
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.http import outgoing
@@ -47,7 +47,7 @@
         self.evacuations = evacuations.EvacuationView(5.0)
         self.evacuations.apply_list([], 1, 0.0)
         self.states = {
-            f's{port}': servers.ServerState(
+            f's{port}': server_state.ServerState(
                 builders.make_server(
                     f's{port}',
                     address=builders.backend.Address('127.0.0.1', port),
--- a/packages/gateway/tests/control/test_server_limits.py
+++ b/packages/gateway/tests/control/test_server_limits.py
@@ -3,7 +3,7 @@
 
 import anyio
 from wagtailtide_gateway.control import server_limits
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import server_limits as decisions
 from wagtailtide_testing import virtual_time
 
@@ -12,7 +12,7 @@
 
 def make_states(*server_ids):
     return {
-        id_: servers.ServerState(builders.make_server(id_))
+        id_: server_state.ServerState(builders.make_server(id_))
         for id_ in server_ids
     }
 
--- a/packages/gateway/tests/control/test_server_performance.py
+++ b/packages/gateway/tests/control/test_server_performance.py
@@ -5,7 +5,7 @@
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.control import sections
 from wagtailtide_gateway.control import server_performance
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_testing import virtual_time
 
@@ -16,7 +16,7 @@
 
 def make_performance(observed=None, count=3, batches=None):
     states = {
-        f's{i}': servers.ServerState(builders.make_server(f's{i}'))
+        f's{i}': server_state.ServerState(builders.make_server(f's{i}'))
         for i in range(count)
     }
     view = types.SimpleNamespace(states=states)
@@ -91,7 +91,7 @@
         view, leader = make_performance(observe())
         await exchange(leader, leader, 12)
         self.assertIn('s0', leader.make_update('x', anyio.current_time()))
-        view.states['s0'] = servers.ServerState(
+        view.states['s0'] = server_state.ServerState(
             builders.make_server(
                 's0', residency=builders.make_residency(process_start_ms=2)
             )
--- a/packages/gateway/tests/decisions/capacity_fleet.py
+++ b/packages/gateway/tests/decisions/capacity_fleet.py
@@ -10,7 +10,7 @@
 from wagtailtide_gateway.control import engine_memory
 from wagtailtide_gateway.control import peers
 from wagtailtide_gateway.control import server_performance
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import pace
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.serving import availability
@@ -173,7 +173,7 @@
     def __init__(self, fleet, number):
         self.fleet = fleet
         self.states = {
-            f's{i}': servers.ServerState(
+            f's{i}': server_state.ServerState(
                 builders.make_server(
                     f's{i}',
                     slots=fleet.slots,
--- a/packages/gateway/tests/decisions/cold_fleet.py
+++ b/packages/gateway/tests/decisions/cold_fleet.py
@@ -12,7 +12,7 @@
 import types
 
 from wagtailtide_gateway.control import server_limits as exchange
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import cold_servers
 from wagtailtide_gateway.decisions import server_limits
 
@@ -77,7 +77,9 @@
 def _make_state(server_id):
     cold = cold_servers.ColdStart(lambda: RULE)
     limit = server_limits.ServerLimit(cold)
-    return servers.ServerState(builders.make_server(server_id), limit=limit)
+    return server_state.ServerState(
+        builders.make_server(server_id), limit=limit
+    )
 
 
 class Replay:
--- a/packages/gateway/tests/decisions/memory_fleet.py
+++ b/packages/gateway/tests/decisions/memory_fleet.py
@@ -10,7 +10,7 @@
 import anyio
 from wagtailtide_gateway.control import engine_memory
 from wagtailtide_gateway.control import memory_reports
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import admission
 from wagtailtide_gateway.decisions import engine_memory as decisions
 from wagtailtide_gateway.decisions import pace
@@ -63,7 +63,7 @@
         self.name = f'front-{number:03}'
         residency = builders.make_residency(['m1'])
         self.states = [
-            servers.ServerState(
+            server_state.ServerState(
                 builders.make_server(
                     f's{engine:02}', slots=SLOTS, residency=residency
                 )
--- a/packages/gateway/tests/serving/scheduling_fleet.py
+++ b/packages/gateway/tests/serving/scheduling_fleet.py
@@ -14,7 +14,7 @@
 import anyio
 from wagtailtide_core.errors import kinds
 from wagtailtide_gateway import shared_state
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import engine_memory
 from wagtailtide_gateway.decisions import pace
 from wagtailtide_gateway.model import deployment
@@ -210,7 +210,7 @@
             divides_slots=schedules_shares,
         )
         for server_id in fleet.engines:
-            self.shared.servers.states[server_id] = servers.ServerState(
+            self.shared.servers.states[server_id] = server_state.ServerState(
                 builders.make_server(
                     server_id,
                     slots=fleet.slots,
--- a/packages/gateway/tests/serving/test_availability.py
+++ b/packages/gateway/tests/serving/test_availability.py
@@ -4,7 +4,7 @@
 import unittest
 
 from wagtailtide_gateway.control import peers
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.decisions import server_limits
 from wagtailtide_gateway.model import backend
@@ -47,7 +47,9 @@
     residency = dataclasses.replace(
         builders.make_residency(), models={'m1': model}
     )
-    state = servers.ServerState(builders.make_server(id_, residency=residency))
+    state = server_state.ServerState(
+        builders.make_server(id_, residency=residency)
+    )
     state.limit.update(server_limits.Statement(limit_per_s, 0.0))
     return state
 
--- a/packages/gateway/tests/serving/test_capacity_recorder.py
+++ b/packages/gateway/tests/serving/test_capacity_recorder.py
@@ -2,7 +2,7 @@
 import unittest
 
 import anyio
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.serving import capacity_recorder
 from wagtailtide_testing import virtual_time
 
@@ -21,7 +21,7 @@
 
 
 def make_state(own_load=6, **changes):
-    return servers.ServerState(
+    return server_state.ServerState(
         builders.make_server('s1', **changes), own_load=own_load
     )
 
--- a/packages/gateway/tests/serving/test_forwarding.py
+++ b/packages/gateway/tests/serving/test_forwarding.py
@@ -4,7 +4,7 @@
 import anyio
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import evacuations
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.serving import forward_messages
 from wagtailtide_gateway.serving import forwarding
@@ -23,7 +23,7 @@
     def __init__(self):
         self.reachability = reachability.Reachability()
         self.states = {
-            name: servers.ServerState(
+            name: server_state.ServerState(
                 builders.make_server(
                     name,
                     residency=builders.make_residency(
@@ -50,7 +50,7 @@
 
 def restart(view):
     server = builders.make_server('s1', residency=builders.make_residency())
-    view.states['s1'] = servers.ServerState(server)
+    view.states['s1'] = server_state.ServerState(server)
 
 
 def evacuate(view):
--- a/packages/gateway/tests/serving/test_recorded_choice.py
+++ b/packages/gateway/tests/serving/test_recorded_choice.py
@@ -8,7 +8,7 @@
 
 from wagtailtide_gateway.control import engine_memory
 from wagtailtide_gateway.control import peers
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.serving import availability
 from wagtailtide_testing import virtual_time
@@ -22,7 +22,7 @@
 def make_states(rng):
     residency = builders.make_residency(['m1', 'm2'])
     return [
-        servers.ServerState(
+        server_state.ServerState(
             builders.make_server(
                 f's{i}',
                 residency=residency,
--- a/packages/gateway/tests/serving/test_server_call.py
+++ b/packages/gateway/tests/serving/test_server_call.py
@@ -6,7 +6,7 @@
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.control import evacuations
 from wagtailtide_gateway.control import peers
-from wagtailtide_gateway.control import servers
+from wagtailtide_gateway.control import server_state
 from wagtailtide_gateway.decisions import reachability
 from wagtailtide_gateway.serving import attempt
 from wagtailtide_gateway.serving import forwarded_call
@@ -60,7 +60,7 @@
     def setUp(self):
         self.zones = evacuations.EvacuationView(5.0)
         self.zones.apply_list([], 1, 0.0)
-        self.state = servers.ServerState(
+        self.state = server_state.ServerState(
             builders.make_server(zone='z1'), evacuations=self.zones
         )
         self.pool = SlowPool()
