--- a/packages/gateway/tests/decisions/brittle_fleet.py
+++ b/packages/gateway/tests/decisions/brittle_fleet.py
@@ -34,7 +34,7 @@
 # A request that waits for longer is rejected.
 MAX_WAIT_S = 4.0
 
-# Within this time each instance hears that the servers are brittle.
+# Seconds within which every instance learns that the servers are brittle.
 LEARNED_WITHIN_S = 0.5
 
 
