--- a/packages/testing/tests/test_run_tests.py
+++ b/packages/testing/tests/test_run_tests.py
@@ -40,6 +40,19 @@
     return [pid for pid in pids if is_running(pid)]
 
 
+class SerialModulesTest(unittest.TestCase):
+    def test_modules_that_measure_run_apart_from_others(self):
+        tool = load_tool()
+        rows = {
+            'tests.serial.test_misbehaving_clients': True,
+            'tests.serial.test_misbehaving_clients.Some.test_one': True,
+            'tests.test_serving': False,
+        }
+        for name, expected in rows.items():
+            with self.subTest(name):
+                self.assertIs(tool.is_serial((PACKAGE, name)), expected)
+
+
 class TimeLimitTest(unittest.TestCase):
     """Guards against a test run that never ends."""
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,8 +1,10 @@
 """Run the nose2 test suites of all packages.
 
-Each test module runs in its own process, several of them in parallel. A
-module that exceeds the time limit is ended with all its processes, and counts
-as failed; the stacks of its threads and tasks are printed.
+Each test module runs in its own process, several of them in parallel. Those
+below tests/serial follow by themselves, one after another, because they
+measure what a process uses. A module that exceeds the time limit is ended with
+all its processes, and counts as failed; the stacks of its threads and tasks
+are printed.
 
 Failures of tests that are listed in KNOWN-RED.txt (lines that start with
 ``test:``) are printed, but do not fail the run. All other failures do.
@@ -183,6 +185,30 @@
     return [path for path in directories if (path / 'tests').is_dir()]
 
 
+def is_serial(item):
+    """Return whether a module must not run beside others.
+
+    Args:
+        item: Directory of the package, and dotted name of the module.
+    """
+    _, name = item
+    return name.startswith('tests.serial.')
+
+
+def run_all(selected, jobs):
+    """Yield the ModuleResults of modules, in their order.
+
+    Args:
+        selected: Pairs of package directory and dotted name.
+        jobs: Number of modules that run at the same time. Tests mostly wait
+            for the test clock, so several take little longer than one.
+    """
+    with futures.ThreadPoolExecutor(jobs) as pool:
+        results = pool.map(lambda item: run_module(*item), selected)
+        with end_all_on_error(pool):
+            yield from results
+
+
 def main():
     """Run the selected tests and return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -197,19 +223,17 @@
         if not args.package or package.name in args.package
         for name in args.names or test_modules(package)
     ]
+    parallel = [item for item in selected if not is_serial(item)]
+    serial = [item for item in selected if is_serial(item)]
     total, passed, failed = 0, 0, []
-    # Tests mostly wait for the test clock, so several modules in parallel take
-    # little longer than one.
-    with futures.ThreadPoolExecutor(args.jobs) as pool:
-        results = pool.map(lambda item: run_module(*item), selected)
-        with end_all_on_error(pool):
-            for result in results:
-                total += result.ran
-                passed += max(0, result.ran - len(result.failed))
-                failed += result.failed
-                print(f'== {result.title}: {result.ran} ran', flush=True)
-                if result.failed:
-                    print(result.output, end='', flush=True)
+    for results in run_all(parallel, args.jobs), run_all(serial, 1):
+        for result in results:
+            total += result.ran
+            passed += max(0, result.ran - len(result.failed))
+            failed += result.failed
+            print(f'== {result.title}: {result.ran} ran', flush=True)
+            if result.failed:
+                print(result.output, end='', flush=True)
     expected = [name for name in failed if name in known_failures]
     unexpected = [name for name in failed if name not in known_failures]
     for name in expected:
