incoming: Split listeners and responses into modules of their own

http/incoming.py held the listener, the reading of a connection and the writing of responses. Bounds on connections belong to each of the three, so they become http/listeners.py, http/incoming.py and http/responder.py, and their tests likewise. Only code moves.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -1,19 +1,13 @@
-"""HTTP/1.1 server: listeners, connections and responses."""
+"""Reads the requests of accepted connections."""
 
 import contextlib
 import dataclasses
-import enum
-import logging
 
 import anyio
-from anyio import lowlevel
 import h11
 
 from wagtailtide_gateway.http import body_memory
-from wagtailtide_gateway.http import sockets
-from wagtailtide_gateway.model import deployment
-
-LOG = logging.getLogger(__name__)
+from wagtailtide_gateway.http import responder
 
 # While a request is handled, no more is read from its caller once this many
 # bytes are buffered; a disconnect is then not noticed.
@@ -23,9 +17,6 @@
 # this rate. A caller could otherwise hold its memory with a byte a second.
 MIN_BODY_BYTES_PER_S = 10_000
 
-# Delay before connections are accepted again after an error.
-ACCEPT_RETRY_DELAY_S = 0.1
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IncomingRequest:
@@ -46,19 +37,6 @@
     received_at: float
 
 
-class ResponseState(enum.Enum):
-    """Progress of a response."""
-
-    UNSENT = 'unsent'
-    STARTED = 'started'
-    FINISHED = 'finished'
-    ABORTED = 'aborted'
-
-
-class CallerDisconnected(Exception):
-    """The caller closed its connection."""
-
-
 class BadRequest(Exception):
     """A request that is not valid HTTP or exceeds the limits.
 
@@ -71,96 +49,6 @@
         self.status = status
 
 
-class Responder:
-    """Writes the response to one request.
-
-    Attributes:
-        state: Progress of the response.
-        keep_alive: Whether the connection serves further requests.
-        disconnect_reason: How the caller's side of the connection ended, for
-            the log, or None.
-    """
-
-    def __init__(self, conn, stream, keep_alive):
-        self._h11 = conn
-        self._stream = stream
-        self._head = None
-        self.state = ResponseState.UNSENT
-        self.keep_alive = keep_alive
-        self.disconnect_reason = None
-
-    def start(self, status, headers):
-        """Set the head; it is sent with the first bytes of the body.
-
-        Until then another head may be set, or `respond` called.
-        """
-        self._head = status, headers
-
-    async def send(self, data):
-        """Send a part of the body; raises CallerDisconnected."""
-        if self._head is not None:
-            # If the request was cancelled, it can still get an error response.
-            await lowlevel.checkpoint_if_cancelled()
-        out = self._take_head() + self._h11.send(h11.Data(data=data))
-        await self._write(out)
-
-    async def flush(self):
-        """Send the head if it has not been sent yet."""
-        out = self._take_head()
-        if out:
-            await self._write(out)
-
-    async def finish(self):
-        """Complete the response."""
-        out = self._take_head() + self._h11.send(h11.EndOfMessage())
-        await self._write_end(out)
-
-    async def respond(self, status, headers, body):
-        """Send a complete response at once."""
-        length = (b'Content-Length', b'%d' % len(body))
-        self.start(status, [*headers, length])
-        out = self._take_head()
-        if body:
-            out += self._h11.send(h11.Data(data=body))
-        out += self._h11.send(h11.EndOfMessage())
-        await self._write_end(out)
-
-    def _take_head(self):
-        """Return the bytes of the head if it has not been sent yet."""
-        if self._head is None:
-            return b''
-        status, headers = self._head
-        self._head = None
-        headers = list(headers)
-        if not self.keep_alive:
-            headers.append((b'Connection', b'close'))
-        self.state = ResponseState.STARTED
-        return self._h11.send(
-            h11.Response(status_code=status, headers=headers)
-        )
-
-    def abort(self):
-        """Mark the response as incomplete, so that the connection closes."""
-        self.state = ResponseState.ABORTED
-
-    async def _write_end(self, out):
-        # A request that is cancelled now has its response; only writing it
-        # is left. A caller that does not read is disconnected by the kernel.
-        with anyio.CancelScope(shield=True):
-            await self._write(out)
-        self.state = ResponseState.FINISHED
-
-    async def _write(self, out):
-        try:
-            await self._stream.send(out)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
-            self.disconnect_reason = _describe_end(exc)
-            raise CallerDisconnected(
-                'the caller closed its connection before the response was '
-                'complete'
-            ) from exc
-
-
 class CallerConnection:
     """Reads the requests of one connection and passes them to a handler.
 
@@ -209,7 +97,7 @@
         try:
             while await self._serve_one():
                 self._h11.start_next_cycle()
-        except CallerDisconnected:
+        except responder.CallerDisconnected:
             pass  # There is nobody to respond to.
         except BadRequest as exc:
             await self._reject(exc)
@@ -232,21 +120,19 @@
     async def _respond(self, incoming):
         """Handle a request; return whether the connection goes on."""
         keep_alive = not self._stopping()
-        responder = Responder(self._h11, self._stream, keep_alive)
+        out = responder.Responder(self._h11, self._stream, keep_alive)
         async with anyio.create_task_group() as tg:
-            tg.start_soon(
-                self._watch_for_disconnect, responder, tg.cancel_scope
-            )
-            await self._handle(incoming, responder)
+            tg.start_soon(self._watch_for_disconnect, out, tg.cancel_scope)
+            await self._handle(incoming, out)
             tg.cancel_scope.cancel()
         return (
-            responder.state is ResponseState.FINISHED
+            out.state is responder.ResponseState.FINISHED
             and not self._caller_disconnected
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
         )
 
-    async def _watch_for_disconnect(self, responder, scope):
+    async def _watch_for_disconnect(self, out, scope):
         """Cancel the request when its caller disconnects."""
         while len(self._unparsed) < MAX_PIPELINED_BYTES:
             try:
@@ -257,7 +143,7 @@
                 anyio.ClosedResourceError,
             ) as exc:
                 self._caller_disconnected = True
-                responder.disconnect_reason = _describe_end(exc)
+                out.disconnect_reason = responder.describe_end(exc)
                 scope.cancel()
                 return
 
@@ -369,11 +255,11 @@
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = str(exc).encode()
-        responder = Responder(self._h11, self._stream, keep_alive=False)
+        out = responder.Responder(self._h11, self._stream, keep_alive=False)
         headers = [(b'Content-Type', b'text/plain; charset=utf-8')]
         # The connection is closed even if the response cannot be sent.
-        with contextlib.suppress(CallerDisconnected):
-            await responder.respond(exc.status, headers, body)
+        with contextlib.suppress(responder.CallerDisconnected):
+            await out.respond(exc.status, headers, body)
 
 
 def _stated_length(request):
@@ -382,106 +268,3 @@
         if name == b'content-length':
             return int(value)
     return 0
-
-
-def _describe_end(exc):
-    """Return how a connection ended, for the log.
-
-    Args:
-        exc: Error of the stream, raised from the error of the socket if that
-            is known.
-    """
-    if isinstance(exc, anyio.EndOfStream):
-        return 'closed by the caller'
-    if isinstance(exc, anyio.ClosedResourceError):
-        return 'closed by this instance'
-    return f'broken: {exc.__cause__!r}'
-
-
-def _default_limits():
-    return deployment.CallerLimits()
-
-
-class Listener:
-    """Accepts connections at one address.
-
-    Args:
-        address: The Address.
-        handle: Coroutine function from (IncomingRequest, Responder).
-        stopping: Function that returns whether the process is stopping.
-        limits: Function that returns the CallerLimits in force.
-        bodies: BodyMemory of the instance, None for one of its own.
-    """
-
-    def __init__(
-        self,
-        address,
-        handle,
-        stopping,
-        limits=_default_limits,
-        bodies=None,
-    ):
-        self._bodies = bodies or body_memory.BodyMemory()
-        self._address = address
-        self._handle = handle
-        self._stopping = stopping
-        self._open = set()
-        self._listener = None
-        self._limits = limits
-
-    async def listen(self):
-        """Bind the address; raises OSError."""
-        self._listener = await anyio.create_tcp_listener(
-            local_host=self._address.host,
-            local_port=self._address.port,
-            backlog=512,
-        )
-
-    async def serve(self):
-        """Serve connections until cancelled."""
-        async with self._listener, anyio.create_task_group() as tg:
-            while True:
-                try:
-                    await self._listener.serve(self._serve_connection, tg)
-                except* (OSError, anyio.BrokenResourceError) as exc:
-                    # For example, no file descriptor is left. The open
-                    # connections are served on.
-                    LOG.error(
-                        'cannot accept a connection',
-                        extra={'reason': repr(exc.exceptions)},
-                    )
-                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
-
-    async def _serve_connection(self, stream):
-        sockets.enable_keepalive(stream)
-        sockets.limit_buffers(stream)
-        conn = CallerConnection(
-            stream,
-            self._handle,
-            self._limits,
-            self._stopping,
-            self._bodies,
-        )
-        self._open.add(conn)
-        try:
-            await conn.serve()
-        except Exception:
-            # An error on one connection must not end the others.
-            LOG.exception('unexpected error on a connection')
-        finally:
-            self._open.discard(conn)
-
-    @property
-    def open_count(self):
-        """Number of open connections."""
-        return len(self._open)
-
-    @property
-    def busy_count(self):
-        """Number of connections with a request in progress."""
-        return sum(conn.busy for conn in self._open)
-
-    async def close_idle(self):
-        """Close connections that have no request in progress."""
-        for conn in tuple(self._open):
-            await conn.close_if_idle()
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/http/listeners.py
@@ -0,0 +1,104 @@
+"""Listens at one address and serves the connections."""
+
+import logging
+
+import anyio
+
+from wagtailtide_gateway.http import body_memory
+from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.http import sockets
+from wagtailtide_gateway.model import deployment
+
+LOG = logging.getLogger(__name__)
+
+# Delay before connections are accepted again after an error.
+ACCEPT_RETRY_DELAY_S = 0.1
+
+
+def _default_limits():
+    return deployment.CallerLimits()
+
+
+class Listener:
+    """Accepts connections at one address.
+
+    Args:
+        address: The Address.
+        handle: Coroutine function from (IncomingRequest, Responder).
+        stopping: Function that returns whether the process is stopping.
+        limits: Function that returns the CallerLimits in force.
+        bodies: BodyMemory of the instance, None for one of its own.
+    """
+
+    def __init__(
+        self,
+        address,
+        handle,
+        stopping,
+        limits=_default_limits,
+        bodies=None,
+    ):
+        self._bodies = bodies or body_memory.BodyMemory()
+        self._address = address
+        self._handle = handle
+        self._stopping = stopping
+        self._open = set()
+        self._listener = None
+        self._limits = limits
+
+    async def listen(self):
+        """Bind the address; raises OSError."""
+        self._listener = await anyio.create_tcp_listener(
+            local_host=self._address.host,
+            local_port=self._address.port,
+            backlog=512,
+        )
+
+    async def serve(self):
+        """Serve connections until cancelled."""
+        async with self._listener, anyio.create_task_group() as tg:
+            while True:
+                try:
+                    await self._listener.serve(self._serve_connection, tg)
+                except* (OSError, anyio.BrokenResourceError) as exc:
+                    # For example, no file descriptor is left. The open
+                    # connections are served on.
+                    LOG.error(
+                        'cannot accept a connection',
+                        extra={'reason': repr(exc.exceptions)},
+                    )
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+
+    async def _serve_connection(self, stream):
+        sockets.enable_keepalive(stream)
+        sockets.limit_buffers(stream)
+        conn = incoming.CallerConnection(
+            stream,
+            self._handle,
+            self._limits,
+            self._stopping,
+            self._bodies,
+        )
+        self._open.add(conn)
+        try:
+            await conn.serve()
+        except Exception:
+            # An error on one connection must not end the others.
+            LOG.exception('unexpected error on a connection')
+        finally:
+            self._open.discard(conn)
+
+    @property
+    def open_count(self):
+        """Number of open connections."""
+        return len(self._open)
+
+    @property
+    def busy_count(self):
+        """Number of connections with a request in progress."""
+        return sum(conn.busy for conn in self._open)
+
+    async def close_idle(self):
+        """Close connections that have no request in progress."""
+        for conn in tuple(self._open):
+            await conn.close_if_idle()
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/http/responder.py
@@ -0,0 +1,124 @@
+"""Writes the responses to callers' requests."""
+
+import enum
+
+import anyio
+from anyio import lowlevel
+import h11
+
+
+class ResponseState(enum.Enum):
+    """Progress of a response."""
+
+    UNSENT = 'unsent'
+    STARTED = 'started'
+    FINISHED = 'finished'
+    ABORTED = 'aborted'
+
+
+class CallerDisconnected(Exception):
+    """The caller closed its connection."""
+
+
+class Responder:
+    """Writes the response to one request.
+
+    Attributes:
+        state: Progress of the response.
+        keep_alive: Whether the connection serves further requests.
+        disconnect_reason: How the caller's side of the connection ended, for
+            the log, or None.
+    """
+
+    def __init__(self, conn, stream, keep_alive):
+        self._h11 = conn
+        self._stream = stream
+        self._head = None
+        self.state = ResponseState.UNSENT
+        self.keep_alive = keep_alive
+        self.disconnect_reason = None
+
+    def start(self, status, headers):
+        """Set the head; it is sent with the first bytes of the body.
+
+        Until then another head may be set, or `respond` called.
+        """
+        self._head = status, headers
+
+    async def send(self, data):
+        """Send a part of the body; raises CallerDisconnected."""
+        if self._head is not None:
+            # If the request was cancelled, it can still get an error response.
+            await lowlevel.checkpoint_if_cancelled()
+        out = self._take_head() + self._h11.send(h11.Data(data=data))
+        await self._write(out)
+
+    async def flush(self):
+        """Send the head if it has not been sent yet."""
+        out = self._take_head()
+        if out:
+            await self._write(out)
+
+    async def finish(self):
+        """Complete the response."""
+        out = self._take_head() + self._h11.send(h11.EndOfMessage())
+        await self._write_end(out)
+
+    async def respond(self, status, headers, body):
+        """Send a complete response at once."""
+        length = (b'Content-Length', b'%d' % len(body))
+        self.start(status, [*headers, length])
+        out = self._take_head()
+        if body:
+            out += self._h11.send(h11.Data(data=body))
+        out += self._h11.send(h11.EndOfMessage())
+        await self._write_end(out)
+
+    def _take_head(self):
+        """Return the bytes of the head if it has not been sent yet."""
+        if self._head is None:
+            return b''
+        status, headers = self._head
+        self._head = None
+        headers = list(headers)
+        if not self.keep_alive:
+            headers.append((b'Connection', b'close'))
+        self.state = ResponseState.STARTED
+        return self._h11.send(
+            h11.Response(status_code=status, headers=headers)
+        )
+
+    def abort(self):
+        """Mark the response as incomplete, so that the connection closes."""
+        self.state = ResponseState.ABORTED
+
+    async def _write_end(self, out):
+        # A request that is cancelled now has its response; only writing it
+        # is left. A caller that does not read is disconnected by the kernel.
+        with anyio.CancelScope(shield=True):
+            await self._write(out)
+        self.state = ResponseState.FINISHED
+
+    async def _write(self, out):
+        try:
+            await self._stream.send(out)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+            self.disconnect_reason = describe_end(exc)
+            raise CallerDisconnected(
+                'the caller closed its connection before the response was '
+                'complete'
+            ) from exc
+
+
+def describe_end(exc):
+    """Return how a connection ended, for the log.
+
+    Args:
+        exc: Error of the stream, raised from the error of the socket if that
+            is known.
+    """
+    if isinstance(exc, anyio.EndOfStream):
+        return 'closed by the caller'
+    if isinstance(exc, anyio.ClosedResourceError):
+        return 'closed by this instance'
+    return f'broken: {exc.__cause__!r}'
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -28,8 +28,9 @@
 from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.decisions import trust
 from wagtailtide_gateway.http import body_memory
-from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.http import listeners
 from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.http import responder
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import availability
 from wagtailtide_gateway.serving import capacity_recorder
@@ -216,7 +217,7 @@
             recorder,
         )
         self._bodies = body_memory.BodyMemory()
-        self._callers = incoming.Listener(
+        self._callers = listeners.Listener(
             cfg.callers,
             self.gateway.handle,
             lambda: self.gateway.is_stopping,
@@ -292,7 +293,7 @@
         return current.limits if current else deployment.CallerLimits()
 
     def _listener(self, address, handle):
-        return incoming.Listener(
+        return listeners.Listener(
             address, handle, lambda: self.gateway.is_stopping
         )
 
@@ -315,13 +316,13 @@
         Raises:
             OSError: An address cannot be bound.
         """
-        listeners = (
+        all_listeners = (
             self._callers,
             self._readiness,
             self._peers,
             self._admin,
         )
-        for listener in listeners:
+        for listener in all_listeners:
             await listener.listen()
         LOG.info(
             'started',
@@ -333,7 +334,7 @@
             },
         )
         async with anyio.create_task_group() as tg:
-            for listener in listeners:
+            for listener in all_listeners:
                 tg.start_soon(listener.serve)
             for task in (
                 self._sync.run,
@@ -431,7 +432,7 @@
 async def _respond(out, status, body):
     try:
         await out.respond(status, [], body)
-    except incoming.CallerDisconnected as exc:
+    except responder.CallerDisconnected as exc:
         LOG.debug('client disconnected', extra={'reason': str(exc)})
 
 
--- a/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/forwarding.py
@@ -8,8 +8,8 @@
 
 from wagtailtide_gateway.control import fields
 from wagtailtide_gateway.http import headers as http_headers
-from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.http import responder
 from wagtailtide_gateway.serving import attempt as attempts
 from wagtailtide_gateway.serving import forward_messages
 from wagtailtide_gateway.serving import server_call
@@ -98,7 +98,7 @@
         except fields.BadMessage as exc:
             LOG.warning('forwarding refused', extra={'reason': str(exc)})
             await out.respond(400, [], str(exc).encode())
-        except incoming.CallerDisconnected:
+        except responder.CallerDisconnected:
             pass  # The other instance does not need the response any more.
         finally:
             self.open_count -= 1
@@ -241,7 +241,7 @@
         Raises:
             _NotForwarded: The response has not begun.
         """
-        if out.state is not incoming.ResponseState.UNSENT:
+        if out.state is not responder.ResponseState.UNSENT:
             # It sees that the response is incomplete.
             out.abort()
         elif broken.progress is fate.Progress.CONNECTING:
--- a/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/gateway.py
@@ -10,7 +10,7 @@
 from wagtailtide_gateway import ports
 from wagtailtide_gateway.decisions import graceful_stop
 from wagtailtide_gateway.decisions import retries
-from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.http import responder
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import access
 from wagtailtide_gateway.serving import attempt as attempts
@@ -150,7 +150,7 @@
             error = _error_after_run(job, exc)
             outcome, reason = error.kind.value, error.message
             await self._refuse(error, out)
-        except incoming.CallerDisconnected:
+        except responder.CallerDisconnected:
             pass  # The caller disconnected; logged with the outcome gone.
         except Exception:
             # A bug must not end the other connections.
@@ -229,13 +229,13 @@
 
     async def _refuse(self, exc, out):
         self._metrics.count_refusal(exc.kind)
-        if out.state is not incoming.ResponseState.UNSENT:
+        if out.state is not responder.ResponseState.UNSENT:
             # Close the connection, so that the caller sees that the response
             # is incomplete.
             out.abort()
             return
         # The outcome is logged even if the caller has disconnected.
-        with contextlib.suppress(incoming.CallerDisconnected):
+        with contextlib.suppress(responder.CallerDisconnected):
             await out.respond(*self._caller_port.encode_error(exc))
 
     async def _serve(self, job, out):
@@ -565,7 +565,7 @@
         }
         if req is not None:
             fields['request'] = req.attempt_id
-        if out.state is incoming.ResponseState.ABORTED:
+        if out.state is responder.ResponseState.ABORTED:
             # The caller only sees that its connection was closed.
             fields['reason'] = reason
         elif outcome == 'gone':
--- a/packages/gateway/src/wagtailtide_gateway/serving/relay.py
+++ b/packages/gateway/src/wagtailtide_gateway/serving/relay.py
@@ -5,8 +5,8 @@
 import anyio
 from wagtailtide_core.retries import fate
 
-from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.http import responder
 from wagtailtide_gateway.serving import attempt as attempts
 from wagtailtide_gateway.serving import events
 from wagtailtide_gateway.serving import job as jobs
@@ -50,7 +50,7 @@
     @property
     def started(self):
         """Whether a part of the response was sent to the caller."""
-        return self._out.state is not incoming.ResponseState.UNSENT
+        return self._out.state is not responder.ResponseState.UNSENT
 
     @property
     def weights_version(self):
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -1,46 +1,12 @@
 import contextlib
 import dataclasses
-import errno
 import unittest
-from unittest import mock
 
 import anyio
 from wagtailtide_gateway.http import incoming
-from wagtailtide_gateway.model import backend
-from wagtailtide_gateway.model import deployment
 from wagtailtide_testing import virtual_time
 
-LIMITS = deployment.CallerLimits(
-    max_header_bytes=1_000,
-    max_body_bytes=100,
-    header_timeout_s=3.0,
-    idle_timeout_s=5.0,
-)
-
-# Outgoing loopback connections use 127.0.0.1, so they cannot occupy a port of
-# this address.
-LISTEN_IP = '127.0.0.2'
-
-
-async def echo(request, out):
-    await out.respond(200, [], request.target + b' ' + request.body)
-
-
-@contextlib.asynccontextmanager
-async def listening(
-    handle=echo, stopping=lambda: False, limits=lambda: LIMITS
-):
-    """Yield a function that opens a connection to a listener."""
-    listener = await anyio.create_tcp_listener(local_host=LISTEN_IP)
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    await listener.aclose()
-    address = backend.Address(LISTEN_IP, port)
-    served = incoming.Listener(address, handle, stopping, limits)
-    await served.listen()
-    async with anyio.create_task_group() as tg:
-        tg.start_soon(served.serve)
-        yield lambda: anyio.connect_tcp(LISTEN_IP, port)
-        tg.cancel_scope.cancel()
+from tests.http import harness
 
 
 class StreamClosedAsInputArrives:
@@ -68,75 +34,12 @@
         self._is_closed = True
 
 
-async def read_all(stream):
-    parts = []
-    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
-        while True:
-            parts.append(await stream.receive())
-    return b''.join(parts)
-
-
-class AcceptTest(unittest.TestCase):
-    @virtual_time.run_in_virtual_time
-    async def test_failed_accept_does_not_end_the_other_connections(self):
-        # Guards against an instance that ends, with all its requests, when it
-        # runs out of file descriptors.
-        async with listening() as connect:
-            first = await connect()
-            error = OSError(errno.EMFILE, 'too many open files')
-            with mock.patch('socket.socket._accept', side_effect=error):
-                second = await connect()
-                await anyio.sleep(0.2)
-            for stream in (first, second):
-                await stream.send(
-                    b'GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
-                )
-                self.assertIn(b' 200 ', await read_all(stream))
-
-
-class SlowReaderTest(unittest.TestCase):
-    def test_client_that_reads_nothing_holds_little_and_is_ended(self):
-        # Guards against clients that fill the memory of an instance: the
-        # kernel would keep 4 MB for each. Its timers need the real time.
-        sent, ended = [], []
-
-        async def write_on(request, out):
-            if request.target == b'/echo':
-                await echo(request, out)
-                return
-            out.start(200, [])
-            try:
-                while True:
-                    await out.send(bytes(16_384))
-                    sent.append(16_384)
-            finally:
-                ended.append(anyio.current_time())
-
-        async def run():
-            async with listening(write_on) as connect:
-                started_at = anyio.current_time()
-                slow = await connect()
-                await slow.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
-                await anyio.sleep(0.5)
-                with anyio.fail_after(1.0):
-                    other = await connect()
-                    await other.send(b'GET /echo HTTP/1.1\r\nHost: a\r\n\r\n')
-                    self.assertIn(b'/echo', await other.receive())
-                await anyio.sleep(4.0)
-                await slow.aclose()
-            self.assertLess(ended[0] - started_at, 4.0)
-
-        anyio.run(run, backend='trio')
-        # Its own buffer, which the kernel grows, counts as well.
-        self.assertLess(sum(sent), 1_500_000)
-
-
 class SlowBodyTest(unittest.TestCase):
     HEAD = b'POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 60\r\n\r\n'
 
     async def reply_to(self, pause_s):
         """Return the response to a body of a byte at a time, and seconds."""
-        async with listening() as connect:
+        async with harness.listening() as connect:
             stream = await connect()
             started_at = anyio.current_time()
             with contextlib.suppress(
@@ -162,7 +65,9 @@
         # Guards against uploads that hold memory for as long as they like.
         data, seconds = await self.reply_to(0.4)
         self.assertIn(b' 408 ', data)
-        self.assertAlmostEqual(seconds, LIMITS.idle_timeout_s, delta=0.5)
+        self.assertAlmostEqual(
+            seconds, harness.LIMITS.idle_timeout_s, delta=0.5
+        )
 
     @virtual_time.run_in_virtual_time
     async def test_body_within_the_idle_timeout_is_taken(self):
@@ -206,12 +111,12 @@
             ),
             'head too slow': (b'GET / HTTP/1.1\r\nHo', b'408'),
         }
-        async with listening() as connect:
+        async with harness.listening() as connect:
             for name, (data, status) in rows.items():
                 with self.subTest(name):
                     stream = await connect()
                     await stream.send(data)
-                    response = await read_all(stream)
+                    response = await harness.read_all(stream)
                     self.assertEqual(response.split(b' ')[1], status)
 
     @virtual_time.run_in_virtual_time
@@ -224,7 +129,7 @@
             served.append(request.target)
             await out.respond(200, [], b'')
 
-        async with listening(record) as connect:
+        async with harness.listening(record) as connect:
             stream = await connect()
             await stream.send(
                 b'POST /outer HTTP/1.1\r\nHost: a\r\nContent-Length: 44\r\n'
@@ -233,14 +138,14 @@
                 b'\r\n0\r\n\r\n'
             )
             with anyio.move_on_after(1):
-                await read_all(stream)
+                await harness.read_all(stream)
         self.assertNotIn(b'/inner', served)
 
 
 class ConnectionTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_pipelined_requests_are_answered_in_order(self):
-        async with listening() as connect:
+        async with harness.listening() as connect:
             stream = await connect()
             await stream.send(
                 b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -248,7 +153,7 @@
                 b'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n'
                 b'GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
             )
-            response = await read_all(stream)
+            response = await harness.read_all(stream)
         bodies = [
             part.split(b'\r\n')[0] for part in response.split(b'\r\n\r\n')
         ]
@@ -261,11 +166,11 @@
         async def fail(request, out):
             raise RuntimeError('broken')
 
-        async with listening(fail) as connect:
+        async with harness.listening(fail) as connect:
             for _ in range(2):
                 stream = await connect()
                 await stream.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
-                self.assertEqual(await read_all(stream), b'')
+                self.assertEqual(await harness.read_all(stream), b'')
 
     @virtual_time.run_in_virtual_time
     async def test_response_at_the_moment_of_the_deadline_is_written(self):
@@ -276,12 +181,12 @@
                 scope.cancel()
                 await out.respond(200, [], b'x')
 
-        async with listening(respond_when_cancelled) as connect:
+        async with harness.listening(respond_when_cancelled) as connect:
             stream = await connect()
             await stream.send(
                 b'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
             )
-            self.assertIn(b' 200 ', await read_all(stream))
+            self.assertIn(b' 200 ', await harness.read_all(stream))
 
     @virtual_time.run_in_virtual_time
     async def test_deadline_before_the_first_event_leaves_the_response_unsent(
@@ -296,12 +201,12 @@
                 await out.send(b'x')
             await out.respond(504, [], b'')
 
-        async with listening(stream_when_cancelled) as connect:
+        async with harness.listening(stream_when_cancelled) as connect:
             stream = await connect()
             await stream.send(
                 b'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
             )
-            self.assertIn(b' 504 ', await read_all(stream))
+            self.assertIn(b' 504 ', await harness.read_all(stream))
 
     @virtual_time.run_in_virtual_time
     async def test_handler_is_cancelled_when_its_caller_disconnects(self):
@@ -313,7 +218,7 @@
             finally:
                 ended.set()
 
-        async with listening(wait) as connect:
+        async with harness.listening(wait) as connect:
             stream = await connect()
             await stream.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
             await anyio.sleep(0.1)
@@ -336,17 +241,17 @@
             b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
         )
         stream.conn = incoming.CallerConnection(
-            stream, record, lambda: LIMITS, lambda: True
+            stream, record, lambda: harness.LIMITS, lambda: True
         )
         await stream.conn.serve()
         self.assertEqual(handled, [])
 
     @virtual_time.run_in_virtual_time
     async def test_idle_connection_is_closed_after_the_idle_timeout(self):
-        async with listening() as connect:
+        async with harness.listening() as connect:
             stream = await connect()
-            with anyio.fail_after(LIMITS.idle_timeout_s + 0.5):
-                self.assertEqual(await read_all(stream), b'')
+            with anyio.fail_after(harness.LIMITS.idle_timeout_s + 0.5):
+                self.assertEqual(await harness.read_all(stream), b'')
 
 
 class ChangedLimitsTest(unittest.TestCase):
@@ -358,15 +263,15 @@
 
     async def replies(self, requests, **changes):
         """Return what follows after a change, one request after another."""
-        current = [LIMITS]
-        async with listening(limits=lambda: current[0]) as connect:
+        current = [harness.LIMITS]
+        async with harness.listening(limits=lambda: current[0]) as connect:
             stream = await connect()
             await stream.send(b'GET /first HTTP/1.1\r\nHost: a\r\n\r\n')
             self.assertIn(b'/first', await stream.receive())
-            current[0] = dataclasses.replace(LIMITS, **changes)
+            current[0] = dataclasses.replace(harness.LIMITS, **changes)
             await stream.send(requests)
             with anyio.fail_after(60):
-                return await read_all(stream)
+                return await harness.read_all(stream)
 
     @virtual_time.run_in_virtual_time
     async def test_smaller_body_limit_holds_for_the_next_request(self):
@@ -379,20 +284,24 @@
 
     @virtual_time.run_in_virtual_time
     async def test_pipelined_request_is_kept_as_the_header_limit_changes(self):
-        current = [LIMITS]
+        current = [harness.LIMITS]
 
         async def change(request, out):
-            current[0] = dataclasses.replace(LIMITS, max_header_bytes=2_000)
-            await echo(request, out)
+            current[0] = dataclasses.replace(
+                harness.LIMITS, max_header_bytes=2_000
+            )
+            await harness.echo(request, out)
 
-        async with listening(change, limits=lambda: current[0]) as connect:
+        async with harness.listening(
+            change, limits=lambda: current[0]
+        ) as connect:
             stream = await connect()
             await stream.send(
                 b'GET /1 HTTP/1.1\r\nHost: a\r\n\r\n'
                 b'GET /2 HTTP/1.1\r\nHost: a\r\n\r\n'
             )
             with anyio.fail_after(60):
-                replies = await read_all(stream)
+                replies = await harness.read_all(stream)
         self.assertIn(b'/1', replies)
         self.assertIn(b'/2', replies)
 
