listeners: Read accepted connections only on demand

Callers that sent many requests ahead and read no answer ended a process: it ran out of memory. On asyncio a stream of anyio reads from the moment it is accepted, and pauses only at the end of a call of receive that had to wait. A caller that is ahead from its first bytes is never paused, so that the queue of its stream has no bound, whatever MAX_PIPELINED_BYTES says.

Accepted connections are sockets now that are read when their reader asks, on asyncio as on trio, at all four listeners. Connections to servers, to the store and to other instances are opened paused and are left as they are. What the kernel keeps for an accepted connection is limited from its first byte, by the socket that listens. As input now stays in the kernel, a connection that ends with a rejection reads on for a second at most, so that the reset for unread input does not destroy the rejection.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -11,12 +11,24 @@
 
 # While a request is handled, no more is read from its caller once this many
 # bytes are buffered; a disconnect is then not noticed.
-MAX_PIPELINED_BYTES = 65_536
+MAX_PIPELINED_BYTES = 16_384
 
 # A body has to arrive within the idle timeout and the time that it takes at
 # this rate. A caller could otherwise hold its memory with a byte a second.
 MIN_BODY_BYTES_PER_S = 10_000
 
+# After a response that ends a connection, input is discarded until the caller
+# closes it, for this long and up to this size. The kernel would otherwise
+# reset the connection, and the caller may lose the response.
+LINGER_S = 1.0
+LINGER_BYTES = 1_048_576
+
+_STREAM_ENDS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IncomingRequest:
@@ -53,7 +65,7 @@
     """Reads the requests of one connection and passes them to a handler.
 
     Args:
-        stream: The TCP stream.
+        stream: The AcceptedStream.
         handle: Coroutine function from (IncomingRequest, Responder).
         limits: Function that returns the CallerLimits in force. A request is
             held to those that are in force when its first bytes arrive.
@@ -74,7 +86,6 @@
         self._h11 = self._new_parser()
         self._unparsed = bytearray()
         self._caller_disconnected = False
-        self._closed = False
         self.busy = False
 
     def _new_parser(self):
@@ -82,12 +93,15 @@
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
 
-    def _update_limits(self):
-        """Take over the limits in force, between two requests."""
+    def _update_limits(self, unparsed):
+        """Take over the limits in force, between two requests.
+
+        Args:
+            unparsed: What the parser holds of the next request.
+        """
         previous, self._limits = self._limits, self._limits_in_force()
         if self._limits.max_header_bytes == previous.max_header_bytes:
             return
-        unparsed, _ = self._h11.trailing_data
         self._h11 = self._new_parser()
         if unparsed:
             self._h11.receive_data(unparsed)
@@ -97,19 +111,20 @@
         try:
             while await self._serve_one():
                 self._h11.start_next_cycle()
+            if self._unparsed or self._stream.has_pending_input:
+                await self._linger()
         except responder.CallerDisconnected:
             pass  # There is nobody to respond to.
         except BadRequest as exc:
             await self._reject(exc)
+            await self._linger()
         finally:
-            with anyio.CancelScope(shield=True):
-                await self._stream.aclose()
+            self._stream.close()
 
-    async def close_if_idle(self):
+    def close_if_idle(self):
         """Close the connection unless it has a request in progress."""
         if not self.busy:
-            self._closed = True
-            await self._stream.aclose()
+            self._stream.close()
 
     async def _serve_one(self):
         self.busy = False
@@ -119,8 +134,7 @@
 
     async def _respond(self, incoming):
         """Handle a request; return whether the connection goes on."""
-        keep_alive = not self._stopping()
-        out = responder.Responder(self._h11, self._stream, keep_alive)
+        out = self._make_responder(keep_alive=not self._stopping())
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._watch_for_disconnect, out, tg.cancel_scope)
             await self._handle(incoming, out)
@@ -132,31 +146,32 @@
             and self._h11.their_state is h11.DONE
         )
 
+    def _make_responder(self, keep_alive):
+        return responder.Responder(self._h11, self._stream, keep_alive)
+
     async def _watch_for_disconnect(self, out, scope):
         """Cancel the request when its caller disconnects."""
         while len(self._unparsed) < MAX_PIPELINED_BYTES:
             try:
                 self._unparsed += await self._stream.receive()
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-            ) as exc:
+            except _STREAM_ENDS as exc:
                 self._caller_disconnected = True
                 out.disconnect_reason = responder.describe_end(exc)
                 scope.cancel()
                 return
 
     async def _read_request(self, claim):
-        if not self._h11.trailing_data[0]:
+        unparsed, _ = self._h11.trailing_data
+        if not unparsed and not self._unparsed:
             with anyio.move_on_after(self._limits.idle_timeout_s):
                 await self._receive_input()
-            # A stream may return input that it received before it was closed.
-            # The caller can get no response to that request any more.
-            if self._closed or not self._unparsed:
+            if not self._unparsed:
                 return None
+        # The caller of a closed connection can get no response any more.
+        if self._stream.is_closed:
+            return None
         self.busy = True
-        self._update_limits()
+        self._update_limits(unparsed)
         with anyio.move_on_after(self._limits.header_timeout_s) as scope:
             request = await self._next_event()
         if scope.cancelled_caught:
@@ -168,7 +183,7 @@
         if not isinstance(request, h11.Request):
             return None
         received_at = anyio.current_time()
-        body = await self._read_body(claim, _stated_length(request))
+        body = await self._read_body(claim, request)
         if body is None:
             return None
         return IncomingRequest(
@@ -179,16 +194,16 @@
             received_at,
         )
 
-    async def _read_body(self, claim, expected):
+    async def _read_body(self, claim, request):
+        """Return the body, None if the connection ended before."""
         if self._h11.they_are_waiting_for_100_continue:
-            out = self._h11.send(
-                h11.InformationalResponse(status_code=100, headers=())
-            )
-            await self._stream.send(out)
+            await self._make_responder(keep_alive=True).send_continue()
         parts = []
         try:
             with self._bodies.arriving(claim):
-                return await self._read_parts(claim, parts, expected)
+                return await self._read_parts(
+                    claim, parts, _stated_length(request)
+                )
         except body_memory.OutOfMemory as exc:
             status = 408 if exc.is_slow else 503
             raise BadRequest(f'{exc}; retry the request', status) from exc
@@ -232,11 +247,7 @@
             return
         try:
             self._unparsed += await self._stream.receive()
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
+        except _STREAM_ENDS:
             self._caller_disconnected = True
 
     async def _next_event(self):
@@ -255,11 +266,27 @@
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = str(exc).encode()
-        out = responder.Responder(self._h11, self._stream, keep_alive=False)
         headers = [(b'Content-Type', b'text/plain; charset=utf-8')]
         # The connection is closed even if the response cannot be sent.
         with contextlib.suppress(responder.CallerDisconnected):
-            await out.respond(exc.status, headers, body)
+            await self._make_responder(keep_alive=False).respond(
+                exc.status, headers, body
+            )
+
+    async def _linger(self):
+        """Discard what is left of the input, so that the caller can read."""
+        if self._caller_disconnected or self._stream.is_closed:
+            return
+        self.busy = False
+        self._unparsed.clear()
+        discarded = 0
+        with (
+            anyio.move_on_after(LINGER_S),
+            contextlib.suppress(*_STREAM_ENDS),
+        ):
+            self._stream.end_sending()
+            while discarded < LINGER_BYTES:
+                discarded += len(await self._stream.receive())
 
 
 def _stated_length(request):
--- a/packages/gateway/src/wagtailtide_gateway/http/listeners.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/listeners.py
@@ -14,6 +14,9 @@
 # Delay before connections are accepted again after an error.
 ACCEPT_RETRY_DELAY_S = 0.1
 
+# Connections that the kernel accepts before this process does.
+BACKLOG = 512
+
 
 def _default_limits():
     return deployment.CallerLimits()
@@ -51,27 +54,31 @@
         self._listener = await anyio.create_tcp_listener(
             local_host=self._address.host,
             local_port=self._address.port,
-            backlog=512,
+            backlog=BACKLOG,
+        )
+        sockets.limit_buffers(
+            sockets.raw_socket(self._listener), sockets.ACCEPTED_BUFFER_BYTES
         )
 
     async def serve(self):
         """Serve connections until cancelled."""
+        sock = sockets.raw_socket(self._listener)
         async with self._listener, anyio.create_task_group() as tg:
             while True:
                 try:
-                    await self._listener.serve(self._serve_connection, tg)
-                except* (OSError, anyio.BrokenResourceError) as exc:
+                    stream = await sockets.accept(sock)
+                except OSError as exc:
                     # For example, no file descriptor is left. The open
                     # connections are served on.
                     LOG.error(
                         'cannot accept a connection',
-                        extra={'reason': repr(exc.exceptions)},
+                        extra={'reason': repr(exc)},
                     )
-                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+                    await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+                else:
+                    tg.start_soon(self._serve_connection, stream)
 
     async def _serve_connection(self, stream):
-        sockets.enable_keepalive(stream)
-        sockets.limit_buffers(stream)
         conn = incoming.CallerConnection(
             stream,
             self._handle,
@@ -98,7 +105,7 @@
         """Number of connections with a request in progress."""
         return sum(conn.busy for conn in self._open)
 
-    async def close_idle(self):
+    def close_idle(self):
         """Close connections that have no request in progress."""
         for conn in tuple(self._open):
-            await conn.close_if_idle()
+            conn.close_if_idle()
--- a/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/outgoing.py
@@ -289,7 +289,7 @@
         idle_s = now - self.idle_since
         if idle_s > min(max_idle_s, self._idle_limit_s):
             return False
-        return not sockets.has_pending_input(self._stream)
+        return not sockets.has_pending_input(sockets.raw_socket(self._stream))
 
     async def close(self):
         """Close immediately, even if a request is in progress."""
@@ -334,8 +334,9 @@
                 f'cannot connect to {address}: {exc!r}',
                 fate.Progress.CONNECTING,
             ) from exc
-        sockets.enable_keepalive(stream)
-        sockets.limit_buffers(stream)
+        sock = sockets.raw_socket(stream)
+        sockets.enable_keepalive(sock)
+        sockets.limit_buffers(sock)
         self.opened_count += 1
         return Connection(stream, address, anyio.current_time())
 
--- a/packages/gateway/src/wagtailtide_gateway/http/responder.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/responder.py
@@ -23,6 +23,11 @@
 class Responder:
     """Writes the response to one request.
 
+    Args:
+        conn: The h11.Connection.
+        stream: The AcceptedStream.
+        keep_alive: Whether the connection serves further requests.
+
     Attributes:
         state: Progress of the response.
         keep_alive: Whether the connection serves further requests.
@@ -74,6 +79,11 @@
         out += self._h11.send(h11.EndOfMessage())
         await self._write_end(out)
 
+    async def send_continue(self):
+        """Tell a caller that waits for it to send its body."""
+        event = h11.InformationalResponse(status_code=100, headers=())
+        await self._write(self._h11.send(event))
+
     def _take_head(self):
         """Return the bytes of the head if it has not been sent yet."""
         if self._head is None:
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -375,7 +375,7 @@
         await anyio.sleep(CLOSE_IDLE_AFTER_S)
         deadline_at = started_at + self._cfg.stop_s - graceful_stop.MARGIN_S
         while anyio.current_time() < deadline_at:
-            await self._callers.close_idle()
+            self._callers.close_idle()
             if not self._callers.open_count + self._forwarding.open_count:
                 return
             await anyio.sleep(CLOSE_IDLE_INTERVAL_S)
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -10,28 +10,30 @@
 
 
 class StreamClosedAsInputArrives:
-    """A stream that returns input although it was closed, as asyncio's do.
+    """A stream that is closed when its first input has arrived.
 
     Attributes:
-        conn: The CallerConnection, which is closed when input has arrived.
+        conn: The CallerConnection, which closes it.
     """
 
+    has_pending_input = False
+
     def __init__(self, data):
         self._data = data
-        self._is_closed = False
+        self.is_closed = False
         self.conn = None
 
     async def receive(self):
-        if self._is_closed:
+        if self.is_closed:
             raise anyio.ClosedResourceError
-        await self.conn.close_if_idle()
+        self.conn.close_if_idle()
         return self._data
 
     async def send(self, data):
         raise anyio.ClosedResourceError
 
-    async def aclose(self):
-        self._is_closed = True
+    def close(self):
+        self.is_closed = True
 
 
 class SlowBodyTest(unittest.TestCase):
@@ -320,3 +322,62 @@
             b'GET /2 HTTP/1.1\r\nHost: a\r\n\r\n', idle_timeout_s=1.0
         )
         self.assertLess(anyio.current_time() - started_at, 2.0)
+
+
+class ReadAheadTest(unittest.TestCase):
+    """A caller that sends requests ahead and reads no response.
+
+    Guards against input that fills the memory, because the event loop reads
+    on by itself when there is more before the reader asks.
+    """
+
+    async def taken(self):
+        """Return the bytes that an instance takes from such a caller."""
+        served = await harness.make_listener()
+        async with await anyio.connect_tcp(
+            harness.LISTEN_IP, served.port
+        ) as stream:
+            # It is ahead when its connection is accepted.
+            await stream.send(harness.REQUEST * 100)
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(served.serve)
+                taken = await harness.send_until_blocked(
+                    stream, harness.REQUEST * 100, 64_000_000, 0.5
+                )
+                tg.cancel_scope.cancel()
+        return taken
+
+    def test_no_more_is_taken_than_is_handled(self):
+        # The buffers of the kernel on both sides count as well.
+        for backend in ('asyncio', 'trio'):
+            with self.subTest(backend):
+                taken = anyio.run(self.taken, backend=backend)
+                self.assertLess(taken, 8_000_000)
+
+
+class LingeringTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_caller_that_still_sends_reads_its_rejection(self):
+        # Guards against rejections that are lost because the kernel resets a
+        # connection that is closed with unread input.
+        async with harness.listening() as connect:
+            stream = await connect()
+            head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+            await stream.send(head % 200_000 + bytes(100_000))
+            await anyio.sleep(0.2)
+            await stream.send(bytes(100_000))
+            response = await harness.read_all(stream)
+        self.assertIn(b' 413 ', response)
+
+    @virtual_time.run_in_virtual_time
+    async def test_caller_that_never_stops_is_disconnected(self):
+        async with harness.listening() as connect:
+            stream = await connect()
+            await stream.send(b'no HTTP\r\n\r\n')
+            with (
+                anyio.fail_after(incoming.LINGER_S + 1.0),
+                self.assertRaises(anyio.BrokenResourceError),
+            ):
+                while True:
+                    await stream.send(bytes(10_000))
+                    await anyio.sleep(0.01)
