incoming: Let connections take turns at many small pieces

Five callers that sent bodies in chunks of one byte left ordinary callers without an answer for more than 10 s, also after they had gone, and a graceful stop took longer than its grace period. One receive of 64 KB held 11,000 such chunks, which were handled without a pause, and each connection did so in each round of the event loop. Each chunk was kept as an object of its own, 50 bytes of memory for each byte.

A request has 32 pieces free; beyond them, and for requests that were sent ahead, all connections together get one turn of 16 pieces in each round. A usual request takes no turn, and a body inside the limits is taken whatever its chunks. Bodies grow in one buffer. Timers are set for each receive, no longer for each piece.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -8,6 +8,7 @@
 
 from wagtailtide_gateway.http import body_memory
 from wagtailtide_gateway.http import responder
+from wagtailtide_gateway.http import turns as turns_
 
 # While a request is handled, no more is read from its caller once this many
 # bytes are buffered; a disconnect is then not noticed.
@@ -71,13 +72,18 @@
             held to those that are in force when its first bytes arrive.
         stopping: Function that returns whether the process is stopping.
         bodies: BodyMemory of the instance.
+        turns: Turns of the instance.
 
     Attributes:
         busy: Whether a request is being received or handled.
     """
 
-    def __init__(self, stream, handle, limits, stopping, bodies=None):
+    def __init__(
+        self, stream, handle, limits, stopping, bodies=None, turns=None
+    ):
         self._bodies = bodies or body_memory.BodyMemory()
+        self._turns = turns or turns_.Turns()
+        self._pieces = turns_.Pieces(self._turns)
         self._stream = stream
         self._handle = handle
         self._limits_in_force = limits
@@ -162,7 +168,10 @@
 
     async def _read_request(self, claim):
         unparsed, _ = self._h11.trailing_data
-        if not unparsed and not self._unparsed:
+        if unparsed or self._unparsed:
+            self.busy = True
+            await self._turns.wait()
+        else:
             with anyio.move_on_after(self._limits.idle_timeout_s):
                 await self._receive_input()
             if not self._unparsed:
@@ -171,15 +180,9 @@
         if self._stream.is_closed:
             return None
         self.busy = True
+        self._pieces.restart()
         self._update_limits(unparsed)
-        with anyio.move_on_after(self._limits.header_timeout_s) as scope:
-            request = await self._next_event()
-        if scope.cancelled_caught:
-            raise BadRequest(
-                'expected the complete head of a request within '
-                f'{self._limits.header_timeout_s} s; retry the request',
-                408,
-            )
+        request = await self._read_head()
         if not isinstance(request, h11.Request):
             return None
         received_at = anyio.current_time()
@@ -194,44 +197,59 @@
             received_at,
         )
 
+    async def _read_head(self):
+        give_up_at = anyio.current_time() + self._limits.header_timeout_s
+        try:
+            return await self._next_event(lambda: give_up_at)
+        except TimeoutError as exc:
+            raise BadRequest(
+                'expected the complete head of a request within '
+                f'{self._limits.header_timeout_s} s; retry the request',
+                408,
+            ) from exc
+
     async def _read_body(self, claim, request):
         """Return the body, None if the connection ended before."""
         if self._h11.they_are_waiting_for_100_continue:
             await self._make_responder(keep_alive=True).send_continue()
-        parts = []
+        body = bytearray()
         try:
             with self._bodies.arriving(claim):
-                return await self._read_parts(
-                    claim, parts, _stated_length(request)
+                is_whole = await self._read_parts(
+                    claim,
+                    body,
+                    _stated_length(request),
                 )
+                return bytes(body) if is_whole else None
         except body_memory.OutOfMemory as exc:
             status = 408 if exc.is_slow else 503
             raise BadRequest(f'{exc}; retry the request', status) from exc
         finally:
-            # The exception must not keep the parts.
-            parts.clear()
+            # The exception must not keep the body.
+            body.clear()
 
-    async def _read_parts(self, claim, parts, expected):
-        """Return the body, None if the connection ended before."""
+    async def _read_parts(self, claim, body, expected):
+        """Receive a body; return whether it is whole."""
         limits = self._limits
         started_at = anyio.current_time()
         expected = min(expected, limits.max_body_bytes)
+
+        def allowed_s():
+            return limits.idle_timeout_s + claim.size / MIN_BODY_BYTES_PER_S
+
         while True:
-            allowed_s = limits.idle_timeout_s
-            allowed_s += claim.size / MIN_BODY_BYTES_PER_S
-            left_s = started_at + allowed_s - anyio.current_time()
-            with anyio.move_on_after(max(0.0, left_s)) as scope:
-                event = await self._next_event()
-            if scope.cancelled_caught:
+            try:
+                event = await self._next_event(
+                    lambda: started_at + allowed_s()
+                )
+            except TimeoutError as exc:
                 raise BadRequest(
-                    f'expected the complete body within {allowed_s:.0f} s; '
+                    f'expected the complete body within {allowed_s():.0f} s; '
                     'retry the request',
                     408,
-                )
-            if isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                ) from exc
             if not isinstance(event, h11.Data):
-                return None
+                return isinstance(event, h11.EndOfMessage)
             size = len(event.data)
             if claim.size + size > limits.max_body_bytes:
                 raise BadRequest(
@@ -240,7 +258,7 @@
                     413,
                 )
             await self._bodies.grow(claim, size, expected)
-            parts.append(bytes(event.data))
+            body += event.data
 
     async def _receive_input(self):
         if self._unparsed or self._caller_disconnected:
@@ -250,15 +268,29 @@
         except _STREAM_ENDS:
             self._caller_disconnected = True
 
-    async def _next_event(self):
+    async def _next_event(self, give_up_at):
+        """Return the next event of the parser.
+
+        Args:
+            give_up_at: Function that returns the time in seconds after which
+                no more input is awaited.
+
+        Raises:
+            BadRequest: The input is not valid HTTP.
+            TimeoutError: The input did not arrive in time.
+        """
         while True:
+            await self._pieces.take()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
                 raise BadRequest(str(exc), exc.error_status_hint) from exc
             if event is not h11.NEED_DATA:
                 return event
-            await self._receive_input()
+            with anyio.CancelScope(deadline=give_up_at()) as scope:
+                await self._receive_input()
+            if scope.cancelled_caught:
+                raise TimeoutError
             self._h11.receive_data(bytes(self._unparsed))
             self._unparsed.clear()
 
--- a/packages/gateway/src/wagtailtide_gateway/http/listeners.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/listeners.py
@@ -7,6 +7,7 @@
 from wagtailtide_gateway.http import body_memory
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import sockets
+from wagtailtide_gateway.http import turns as turns_
 from wagtailtide_gateway.model import deployment
 
 LOG = logging.getLogger(__name__)
@@ -31,6 +32,7 @@
         stopping: Function that returns whether the process is stopping.
         limits: Function that returns the CallerLimits in force.
         bodies: BodyMemory of the instance, None for one of its own.
+        turns: Turns of the instance, None for some of its own.
     """
 
     def __init__(
@@ -40,8 +42,10 @@
         stopping,
         limits=_default_limits,
         bodies=None,
+        turns=None,
     ):
         self._bodies = bodies or body_memory.BodyMemory()
+        self._turns = turns or turns_.Turns()
         self._address = address
         self._handle = handle
         self._stopping = stopping
@@ -85,6 +89,7 @@
             self._limits,
             self._stopping,
             self._bodies,
+            self._turns,
         )
         self._open.add(conn)
         try:
--- /dev/null
+++ b/packages/gateway/src/wagtailtide_gateway/http/turns.py
@@ -0,0 +1,52 @@
+"""Turns at work that a single connection could do without a pause."""
+
+import anyio
+from anyio import lowlevel
+
+# Pieces of a request that are handled as they arrive. A usual request has
+# less.
+FREE_PIECES = 32
+
+# Pieces that are handled in one turn, less than a millisecond of work.
+PIECES_PER_TURN = 16
+
+
+class Turns:
+    """Lets one connection after another go on with its work.
+
+    A body in many small pieces, or many requests that were sent ahead, cost
+    the caller little and this process much. All such connections together get
+    one turn in each round of the event loop, however many there are, so that
+    other requests need not wait for all of them.
+    """
+
+    def __init__(self):
+        self._lock = anyio.Lock()
+
+    async def wait(self):
+        """Wait for a turn."""
+        async with self._lock:
+            await lowlevel.checkpoint()
+
+
+class Pieces:
+    """Pieces of one request that have been handled.
+
+    Args:
+        turns: Turns of the instance.
+    """
+
+    def __init__(self, turns):
+        self._turns = turns
+        self._left = FREE_PIECES
+
+    def restart(self):
+        """Begin another request."""
+        self._left = FREE_PIECES
+
+    async def take(self):
+        """Count one piece; waits for a turn if there have been many."""
+        if not self._left:
+            await self._turns.wait()
+            self._left = PIECES_PER_TURN
+        self._left -= 1
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -31,6 +31,7 @@
 from wagtailtide_gateway.http import listeners
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.http import responder
+from wagtailtide_gateway.http import turns
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import availability
 from wagtailtide_gateway.serving import capacity_recorder
@@ -217,12 +218,14 @@
             recorder,
         )
         self._bodies = body_memory.BodyMemory()
+        self._turns = turns.Turns()
         self._callers = listeners.Listener(
             cfg.callers,
             self.gateway.handle,
             lambda: self.gateway.is_stopping,
             self._caller_limits,
             self._bodies,
+            self._turns,
         )
         self._readiness = self._listener(cfg.readiness, self._handle_readiness)
         self._peers = self._listener(cfg.peers, self._handle_peer)
@@ -294,7 +297,10 @@
 
     def _listener(self, address, handle):
         return listeners.Listener(
-            address, handle, lambda: self.gateway.is_stopping
+            address,
+            handle,
+            lambda: self.gateway.is_stopping,
+            turns=self._turns,
         )
 
     @property
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -1,9 +1,13 @@
 import contextlib
 import dataclasses
 import unittest
+from unittest import mock
 
 import anyio
+from anyio import lowlevel
+import h11
 from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.http import turns
 from wagtailtide_testing import virtual_time
 
 from tests.http import harness
@@ -355,6 +359,61 @@
                 self.assertLess(taken, 8_000_000)
 
 
+class ManyPiecesTest(unittest.TestCase):
+    HEAD = (
+        b'POST /pieces HTTP/1.1\r\nHost: a\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n'
+    )
+
+    @virtual_time.run_in_virtual_time
+    async def test_body_in_chunks_of_one_byte_is_taken(self):
+        limits = dataclasses.replace(harness.LIMITS, max_body_bytes=10_000)
+        async with harness.listening(limits=lambda: limits) as connect:
+            stream = await connect()
+            await stream.send(
+                self.HEAD + b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
+            )
+            response = b''
+            while not response.endswith(b'x' * 10_000):
+                response += await stream.receive()
+        self.assertIn(b' 200 ', response)
+
+    @virtual_time.run_in_virtual_time
+    async def test_others_get_their_turn_beside_small_pieces(self):
+        # Guards against a few callers whose small chunks keep an instance
+        # busy for seconds at a time.
+        most = 0
+
+        async def count_pieces():
+            nonlocal most
+            next_event, handled = h11.Connection.next_event, 0
+
+            def counted(conn):
+                nonlocal handled
+                handled += 1
+                return next_event(conn)
+
+            with mock.patch.object(h11.Connection, 'next_event', counted):
+                for _ in range(3_000):
+                    handled = 0
+                    await lowlevel.checkpoint()
+                    most = max(most, handled)
+
+        limits = dataclasses.replace(harness.LIMITS, max_body_bytes=1_000_000)
+        async with harness.listening(limits=lambda: limits) as connect:
+            callers = [await connect() for _ in range(10)]
+            for stream in callers:
+                await stream.send(self.HEAD + b'1\r\nx\r\n' * 5_000)
+            await count_pieces()
+            for stream in callers:
+                await stream.aclose()
+        self.assertGreater(most, 0)
+        # Each may have its first pieces in the same round.
+        self.assertLessEqual(
+            most, 10 * turns.FREE_PIECES + turns.PIECES_PER_TURN
+        )
+
+
 class LingeringTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_caller_that_still_sends_reads_its_rejection(self):
