connections: Bound what all connections hold together

Each connection was bounded, their sum was not. A crowd that opened more connections than an instance has descriptors, and sent nothing, heads of 16 kB or bodies of 60 kB that never ended, left none for servers and for other callers: 418 open descriptors where 264 were allowed, until the idle timeout. The memory of small bodies, of heads and of responses that nobody reads had no bound but the number of connections.

The bounds of the whole now follow from the memory and the descriptors in the settings (decisions/connections.py), and http/connection_budget.py keeps them for all four listeners: number of connections, and bytes of heads, small bodies, input read ahead and unread responses. Which connection goes first is a decision of its own: those whose response is sent, then those without a whole request, before others those that never had one served, then those that read nothing, last new ones. A served request is not cut for another caller; if nobody can be closed, a request is rejected as not run, with Retry-After.

--- a/packages/gateway/src/wagtailtide_gateway/http/body_memory.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/body_memory.py
@@ -10,12 +10,9 @@
 
 import anyio
 
-LOG = logging.getLogger(__name__)
+from wagtailtide_gateway.decisions import connections
 
-# Bytes of all bodies together. While a body is sent to a server there is a
-# second copy of it; the smallest instance has 152 MB, of which the process
-# takes up to 60.
-MAX_BYTES = 25_165_824
+LOG = logging.getLogger(__name__)
 
 # The first bytes of a body never wait, so that large bodies delay no request
 # of the usual size.
@@ -87,7 +84,7 @@
         ended_count: Number of bodies that were ended or refused.
     """
 
-    def __init__(self, max_bytes=MAX_BYTES):
+    def __init__(self, max_bytes=connections.MAX_BODIES_BYTES):
         self._max_bytes = max_bytes
         self._claims = set()
         self._released = anyio.Event()
--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -6,7 +6,9 @@
 import anyio
 import h11
 
+from wagtailtide_gateway.decisions import connections
 from wagtailtide_gateway.http import body_memory
+from wagtailtide_gateway.http import connection_budget
 from wagtailtide_gateway.http import responder
 from wagtailtide_gateway.http import turns as turns_
 
@@ -18,6 +20,14 @@
 # this rate. A caller could otherwise hold its memory with a byte a second.
 MIN_BODY_BYTES_PER_S = 10_000
 
+# Memory of one header besides its bytes: three byte strings and a tuple.
+HEADER_BYTES = 250
+
+# Rejections for want of memory, and when to come back: another instance
+# probably has some.
+OUT_OF_MEMORY_STATUS = 503
+RETRY_ELSEWHERE_AFTER_S = 0.2
+
 # After a response that ends a connection, input is discarded until the caller
 # closes it, for this long and up to this size. The kernel would otherwise
 # reset the connection, and the caller may lose the response.
@@ -62,6 +72,35 @@
         self.status = status
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """What the connections of an instance share.
+
+    Attributes:
+        budget: ConnectionBudget of the instance.
+        bodies: BodyMemory of the instance.
+        turns: Turns of the instance.
+    """
+
+    budget: connection_budget.ConnectionBudget
+    bodies: body_memory.BodyMemory
+    turns: turns_.Turns
+
+
+def make_resources(limits=None):
+    """Return the Resources of an instance.
+
+    Args:
+        limits: The connections.ConnectionLimits, None for the defaults.
+    """
+    budget = connection_budget.ConnectionBudget(limits)
+    return Resources(
+        budget,
+        body_memory.BodyMemory(budget.limits.bodies_bytes),
+        turns_.Turns(),
+    )
+
+
 class CallerConnection:
     """Reads the requests of one connection and passes them to a handler.
 
@@ -71,19 +110,18 @@
         limits: Function that returns the CallerLimits in force. A request is
             held to those that are in force when its first bytes arrive.
         stopping: Function that returns whether the process is stopping.
-        bodies: BodyMemory of the instance.
-        turns: Turns of the instance.
+        resources: Resources of the instance.
+        holding: Holding of the connection.
 
     Attributes:
         busy: Whether a request is being received or handled.
     """
 
-    def __init__(
-        self, stream, handle, limits, stopping, bodies=None, turns=None
-    ):
-        self._bodies = bodies or body_memory.BodyMemory()
-        self._turns = turns or turns_.Turns()
-        self._pieces = turns_.Pieces(self._turns)
+    def __init__(self, stream, handle, limits, stopping, resources, holding):
+        self._bodies = resources.bodies
+        self._turns = resources.turns
+        self._pieces = turns_.Pieces(resources.turns)
+        self._holding = holding
         self._stream = stream
         self._handle = handle
         self._limits_in_force = limits
@@ -91,6 +129,8 @@
         self._stopping = stopping
         self._h11 = self._new_parser()
         self._unparsed = bytearray()
+        # Memory of the request that is received or handled.
+        self._request_bytes = 0
         self._caller_disconnected = False
         self.busy = False
 
@@ -135,11 +175,17 @@
     async def _serve_one(self):
         self.busy = False
         with self._bodies.claim() as claim:
-            incoming = await self._read_request(claim)
+            try:
+                incoming = await self._read_request(claim)
+            except connection_budget.OutOfMemory as exc:
+                raise BadRequest(
+                    f'{exc}; retry the request', OUT_OF_MEMORY_STATUS
+                ) from exc
             return incoming is not None and await self._respond(incoming)
 
     async def _respond(self, incoming):
         """Handle a request; return whether the connection goes on."""
+        self._holding.enter(connections.Phase.SERVING)
         out = self._make_responder(keep_alive=not self._stopping())
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._watch_for_disconnect, out, tg.cancel_scope)
@@ -153,13 +199,23 @@
         )
 
     def _make_responder(self, keep_alive):
-        return responder.Responder(self._h11, self._stream, keep_alive)
+        return responder.Responder(
+            self._h11,
+            self._stream,
+            self._holding,
+            keep_alive,
+        )
 
     async def _watch_for_disconnect(self, out, scope):
         """Cancel the request when its caller disconnects."""
         while len(self._unparsed) < MAX_PIPELINED_BYTES:
             try:
                 self._unparsed += await self._stream.receive()
+                self._holding.hold_request(
+                    self._request_bytes + len(self._unparsed)
+                )
+            except connection_budget.OutOfMemory:
+                return
             except _STREAM_ENDS as exc:
                 self._caller_disconnected = True
                 out.disconnect_reason = responder.describe_end(exc)
@@ -168,7 +224,10 @@
 
     async def _read_request(self, claim):
         unparsed, _ = self._h11.trailing_data
-        if unparsed or self._unparsed:
+        self._holding.enter(connections.Phase.IDLE)
+        self._request_bytes = len(unparsed) + len(self._unparsed)
+        self._holding.hold_request(self._request_bytes)
+        if self._request_bytes:
             self.busy = True
             await self._turns.wait()
         else:
@@ -180,6 +239,7 @@
         if self._stream.is_closed:
             return None
         self.busy = True
+        self._holding.enter(connections.Phase.RECEIVING)
         self._pieces.restart()
         self._update_limits(unparsed)
         request = await self._read_head()
@@ -189,6 +249,7 @@
         body = await self._read_body(claim, request)
         if body is None:
             return None
+        self._holding.hold_request(self._request_bytes)
         return IncomingRequest(
             request.method,
             request.target,
@@ -218,17 +279,18 @@
                 is_whole = await self._read_parts(
                     claim,
                     body,
+                    _memory_of_head(request),
                     _stated_length(request),
                 )
                 return bytes(body) if is_whole else None
         except body_memory.OutOfMemory as exc:
-            status = 408 if exc.is_slow else 503
+            status = 408 if exc.is_slow else OUT_OF_MEMORY_STATUS
             raise BadRequest(f'{exc}; retry the request', status) from exc
         finally:
             # The exception must not keep the body.
             body.clear()
 
-    async def _read_parts(self, claim, body, expected):
+    async def _read_parts(self, claim, body, head_bytes, expected):
         """Receive a body; return whether it is whole."""
         limits = self._limits
         started_at = anyio.current_time()
@@ -238,6 +300,11 @@
             return limits.idle_timeout_s + claim.size / MIN_BODY_BYTES_PER_S
 
         while True:
+            # While a body is sent to a server there is a second copy of it.
+            # The memory of what is larger is that of the claim.
+            self._request_bytes = head_bytes + 2 * min(
+                len(body), body_memory.FREE_BYTES
+            )
             try:
                 event = await self._next_event(
                     lambda: started_at + allowed_s()
@@ -279,6 +346,7 @@
             BadRequest: The input is not valid HTTP.
             TimeoutError: The input did not arrive in time.
         """
+        received = 0
         while True:
             await self._pieces.take()
             try:
@@ -291,6 +359,8 @@
                 await self._receive_input()
             if scope.cancelled_caught:
                 raise TimeoutError
+            received += len(self._unparsed)
+            self._holding.hold_request(self._request_bytes + received)
             self._h11.receive_data(bytes(self._unparsed))
             self._unparsed.clear()
 
@@ -299,6 +369,8 @@
             return
         body = str(exc).encode()
         headers = [(b'Content-Type', b'text/plain; charset=utf-8')]
+        if exc.status == OUT_OF_MEMORY_STATUS:
+            headers.append((b'Retry-After', b'%.2f' % RETRY_ELSEWHERE_AFTER_S))
         # The connection is closed even if the response cannot be sent.
         with contextlib.suppress(responder.CallerDisconnected):
             await self._make_responder(keep_alive=False).respond(
@@ -311,6 +383,7 @@
             return
         self.busy = False
         self._unparsed.clear()
+        self._holding.enter(connections.Phase.CLOSING)
         discarded = 0
         with (
             anyio.move_on_after(LINGER_S),
@@ -327,3 +400,10 @@
         if name == b'content-length':
             return int(value)
     return 0
+
+
+def _memory_of_head(request):
+    """Return the bytes of memory that the head of a request takes."""
+    items = request.headers.raw_items()
+    size = sum(len(name) + len(value) for name, value in items)
+    return 2 * size + len(request.target) + HEADER_BYTES * len(items)
--- a/packages/gateway/src/wagtailtide_gateway/http/listeners.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/listeners.py
@@ -1,13 +1,11 @@
-"""Listens at one address and serves the connections."""
+"""Accepts connections, as many as the instance can hold."""
 
 import logging
 
 import anyio
 
-from wagtailtide_gateway.http import body_memory
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import sockets
-from wagtailtide_gateway.http import turns as turns_
 from wagtailtide_gateway.model import deployment
 
 LOG = logging.getLogger(__name__)
@@ -31,8 +29,9 @@
         handle: Coroutine function from (IncomingRequest, Responder).
         stopping: Function that returns whether the process is stopping.
         limits: Function that returns the CallerLimits in force.
-        bodies: BodyMemory of the instance, None for one of its own.
-        turns: Turns of the instance, None for some of its own.
+        resources: Resources of the instance, None for some of its own.
+        for_callers: Whether callers connect there, and not only other
+            instances and the platform.
     """
 
     def __init__(
@@ -41,11 +40,13 @@
         handle,
         stopping,
         limits=_default_limits,
-        bodies=None,
-        turns=None,
+        resources=None,
+        for_callers=True,
     ):
-        self._bodies = bodies or body_memory.BodyMemory()
-        self._turns = turns or turns_.Turns()
+        self._resources = resources or incoming.make_resources()
+        self._for_callers = for_callers
+        allowed = self._resources.budget.limits
+        self._max_open = allowed.callers if for_callers else allowed.others
         self._address = address
         self._handle = handle
         self._stopping = stopping
@@ -83,22 +84,28 @@
                     tg.start_soon(self._serve_connection, stream)
 
     async def _serve_connection(self, stream):
-        conn = incoming.CallerConnection(
+        with self._resources.budget.open(
             stream,
-            self._handle,
-            self._limits,
-            self._stopping,
-            self._bodies,
-            self._turns,
-        )
-        self._open.add(conn)
-        try:
-            await conn.serve()
-        except Exception:
-            # An error on one connection must not end the others.
-            LOG.exception('unexpected error on a connection')
-        finally:
-            self._open.discard(conn)
+            str(self._address),
+            self._max_open,
+            is_internal=not self._for_callers,
+        ) as holding:
+            conn = incoming.CallerConnection(
+                stream,
+                self._handle,
+                self._limits,
+                self._stopping,
+                self._resources,
+                holding,
+            )
+            self._open.add(conn)
+            try:
+                await conn.serve()
+            except Exception:
+                # An error on one connection must not end the others.
+                LOG.exception('unexpected error on a connection')
+            finally:
+                self._open.discard(conn)
 
     @property
     def open_count(self):
--- a/packages/gateway/src/wagtailtide_gateway/http/responder.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/responder.py
@@ -6,6 +6,11 @@
 from anyio import lowlevel
 import h11
 
+from wagtailtide_gateway.decisions import connections
+
+# Statuses that reject what the caller sent, whatever the instance could do.
+REJECTIONS = frozenset(range(400, 500)) - {429}
+
 
 class ResponseState(enum.Enum):
     """Progress of a response."""
@@ -26,6 +31,7 @@
     Args:
         conn: The h11.Connection.
         stream: The AcceptedStream.
+        holding: Holding of the connection.
         keep_alive: Whether the connection serves further requests.
 
     Attributes:
@@ -35,9 +41,10 @@
             the log, or None.
     """
 
-    def __init__(self, conn, stream, keep_alive):
+    def __init__(self, conn, stream, holding, keep_alive):
         self._h11 = conn
         self._stream = stream
+        self._holding = holding
         self._head = None
         self.state = ResponseState.UNSENT
         self.keep_alive = keep_alive
@@ -94,6 +101,8 @@
         if not self.keep_alive:
             headers.append((b'Connection', b'close'))
         self.state = ResponseState.STARTED
+        if status not in REJECTIONS:
+            self._holding.was_served = True
         return self._h11.send(
             h11.Response(status_code=status, headers=headers)
         )
@@ -111,7 +120,12 @@
 
     async def _write(self, out):
         try:
-            await self._stream.send(out)
+            await lowlevel.checkpoint_if_cancelled()
+            rest = self._stream.send_at_once(memoryview(out))
+            if rest:
+                await self._wait_until_read(rest)
+            else:
+                await lowlevel.cancel_shielded_checkpoint()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
             self.disconnect_reason = describe_end(exc)
             raise CallerDisconnected(
@@ -119,6 +133,18 @@
                 'complete'
             ) from exc
 
+    async def _wait_until_read(self, rest):
+        """Send what the kernel does not take before the caller reads."""
+        phase = self._holding.phase
+        self._holding.enter(connections.Phase.BLOCKED)
+        # This connection may be closed to make room for its own response.
+        self._holding.hold_response(len(rest))
+        try:
+            await self._stream.send(rest)
+        finally:
+            self._holding.enter(phase)
+            self._holding.hold_response(0)
+
 
 def describe_end(exc):
     """Return how a connection ended, for the log.
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -24,14 +24,14 @@
 from wagtailtide_gateway.control import store
 from wagtailtide_gateway.control import store_era
 from wagtailtide_gateway.control import sync
+from wagtailtide_gateway.decisions import connections
 from wagtailtide_gateway.decisions import graceful_stop
 from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.decisions import trust
-from wagtailtide_gateway.http import body_memory
+from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import listeners
 from wagtailtide_gateway.http import outgoing
 from wagtailtide_gateway.http import responder
-from wagtailtide_gateway.http import turns
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import availability
 from wagtailtide_gateway.serving import capacity_recorder
@@ -217,15 +217,15 @@
             check,
             recorder,
         )
-        self._bodies = body_memory.BodyMemory()
-        self._turns = turns.Turns()
+        self._resources = incoming.make_resources(
+            connections.derive_limits(cfg.memory_bytes, cfg.sockets)
+        )
         self._callers = listeners.Listener(
             cfg.callers,
             self.gateway.handle,
             lambda: self.gateway.is_stopping,
             self._caller_limits,
-            self._bodies,
-            self._turns,
+            self._resources,
         )
         self._readiness = self._listener(cfg.readiness, self._handle_readiness)
         self._peers = self._listener(cfg.peers, self._handle_peer)
@@ -238,8 +238,10 @@
             'duty_held': lambda: int(self.leadership.is_leader),
             'backend_servers': lambda: len(self.shared_state.servers.states),
             'slowed_backend_servers': self._count_slowed,
-            'body_bytes': lambda: self._bodies.held,
-            'bodies_ended': lambda: self._bodies.ended_count,
+            'body_bytes': lambda: self._resources.bodies.held,
+            'bodies_ended': lambda: self._resources.bodies.ended_count,
+            'connection_bytes': lambda: self._resources.budget.held_bytes,
+            'connections_closed': lambda: self._resources.budget.closed_count,
         }
         if cfg.limits_engine_memory:
             memory = self.shared_state.engine_memory
@@ -300,7 +302,8 @@
             address,
             handle,
             lambda: self.gateway.is_stopping,
-            turns=self._turns,
+            resources=self._resources,
+            for_callers=False,
         )
 
     @property
--- a/packages/gateway/src/wagtailtide_gateway/settings.py
+++ b/packages/gateway/src/wagtailtide_gateway/settings.py
@@ -44,6 +44,8 @@
             their organisations, over all instances.
         divides_slots: Whether the slots of engines are divided between
             requests of different priority; needs `schedules_shares`.
+        memory_bytes: Memory of the machine, None if it is not stated.
+        sockets: Number of sockets that the process may open, or None.
     """
 
     instance: str
@@ -70,3 +72,5 @@
     cold_slack: float | None = None
     schedules_shares: bool = False
     divides_slots: bool = False
+    memory_bytes: int | None = None
+    sockets: int | None = None
--- a/packages/gateway/tests/builders.py
+++ b/packages/gateway/tests/builders.py
@@ -2,6 +2,7 @@
 
 from wagtailtide_gateway import settings
 from wagtailtide_gateway.control import messages
+from wagtailtide_gateway.decisions import connections
 from wagtailtide_gateway.decisions import placement
 from wagtailtide_gateway.model import backend
 from wagtailtide_gateway.model import deployment
@@ -208,3 +209,23 @@
         'peer_port': 9,
     }
     return messages.Report(**fields | changes)
+
+
+def make_connection(phase=connections.Phase.IDLE, **changes):
+    fields = {
+        'phase': phase,
+        'since': 0.0,
+        'held_bytes': connections.CONNECTION_BYTES,
+        'was_served': False,
+    }
+    return connections.ConnectionState(**fields | changes)
+
+
+def make_connection_limits(**changes):
+    fields = {
+        'callers': 10,
+        'others': 4,
+        'memory_bytes': 100 * connections.CONNECTION_BYTES,
+        'bodies_bytes': 1_000_000,
+    }
+    return connections.ConnectionLimits(**fields | changes)
--- a/packages/gateway/tests/http/harness.py
+++ b/packages/gateway/tests/http/harness.py
@@ -26,14 +26,14 @@
 
 
 async def make_listener(
-    handle=echo, stopping=lambda: False, limits=lambda: LIMITS
+    handle=echo, stopping=lambda: False, limits=lambda: LIMITS, resources=None
 ):
     """Return a Listener that is bound, and has its port as an attribute."""
     free = await anyio.create_tcp_listener(local_host=LISTEN_IP)
     port = free.extra(anyio.abc.SocketAttribute.local_port)
     await free.aclose()
     address = backend.Address(LISTEN_IP, port)
-    served = listeners.Listener(address, handle, stopping, limits)
+    served = listeners.Listener(address, handle, stopping, limits, resources)
     served.port = port
     await served.listen()
     return served
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -6,6 +6,7 @@
 import anyio
 from anyio import lowlevel
 import h11
+from wagtailtide_gateway.http import connection_budget
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import turns
 from wagtailtide_testing import virtual_time
@@ -33,7 +34,7 @@
         self.conn.close_if_idle()
         return self._data
 
-    async def send(self, data):
+    def send_at_once(self, data):
         raise anyio.ClosedResourceError
 
     def close(self):
@@ -246,8 +247,14 @@
         stream = StreamClosedAsInputArrives(
             b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
         )
+        resources = incoming.make_resources()
         stream.conn = incoming.CallerConnection(
-            stream, record, lambda: harness.LIMITS, lambda: True
+            stream,
+            record,
+            lambda: harness.LIMITS,
+            lambda: True,
+            resources,
+            connection_budget.Holding(resources.budget, stream),
         )
         await stream.conn.serve()
         self.assertEqual(handled, [])
