responder: End responses that nobody reads

A caller that read a little now and then held its response, and what the instance keeps for it, for as long as it liked: the kernel's timer for unread data starts anew with each read, and nothing else bounded a write. The end of a response is written in a shielded scope, so that a graceful stop waited for it until the process was killed.

A part of a response has to be read within the idle timeout and the time that it takes at 10 kB/s, the bound that bodies of requests have. At the end of a stop all connections are closed, which ends such writes.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -172,6 +172,10 @@
         if not self.busy:
             self._stream.close()
 
+    def close(self):
+        """Close the connection, whatever it is doing."""
+        self._stream.close()
+
     async def _serve_one(self):
         self.busy = False
         with self._bodies.claim() as claim:
@@ -204,6 +208,7 @@
             self._stream,
             self._holding,
             keep_alive,
+            self._limits.idle_timeout_s,
         )
 
     async def _watch_for_disconnect(self, out, scope):
--- a/packages/gateway/src/wagtailtide_gateway/http/listeners.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/listeners.py
@@ -121,3 +121,8 @@
         """Close connections that have no request in progress."""
         for conn in tuple(self._open):
             conn.close_if_idle()
+
+    def close_all(self):
+        """Close all connections, whatever they are doing."""
+        for conn in tuple(self._open):
+            conn.close()
--- a/packages/gateway/src/wagtailtide_gateway/http/responder.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/responder.py
@@ -8,6 +8,11 @@
 
 from wagtailtide_gateway.decisions import connections
 
+# A part of a response has to be read within the idle timeout and the time that
+# it takes at this rate. A caller could otherwise hold its memory, and a
+# graceful stop, with a byte now and then.
+MIN_BYTES_PER_S = 10_000
+
 # Statuses that reject what the caller sent, whatever the instance could do.
 REJECTIONS = frozenset(range(400, 500)) - {429}
 
@@ -33,6 +38,7 @@
         stream: The AcceptedStream.
         holding: Holding of the connection.
         keep_alive: Whether the connection serves further requests.
+        read_timeout_s: Seconds in which the caller has to read a small part.
 
     Attributes:
         state: Progress of the response.
@@ -41,10 +47,11 @@
             the log, or None.
     """
 
-    def __init__(self, conn, stream, holding, keep_alive):
+    def __init__(self, conn, stream, holding, keep_alive, read_timeout_s):
         self._h11 = conn
         self._stream = stream
         self._holding = holding
+        self._read_timeout_s = read_timeout_s
         self._head = None
         self.state = ResponseState.UNSENT
         self.keep_alive = keep_alive
@@ -113,7 +120,7 @@
 
     async def _write_end(self, out):
         # A request that is cancelled now has its response; only writing it
-        # is left. A caller that does not read is disconnected by the kernel.
+        # is left.
         with anyio.CancelScope(shield=True):
             await self._write(out)
         self.state = ResponseState.FINISHED
@@ -127,23 +134,29 @@
             else:
                 await lowlevel.cancel_shielded_checkpoint()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
-            self.disconnect_reason = describe_end(exc)
-            raise CallerDisconnected(
-                'the caller closed its connection before the response was '
-                'complete'
-            ) from exc
+            self._disconnect(describe_end(exc), exc)
 
     async def _wait_until_read(self, rest):
         """Send what the kernel does not take before the caller reads."""
+        timeout_s = self._read_timeout_s + len(rest) / MIN_BYTES_PER_S
         phase = self._holding.phase
         self._holding.enter(connections.Phase.BLOCKED)
         # This connection may be closed to make room for its own response.
         self._holding.hold_response(len(rest))
         try:
-            await self._stream.send(rest)
+            with anyio.move_on_after(timeout_s) as scope:
+                await self._stream.send(rest)
         finally:
             self._holding.enter(phase)
             self._holding.hold_response(0)
+        if scope.cancelled_caught:
+            self._disconnect(f'response not read within {timeout_s:.0f} s')
+
+    def _disconnect(self, reason, cause=None):
+        self.disconnect_reason = reason
+        raise CallerDisconnected(
+            'the caller closed its connection before the response was complete'
+        ) from cause
 
 
 def describe_end(exc):
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -360,6 +360,9 @@
             tg.start_soon(self._watch_signals)
             await self._stop_requested.wait()
             await self._stop_gracefully()
+            for listener in all_listeners:
+                # The end of a response that nobody reads holds up the stop.
+                listener.close_all()
             tg.cancel_scope.cancel()
         LOG.info('stopped')
 
--- a/packages/gateway/tests/http/test_responder.py
+++ b/packages/gateway/tests/http/test_responder.py
@@ -1,9 +1,20 @@
 import unittest
 
 import anyio
+from wagtailtide_testing import virtual_time
 
 from tests.http import harness
 
+LARGE = bytes(6_000_000)
+
+# Less than the least rate, 10 kB/s.
+SLOW_READ_BYTES = 60_000
+SLOW_READ_INTERVAL_S = 10.0
+
+
+async def respond_with_much(request, out):
+    await out.respond(200, [], LARGE)
+
 
 class SlowReaderTest(unittest.TestCase):
     def test_client_that_reads_nothing_holds_little_and_is_ended(self):
@@ -40,3 +51,41 @@
         anyio.run(run, backend='trio')
         # Its own buffer, which the kernel grows, counts as well.
         self.assertLess(sum(sent), 1_500_000)
+
+
+class UnreadResponseTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_caller_that_reads_a_little_now_and_then_is_ended(self):
+        # Guards against responses that are held for as long as a caller
+        # likes: the timer of the kernel starts anew with each read.
+        reasons = []
+
+        async def respond(request, out):
+            try:
+                await respond_with_much(request, out)
+            finally:
+                reasons.append(out.disconnect_reason)
+
+        async with harness.listening(respond) as connect:
+            stream = await connect()
+            await stream.send(harness.REQUEST)
+            read = 0
+            while not reasons and read < len(LARGE):
+                read += len(await stream.receive(SLOW_READ_BYTES))
+                await anyio.sleep(SLOW_READ_INTERVAL_S)
+            await stream.aclose()
+        self.assertIn('not read within', reasons[0])
+
+    @virtual_time.run_in_virtual_time
+    async def test_stop_does_not_wait_for_a_response_that_nobody_reads(self):
+        # Guards against a process that is killed at the end of its grace
+        # period, because the end of a response is written to its end.
+        async with harness.serving(respond_with_much) as served:
+            stream = await anyio.connect_tcp(harness.LISTEN_IP, served.port)
+            await stream.send(harness.REQUEST)
+            await anyio.sleep(0.2)
+            self.assertEqual(served.busy_count, 1)
+            served.close_all()
+            await anyio.sleep(0.1)
+            self.assertEqual(served.open_count, 0)
+            await stream.aclose()
