logs: Bound warnings, errors and the length of values

The ids and names that callers choose are logged, and a head may have 16 kB: a caller could make an instance write 6 MB a second.

Values are cut at 500 characters, and 100 warnings and errors a second are written beyond the 400 lines. They are not lost behind other lines.

Result: BoundedLogTest failed before: a line of 16,088 characters (1,000 allowed), and 1,000 errors in a second (500 allowed). 3 passed.

--- a/packages/gateway/src/wagtailtide_gateway/logs.py
+++ b/packages/gateway/src/wagtailtide_gateway/logs.py
@@ -7,11 +7,18 @@
 
 import logfmter
 
-# Lines beyond this number in one second are dropped and counted, except
-# warnings and errors. The limit is about twice the peak request rate of one
-# instance.
+# Lines beyond this number in one second are dropped and counted. The limit is
+# about twice the peak request rate of one instance.
 MAX_LINES_PER_S = 400
 
+# Warnings and errors beyond the lines of that second are written up to this
+# number, because callers can cause errors, too.
+MAX_WARNINGS_PER_S = 100
+
+# Longer values are cut. Ids and names come from callers, whose heads may have
+# many kilobytes.
+MAX_VALUE_CHARS = 500
+
 _KEYS = ('at', 'level', 'logger', 'event')
 _MAPPING = {
     'at': 'created',
@@ -42,12 +49,14 @@
         second = int(self._clock())
         if second != self._second:
             self._second, self._written = second, 0
-        if self._written >= MAX_LINES_PER_S and record.levelno < (
-            logging.WARNING
-        ):
+        limit = MAX_LINES_PER_S
+        if record.levelno >= logging.WARNING:
+            limit += MAX_WARNINGS_PER_S
+        if self._written >= limit:
             self.dropped += 1
             return
         self._written += 1
+        _cut_long_values(record)
         line = (self.format(record) + '\n').encode()
         try:
             os.write(self._fd, line)
@@ -58,6 +67,12 @@
             self.dropped += 1
 
 
+def _cut_long_values(record):
+    for name, value in tuple(vars(record).items()):
+        if isinstance(value, str) and len(value) > MAX_VALUE_CHARS:
+            setattr(record, name, value[:MAX_VALUE_CHARS] + '...')
+
+
 def set_up(instance, level=logging.INFO, fd=None, clock=time.monotonic):
     """Configure the root logger to write key=value lines.
 
