connections: Leave the leader a connection of each instance

Other instances get three eighths of the sockets now, the readiness and metrics addresses keep their sixteenth.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/connections.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/connections.py
@@ -9,12 +9,15 @@
 import dataclasses
 import enum
 
-# Descriptors for callers' connections, as a share of all sockets. The others
-# are for backend servers, other instances and the store.
+# Connections at one listener, as a share of all sockets. What callers do not
+# get is for other instances, backend servers and the store. The leader has a
+# connection of each instance, and each may forward requests.
 CALLERS_SHARE = 5.0 / 8.0
+INSTANCES_SHARE = 3.0 / 8.0
 
-# The same for each listener that is not for callers.
-OTHER_LISTENER_SHARE = 1.0 / 16.0
+# The same for the listeners of the platform: readiness and metrics.
+PLATFORM_SHARE = 1.0 / 16.0
+MIN_PLATFORM_CONNECTIONS = 4
 
 # Memory of the process besides what it holds for its callers: 31 MB after its
 # start, and state that grows with the deployment.
@@ -62,13 +65,15 @@
 
     Attributes:
         callers: Number of callers' connections.
-        others: Number of connections at each other listener.
+        instances: Number of connections of other instances.
+        platform: Number of connections at each listener of the platform.
         memory_bytes: Memory of all connections.
         bodies_bytes: Memory of all large bodies of requests, one copy.
     """
 
     callers: int
-    others: int
+    instances: int
+    platform: int
     memory_bytes: int
     bodies_bytes: int
 
@@ -92,7 +97,8 @@
                 for_connections // CONNECTION_BYTES,
             ),
         ),
-        others=max(4, int(OTHER_LISTENER_SHARE * sockets)),
+        instances=max(1, int(INSTANCES_SHARE * sockets)),
+        platform=max(MIN_PLATFORM_CONNECTIONS, int(PLATFORM_SHARE * sockets)),
         memory_bytes=for_connections,
         bodies_bytes=min(MAX_BODIES_BYTES, int(BODIES_SHARE * for_callers)),
     )
@@ -104,8 +110,9 @@
 
     Attributes:
         phase: Its Phase.
-        since: Time in seconds at which its caller last completed a request,
-            read a response or opened the connection.
+        since: Time in seconds at which its caller opened it, read its last
+            response, or stopped reading one. A response that rejected what
+            was sent does not count.
         held_bytes: Memory that it takes.
         was_served: Whether it had a response other than a rejection of what
             the caller sent.
--- a/packages/gateway/src/wagtailtide_gateway/http/connection_budget.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/connection_budget.py
@@ -44,7 +44,8 @@
 
     def enter(self, phase):
         """Record what the connection does from now on."""
-        if phase not in (connections.Phase.RECEIVING, connections.Phase.IDLE):
+        is_answered = phase is connections.Phase.IDLE and self.was_served
+        if is_answered or phase is connections.Phase.BLOCKED:
             self._since = anyio.current_time()
         self.phase = phase
 
--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -132,6 +132,8 @@
         # Memory of the request that is received or handled.
         self._request_bytes = 0
         self._caller_disconnected = False
+        # Whether the last request has a complete response.
+        self._has_responded = False
         self.busy = False
 
     def _new_parser(self):
@@ -157,7 +159,9 @@
         try:
             while await self._serve_one():
                 self._h11.start_next_cycle()
-            if self._unparsed or self._stream.has_pending_input:
+            if self._has_responded and (
+                self._unparsed or self._stream.has_pending_input
+            ):
                 await self._linger()
         except responder.CallerDisconnected:
             pass  # There is nobody to respond to.
@@ -195,8 +199,9 @@
             tg.start_soon(self._watch_for_disconnect, out, tg.cancel_scope)
             await self._handle(incoming, out)
             tg.cancel_scope.cancel()
+        self._has_responded = out.state is responder.ResponseState.FINISHED
         return (
-            out.state is responder.ResponseState.FINISHED
+            self._has_responded
             and not self._caller_disconnected
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
--- a/packages/gateway/src/wagtailtide_gateway/http/listeners.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/listeners.py
@@ -30,8 +30,8 @@
         stopping: Function that returns whether the process is stopping.
         limits: Function that returns the CallerLimits in force.
         resources: Resources of the instance, None for some of its own.
-        for_callers: Whether callers connect there, and not only other
-            instances and the platform.
+        max_open: Number of connections, None for that of callers.
+        is_internal: Whether other instances or the platform connect there.
     """
 
     def __init__(
@@ -41,12 +41,12 @@
         stopping,
         limits=_default_limits,
         resources=None,
-        for_callers=True,
+        max_open=None,
+        is_internal=False,
     ):
         self._resources = resources or incoming.make_resources()
-        self._for_callers = for_callers
-        allowed = self._resources.budget.limits
-        self._max_open = allowed.callers if for_callers else allowed.others
+        self._max_open = max_open or self._resources.budget.limits.callers
+        self._is_internal = is_internal
         self._address = address
         self._handle = handle
         self._stopping = stopping
@@ -88,7 +88,7 @@
             stream,
             str(self._address),
             self._max_open,
-            is_internal=not self._for_callers,
+            is_internal=self._is_internal,
         ) as holding:
             conn = incoming.CallerConnection(
                 stream,
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -227,9 +227,16 @@
             self._caller_limits,
             self._resources,
         )
-        self._readiness = self._listener(cfg.readiness, self._handle_readiness)
-        self._peers = self._listener(cfg.peers, self._handle_peer)
-        self._admin = self._listener(cfg.admin, self._handle_admin)
+        allowed = self._resources.budget.limits
+        self._readiness = self._internal_listener(
+            cfg.readiness, self._handle_readiness, allowed.platform
+        )
+        self._peers = self._internal_listener(
+            cfg.peers, self._handle_peer, allowed.instances
+        )
+        self._admin = self._internal_listener(
+            cfg.admin, self._handle_admin, allowed.platform
+        )
         self.metrics.gauges = {
             'connections': lambda: self._callers.open_count,
             'waiting_requests': lambda: self.shared_state.wait_queues.count,
@@ -297,13 +304,14 @@
         current = self.shared_state.config.deployment
         return current.limits if current else deployment.CallerLimits()
 
-    def _listener(self, address, handle):
+    def _internal_listener(self, address, handle, max_open):
         return listeners.Listener(
             address,
             handle,
             lambda: self.gateway.is_stopping,
             resources=self._resources,
-            for_callers=False,
+            max_open=max_open,
+            is_internal=True,
         )
 
     @property
--- a/packages/gateway/tests/http/test_connection_budget.py
+++ b/packages/gateway/tests/http/test_connection_budget.py
@@ -52,6 +52,24 @@
         self.assertEqual(sum(self.closed(crowd)), 1)
         self.assertFalse(new.stream.is_closed)
 
+    @virtual_time.run_without_io
+    async def test_caller_that_is_served_stays_beside_one_that_is_rejected(
+        self,
+    ):
+        # Guards against a crowd whose requests are all rejected at once, so
+        # that each of its connections was just used.
+        budget = self.make_budget()
+        crowd = self.open(budget, 9)
+        (caller,) = self.open(budget)
+        await anyio.sleep(2.0)
+        caller.was_served = True
+        for holding in (caller, *crowd):
+            holding.enter(Phase.SERVING)
+            holding.enter(Phase.IDLE)
+        (new,) = self.open(budget)
+        self.assertEqual(sum(self.closed(crowd)), 1)
+        self.assertFalse(any(self.closed([caller, new])))
+
     @virtual_time.run_without_io
     async def test_each_listener_has_connections_of_its_own(self):
         # Guards against callers that keep the balancer from asking whether
