incoming: Count and delay heads with many small headers

Found by hand with 1,400 connections at an instance of 152 MB: heads of 16 kB with 3,100 headers each, whose body never comes, took 164 MB. A header takes 100 to 200 bytes of objects beside its bytes, and what the head takes was counted only with the next input, which never came. Parsing such a head takes 11 ms, all at once, so many of them kept others waiting, too: the next ordinary request was answered after 1.9 s.

What a connection holds is counted before it waits for input. A head of more than 4 kB is parsed in a turn, and the larger it is the more rounds of the event loop others get before it.

Result: HeldMemoryTest failed before, 51,699 bytes counted (174,152 wanted). Tests of test_incoming and test_turns: 24 passed.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -20,6 +20,13 @@
 # this rate. A caller could otherwise hold its memory with a byte a second.
 MIN_BODY_BYTES_PER_S = 10_000
 
+# A larger head is parsed in a turn. One of 16 kB may have 3,100 headers, which
+# take as long as hundreds of other pieces.
+LARGE_HEAD_BYTES = 4_096
+
+# The larger a head, the more rounds of the event loop others get before it.
+HEAD_BYTES_PER_ROUND = 1_024
+
 # Memory of one header besides its bytes: three byte strings and a tuple.
 HEADER_BYTES = 250
 
@@ -365,15 +372,22 @@
                 raise BadRequest(str(exc), exc.error_status_hint) from exc
             if event is not h11.NEED_DATA:
                 return event
+            self._holding.hold_request(self._request_bytes + received)
             with anyio.CancelScope(deadline=give_up_at()) as scope:
                 await self._receive_input()
             if scope.cancelled_caught:
                 raise TimeoutError
             received += len(self._unparsed)
-            self._holding.hold_request(self._request_bytes + received)
+            if received > LARGE_HEAD_BYTES and self._is_in_head:
+                await self._turns.wait(received // HEAD_BYTES_PER_ROUND)
             self._h11.receive_data(bytes(self._unparsed))
             self._unparsed.clear()
 
+    @property
+    def _is_in_head(self):
+        """Whether the head of a request is not complete yet."""
+        return self._h11.their_state is h11.IDLE
+
     async def _reject(self, exc):
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
--- a/packages/gateway/src/wagtailtide_gateway/http/turns.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/turns.py
@@ -23,10 +23,17 @@
     def __init__(self):
         self._lock = anyio.Lock()
 
-    async def wait(self):
-        """Wait for a turn."""
+    async def wait(self, rounds=1):
+        """Wait for a turn.
+
+        Args:
+            rounds: Rounds of the event loop that pass before the turn, in
+                which others go on. More of them make room for work that
+                takes longer.
+        """
         async with self._lock:
-            await lowlevel.checkpoint()
+            for _ in range(rounds):
+                await lowlevel.checkpoint()
 
 
 class Pieces:
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -6,6 +6,7 @@
 import anyio
 from anyio import lowlevel
 import h11
+from wagtailtide_gateway.decisions import connections
 from wagtailtide_gateway.http import connection_budget
 from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import turns
@@ -421,6 +422,33 @@
         )
 
 
+class HeldMemoryTest(unittest.TestCase):
+    HEADERS = 500
+
+    @virtual_time.run_in_virtual_time
+    async def test_headers_count_while_the_body_is_awaited(self):
+        # Guards against heads with many small headers, each of which takes
+        # many times its size in memory, on connections that then wait.
+        limits = dataclasses.replace(harness.LIMITS, max_header_bytes=16_384)
+        resources = incoming.make_resources()
+        async with harness.listening(
+            limits=lambda: limits, resources=resources
+        ) as connect:
+            stream = await connect()
+            await stream.send(
+                b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n'
+                + b'a:b\r\n' * self.HEADERS
+                + b'\r\n'
+            )
+            await anyio.sleep(0.1)
+            self.assertGreater(
+                resources.budget.held_bytes,
+                connections.CONNECTION_BYTES
+                + self.HEADERS * incoming.HEADER_BYTES,
+            )
+            await stream.aclose()
+
+
 class LingeringTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_caller_that_still_sends_reads_its_rejection(self):
--- a/packages/gateway/tests/http/test_turns.py
+++ b/packages/gateway/tests/http/test_turns.py
@@ -33,6 +33,25 @@
         self.assertGreater(done, before)
         self.assertLessEqual(done - before, rounds * turns.PIECES_PER_TURN)
 
+    @virtual_time.run_without_io
+    async def test_work_that_takes_longer_comes_less_often(self):
+        shared, done = turns.Turns(), 0
+
+        async def work():
+            nonlocal done
+            while True:
+                await shared.wait(rounds=16)
+                done += 1
+
+        async with anyio.create_task_group() as tg:
+            for _ in range(100):
+                tg.start_soon(work)
+            for _ in range(1_600):
+                await lowlevel.checkpoint()
+            tg.cancel_scope.cancel()
+        self.assertGreater(done, 10)
+        self.assertLessEqual(done, 100)
+
     @virtual_time.run_without_io
     async def test_usual_request_needs_no_turn(self):
         shared = turns.Turns()
