connections: Keep only connections of instances, and write their answers

Found on reading. A crowd at the readiness address that is answered once and keeps its connections could not be closed, as if it were the platform, and kept the balancer from asking whether the instance is ready. An answer to another instance that found no memory ended as an unexpected error.

Only connections at the address for instances stay once they were served. What is held of a response already counts even if no room can be made for it.

Result: test_readiness_is_asked_beside_idle_connections and test_response_to_another_instance_is_written_all_the_same are new.

--- a/packages/gateway/src/wagtailtide_gateway/decisions/connections.py
+++ b/packages/gateway/src/wagtailtide_gateway/decisions/connections.py
@@ -116,14 +116,14 @@
         held_bytes: Memory that it takes.
         was_served: Whether it had a response other than a rejection of what
             the caller sent.
-        is_internal: Whether it is one of another instance or of the platform.
+        is_instance: Whether another instance may have opened it.
     """
 
     phase: Phase
     since: float
     held_bytes: int
     was_served: bool
-    is_internal: bool = False
+    is_instance: bool = False
 
 
 def choose_to_close(states, now, count=0, held_bytes=0):
@@ -133,7 +133,8 @@
     request for PATIENCE_S: before others those that never sent one that was
     served. Then those that read no response, and last those just opened. If
     memory is short, those that hold most go first among equals, else those
-    that have waited longest.
+    that have waited longest. Connections of other instances stay, once they
+    were served.
 
     Args:
         states: The ConnectionState objects.
@@ -161,9 +162,9 @@
     """Return the rank of a connection, None if it is not closed."""
     if state.phase is Phase.CLOSING:
         return 0
-    if state.phase is Phase.SERVING or (
-        state.is_internal and state.was_served
-    ):
+    if state.phase is Phase.SERVING:
+        return None
+    if state.is_instance and state.was_served:
         return None
     if now - state.since < PATIENCE_S:
         return 4
--- a/packages/gateway/src/wagtailtide_gateway/http/connection_budget.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/connection_budget.py
@@ -30,9 +30,9 @@
         held_bytes: Memory that counts for it.
     """
 
-    def __init__(self, budget, stream, listener='', is_internal=False):
+    def __init__(self, budget, stream, listener='', is_instance=False):
         self._budget = budget
-        self._is_internal = is_internal
+        self._is_instance = is_instance
         self._since = anyio.current_time()
         self._request_bytes = 0
         self._response_bytes = 0
@@ -61,10 +61,9 @@
     def hold_response(self, size):
         """Count the bytes of a response that it holds now.
 
-        Raises:
-            OutOfMemory: There is no memory for more; nothing was counted.
+        Connections may be closed for it, also this one.
         """
-        self._budget.change(self, self._request_bytes + size)
+        self._budget.change(self, self._request_bytes + size, may_exceed=True)
         self._response_bytes = size
 
     @property
@@ -75,7 +74,7 @@
             self._since,
             self.held_bytes,
             self.was_served,
-            self._is_internal,
+            self._is_instance,
         )
 
 
@@ -99,7 +98,7 @@
         self.closed_count = 0
 
     @contextlib.contextmanager
-    def open(self, stream, listener, max_count, is_internal=False):
+    def open(self, stream, listener, max_count, is_instance=False):
         """Yield the Holding of a new connection.
 
         If there are too many, some are closed, which may include this one.
@@ -108,10 +107,9 @@
             stream: Its AcceptedStream.
             listener: Name of its listener.
             max_count: Number of connections that the listener may have.
-            is_internal: Whether other instances or the platform connect
-                there.
+            is_instance: Whether other instances connect there.
         """
-        holding = Holding(self, stream, listener, is_internal)
+        holding = Holding(self, stream, listener, is_instance)
         self._holdings.add(holding)
         self._counts[listener] += 1
         self.held_bytes += holding.held_bytes
@@ -122,11 +120,17 @@
         finally:
             self._release(holding)
 
-    def change(self, holding, size):
+    def change(self, holding, size, may_exceed=False):
         """Set the bytes that a connection holds of requests and responses.
 
         Others may be closed for it, and it for others.
 
+        Args:
+            holding: Its Holding.
+            size: The bytes.
+            may_exceed: Whether they count even if no room can be made, since
+                they are held already.
+
         Raises:
             OutOfMemory: There is no memory for more; nothing was changed.
         """
@@ -135,7 +139,8 @@
             self._limit_memory(more)
         if holding not in self._holdings:
             return
-        if more > 0 and self.held_bytes + more > self.limits.memory_bytes:
+        is_over = self.held_bytes + more > self.limits.memory_bytes
+        if more > 0 and is_over and not may_exceed:
             raise OutOfMemory(
                 'the memory for connections is used by other requests'
             )
--- a/packages/gateway/src/wagtailtide_gateway/http/listeners.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/listeners.py
@@ -31,7 +31,7 @@
         limits: Function that returns the CallerLimits in force.
         resources: Resources of the instance, None for some of its own.
         max_open: Number of connections, None for that of callers.
-        is_internal: Whether other instances or the platform connect there.
+        for_instances: Whether other instances connect there.
     """
 
     def __init__(
@@ -42,11 +42,11 @@
         limits=_default_limits,
         resources=None,
         max_open=None,
-        is_internal=False,
+        for_instances=False,
     ):
         self._resources = resources or incoming.make_resources()
         self._max_open = max_open or self._resources.budget.limits.callers
-        self._is_internal = is_internal
+        self._for_instances = for_instances
         self._address = address
         self._handle = handle
         self._stopping = stopping
@@ -88,7 +88,7 @@
             stream,
             str(self._address),
             self._max_open,
-            is_internal=self._is_internal,
+            is_instance=self._for_instances,
         ) as holding:
             conn = incoming.CallerConnection(
                 stream,
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -228,13 +228,16 @@
             self._resources,
         )
         allowed = self._resources.budget.limits
-        self._readiness = self._internal_listener(
+        self._readiness = self._listener(
             cfg.readiness, self._handle_readiness, allowed.platform
         )
-        self._peers = self._internal_listener(
-            cfg.peers, self._handle_peer, allowed.instances
+        self._peers = self._listener(
+            cfg.peers,
+            self._handle_peer,
+            allowed.instances,
+            for_instances=True,
         )
-        self._admin = self._internal_listener(
+        self._admin = self._listener(
             cfg.admin, self._handle_admin, allowed.platform
         )
         self.metrics.gauges = {
@@ -304,14 +307,14 @@
         current = self.shared_state.config.deployment
         return current.limits if current else deployment.CallerLimits()
 
-    def _internal_listener(self, address, handle, max_open):
+    def _listener(self, address, handle, max_open, for_instances=False):
         return listeners.Listener(
             address,
             handle,
             lambda: self.gateway.is_stopping,
             resources=self._resources,
             max_open=max_open,
-            is_internal=True,
+            for_instances=for_instances,
         )
 
     @property
--- a/packages/gateway/tests/decisions/test_connections.py
+++ b/packages/gateway/tests/decisions/test_connections.py
@@ -66,10 +66,10 @@
         # take the memory.
         states = {
             'instance': builders.make_connection(
-                Phase.IDLE, since=0.0, was_served=True, is_internal=True
+                Phase.IDLE, since=0.0, was_served=True, is_instance=True
             ),
             'stranger': builders.make_connection(
-                Phase.IDLE, since=0.0, is_internal=True
+                Phase.IDLE, since=0.0, is_instance=True
             ),
         }
         self.assertEqual(closed(states, count=2), ['stranger'])
--- a/packages/gateway/tests/http/test_connection_budget.py
+++ b/packages/gateway/tests/http/test_connection_budget.py
@@ -70,6 +70,18 @@
         self.assertEqual(sum(self.closed(crowd)), 1)
         self.assertFalse(any(self.closed([caller, new])))
 
+    @virtual_time.run_without_io
+    async def test_readiness_is_asked_beside_idle_connections(self):
+        # Guards against callers of the readiness address that keep the
+        # balancer from connecting, because each was answered once.
+        budget = self.make_budget()
+        crowd = self.open(budget, 4, listener='readiness', max_count=4)
+        for holding in crowd:
+            holding.was_served = True
+        await anyio.sleep(2.0)
+        (check,) = self.open(budget, listener='readiness', max_count=4)
+        self.assertFalse(check.stream.is_closed)
+
     @virtual_time.run_without_io
     async def test_each_listener_has_connections_of_its_own(self):
         # Guards against callers that keep the balancer from asking whether
@@ -108,6 +120,17 @@
         self.assertTrue(last.stream.is_closed)
         self.assertFalse(any(self.closed(served)))
 
+    @virtual_time.run_without_io
+    async def test_response_to_another_instance_is_written_all_the_same(self):
+        # Guards against an instance that ends its answers to others, as
+        # unexpected errors, because its callers take the memory.
+        budget = self.make_budget(memory_bytes=2 * SIZE)
+        (instance,) = self.open(budget, phase=Phase.SERVING, is_instance=True)
+        instance.was_served = True
+        instance.enter(Phase.BLOCKED)
+        instance.hold_response(9 * SIZE)
+        self.assertFalse(instance.stream.is_closed)
+
     @virtual_time.run_without_io
     async def test_all_memory_is_released_at_the_end(self):
         budget = self.make_budget()
