incoming: Keep what connections share in a module of its own

http/incoming.py reads requests; what all connections of an instance share (budget, memory for bodies, turns) is http/resources.py now.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -79,35 +79,6 @@
         self.status = status
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Resources:
-    """What the connections of an instance share.
-
-    Attributes:
-        budget: ConnectionBudget of the instance.
-        bodies: BodyMemory of the instance.
-        turns: Turns of the instance.
-    """
-
-    budget: connection_budget.ConnectionBudget
-    bodies: body_memory.BodyMemory
-    turns: turns_.Turns
-
-
-def make_resources(limits=None):
-    """Return the Resources of an instance.
-
-    Args:
-        limits: The connections.ConnectionLimits, None for the defaults.
-    """
-    budget = connection_budget.ConnectionBudget(limits)
-    return Resources(
-        budget,
-        body_memory.BodyMemory(budget.limits.bodies_bytes),
-        turns_.Turns(),
-    )
-
-
 class CallerConnection:
     """Reads the requests of one connection and passes them to a handler.
 
--- a/packages/gateway/src/wagtailtide_gateway/http/listeners.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/listeners.py
@@ -5,6 +5,7 @@
 import anyio
 
 from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.http import resources as resources_
 from wagtailtide_gateway.http import sockets
 from wagtailtide_gateway.model import deployment
 
@@ -44,7 +45,7 @@
         max_open=None,
         for_instances=False,
     ):
-        self._resources = resources or incoming.make_resources()
+        self._resources = resources or resources_.make()
         self._max_open = max_open or self._resources.budget.limits.callers
         self._for_instances = for_instances
         self._address = address
--- a/packages/gateway/src/wagtailtide_gateway/instance.py
+++ b/packages/gateway/src/wagtailtide_gateway/instance.py
@@ -28,9 +28,9 @@
 from wagtailtide_gateway.decisions import graceful_stop
 from wagtailtide_gateway.decisions import server_capacity
 from wagtailtide_gateway.decisions import trust
-from wagtailtide_gateway.http import incoming
 from wagtailtide_gateway.http import listeners
 from wagtailtide_gateway.http import outgoing
+from wagtailtide_gateway.http import resources
 from wagtailtide_gateway.http import responder
 from wagtailtide_gateway.model import deployment
 from wagtailtide_gateway.serving import availability
@@ -217,7 +217,7 @@
             check,
             recorder,
         )
-        self._resources = incoming.make_resources(
+        self._resources = resources.make(
             connections.derive_limits(cfg.memory_bytes, cfg.sockets)
         )
         self._callers = listeners.Listener(
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -9,6 +9,7 @@
 from wagtailtide_gateway.decisions import connections
 from wagtailtide_gateway.http import connection_budget
 from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.http import resources
 from wagtailtide_gateway.http import turns
 from wagtailtide_testing import virtual_time
 
@@ -248,14 +249,14 @@
         stream = StreamClosedAsInputArrives(
             b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
         )
-        resources = incoming.make_resources()
+        shared = resources.make()
         stream.conn = incoming.CallerConnection(
             stream,
             record,
             lambda: harness.LIMITS,
             lambda: True,
-            resources,
-            connection_budget.Holding(resources.budget, stream),
+            shared,
+            connection_budget.Holding(shared.budget, stream),
         )
         await stream.conn.serve()
         self.assertEqual(handled, [])
@@ -430,9 +431,9 @@
         # Guards against heads with many small headers, each of which takes
         # many times its size in memory, on connections that then wait.
         limits = dataclasses.replace(harness.LIMITS, max_header_bytes=16_384)
-        resources = incoming.make_resources()
+        shared = resources.make()
         async with harness.listening(
-            limits=lambda: limits, resources=resources
+            limits=lambda: limits, resources=shared
         ) as connect:
             stream = await connect()
             await stream.send(
@@ -442,7 +443,7 @@
             )
             await anyio.sleep(0.1)
             self.assertGreater(
-                resources.budget.held_bytes,
+                shared.budget.held_bytes,
                 connections.CONNECTION_BYTES
                 + self.HEADERS * incoming.HEADER_BYTES,
             )
--- a/packages/gateway/tests/http/test_listeners.py
+++ b/packages/gateway/tests/http/test_listeners.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 import anyio
-from wagtailtide_gateway.http import incoming
+from wagtailtide_gateway.http import resources
 from wagtailtide_testing import virtual_time
 
 from tests import builders
@@ -34,8 +34,8 @@
         # Guards against idle connections that take all descriptors, so that
         # nobody else gets one.
         limits = builders.make_connection_limits(callers=10)
-        resources = incoming.make_resources(limits)
-        async with harness.listening(resources=resources) as connect:
+        shared = resources.make(limits)
+        async with harness.listening(resources=shared) as connect:
             crowd = [await connect() for _ in range(30)]
             await anyio.sleep(0.1)
             for _ in range(20):
@@ -50,8 +50,8 @@
     @virtual_time.run_in_virtual_time
     async def test_open_connections_stay_within_the_bound(self):
         limits = builders.make_connection_limits(callers=10)
-        resources = incoming.make_resources(limits)
-        async with harness.serving(resources=resources) as served:
+        shared = resources.make(limits)
+        async with harness.serving(resources=shared) as served:
             crowd = [
                 await anyio.connect_tcp(harness.LISTEN_IP, served.port)
                 for _ in range(30)
