responder: Answer HEAD requests, reject stated bodies at once

A HEAD request got no response where the response had a body, such as any rejection: the parser allows none, so its connection ended with a stack trace in the log. A body whose stated length is beyond the limit was received up to the limit before it was rejected.

The body of a response to HEAD is omitted. A stated length beyond the limit is rejected with the head, and up to 8 MB of the body are discarded, in turns, so that the caller reads the rejection.

--- a/packages/gateway/src/wagtailtide_gateway/http/incoming.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/incoming.py
@@ -39,7 +39,7 @@
 # closes it, for this long and up to this size. The kernel would otherwise
 # reset the connection, and the caller may lose the response.
 LINGER_S = 1.0
-LINGER_BYTES = 1_048_576
+LINGER_BYTES = 8_388_608
 
 _STREAM_ENDS = (
     anyio.EndOfStream,
@@ -172,7 +172,10 @@
     async def _respond(self, incoming):
         """Handle a request; return whether the connection goes on."""
         self._holding.enter(connections.Phase.SERVING)
-        out = self._make_responder(keep_alive=not self._stopping())
+        out = self._make_responder(
+            keep_alive=not self._stopping(),
+            omits_body=incoming.method == b'HEAD',
+        )
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._watch_for_disconnect, out, tg.cancel_scope)
             await self._handle(incoming, out)
@@ -185,13 +188,14 @@
             and self._h11.their_state is h11.DONE
         )
 
-    def _make_responder(self, keep_alive):
+    def _make_responder(self, keep_alive, omits_body=False):
         return responder.Responder(
             self._h11,
             self._stream,
             self._holding,
             keep_alive,
             self._limits.idle_timeout_s,
+            omits_body,
         )
 
     async def _watch_for_disconnect(self, out, scope):
@@ -259,6 +263,9 @@
 
     async def _read_body(self, claim, request):
         """Return the body, None if the connection ended before."""
+        stated = _stated_length(request)
+        if stated > self._limits.max_body_bytes:
+            raise self._body_too_large()
         if self._h11.they_are_waiting_for_100_continue:
             await self._make_responder(keep_alive=True).send_continue()
         body = bytearray()
@@ -268,7 +275,7 @@
                     claim,
                     body,
                     _memory_of_head(request),
-                    _stated_length(request),
+                    stated,
                 )
                 return bytes(body) if is_whole else None
         except body_memory.OutOfMemory as exc:
@@ -307,14 +314,17 @@
                 return isinstance(event, h11.EndOfMessage)
             size = len(event.data)
             if claim.size + size > limits.max_body_bytes:
-                raise BadRequest(
-                    'expected a body of at most '
-                    f'{limits.max_body_bytes} bytes; send a smaller one',
-                    413,
-                )
+                raise self._body_too_large()
             await self._bodies.grow(claim, size, expected)
             body += event.data
 
+    def _body_too_large(self):
+        return BadRequest(
+            f'expected a body of at most {self._limits.max_body_bytes} bytes; '
+            'send a smaller one',
+            413,
+        )
+
     async def _receive_input(self):
         if self._unparsed or self._caller_disconnected:
             return
@@ -378,6 +388,7 @@
             return
         self.busy = False
         self._unparsed.clear()
+        self._pieces.restart()
         self._holding.enter(connections.Phase.CLOSING)
         discarded = 0
         with (
@@ -386,6 +397,7 @@
         ):
             self._stream.end_sending()
             while discarded < LINGER_BYTES:
+                await self._pieces.take()
                 discarded += len(await self._stream.receive())
 
 
--- a/packages/gateway/src/wagtailtide_gateway/http/responder.py
+++ b/packages/gateway/src/wagtailtide_gateway/http/responder.py
@@ -39,6 +39,8 @@
         holding: Holding of the connection.
         keep_alive: Whether the connection serves further requests.
         read_timeout_s: Seconds in which the caller has to read a small part.
+        omits_body: Whether the response has a head only, that of a HEAD
+            request.
 
     Attributes:
         state: Progress of the response.
@@ -47,11 +49,20 @@
             the log, or None.
     """
 
-    def __init__(self, conn, stream, holding, keep_alive, read_timeout_s):
+    def __init__(
+        self,
+        conn,
+        stream,
+        holding,
+        keep_alive,
+        read_timeout_s,
+        omits_body=False,
+    ):
         self._h11 = conn
         self._stream = stream
         self._holding = holding
         self._read_timeout_s = read_timeout_s
+        self._omits_body = omits_body
         self._head = None
         self.state = ResponseState.UNSENT
         self.keep_alive = keep_alive
@@ -69,7 +80,7 @@
         if self._head is not None:
             # If the request was cancelled, it can still get an error response.
             await lowlevel.checkpoint_if_cancelled()
-        out = self._take_head() + self._h11.send(h11.Data(data=data))
+        out = self._take_head() + self._encode_body(data)
         await self._write(out)
 
     async def flush(self):
@@ -87,9 +98,7 @@
         """Send a complete response at once."""
         length = (b'Content-Length', b'%d' % len(body))
         self.start(status, [*headers, length])
-        out = self._take_head()
-        if body:
-            out += self._h11.send(h11.Data(data=body))
+        out = self._take_head() + self._encode_body(body)
         out += self._h11.send(h11.EndOfMessage())
         await self._write_end(out)
 
@@ -114,6 +123,11 @@
             h11.Response(status_code=status, headers=headers)
         )
 
+    def _encode_body(self, data):
+        if self._omits_body or not data:
+            return b''
+        return self._h11.send(h11.Data(data=data))
+
     def abort(self):
         """Mark the response as incomplete, so that the connection closes."""
         self.state = ResponseState.ABORTED
--- a/packages/gateway/tests/http/test_incoming.py
+++ b/packages/gateway/tests/http/test_incoming.py
@@ -450,6 +450,21 @@
             await stream.aclose()
 
 
+class TooLargeBodyTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_body_that_is_stated_as_too_large_is_rejected_at_once(self):
+        # Guards against bodies that are received although the head says that
+        # they cannot be taken.
+        async with harness.listening() as connect:
+            stream = await connect()
+            await stream.send(
+                b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n'
+            )
+            with anyio.fail_after(1.0):
+                self.assertIn(b' 413 ', await stream.receive())
+            await stream.aclose()
+
+
 class LingeringTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_caller_that_still_sends_reads_its_rejection(self):
@@ -458,9 +473,9 @@
         async with harness.listening() as connect:
             stream = await connect()
             head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
-            await stream.send(head % 200_000 + bytes(100_000))
+            await stream.send(head % 4_200_000 + bytes(2_100_000))
             await anyio.sleep(0.2)
-            await stream.send(bytes(100_000))
+            await stream.send(bytes(2_100_000))
             response = await harness.read_all(stream)
         self.assertIn(b' 413 ', response)
 
--- a/packages/gateway/tests/http/test_responder.py
+++ b/packages/gateway/tests/http/test_responder.py
@@ -53,6 +53,28 @@
         self.assertLess(sum(sent), 1_500_000)
 
 
+class HeadRequestTest(unittest.TestCase):
+    @virtual_time.run_in_virtual_time
+    async def test_response_to_a_head_request_has_no_body(self):
+        # Guards against connections that end without any response, each with
+        # a stack trace in the log.
+        async def stream(request, out):
+            out.start(200, [])
+            await out.send(b'part')
+            await out.finish()
+
+        for handle in (harness.echo, stream):
+            async with harness.listening(handle) as connect:
+                connection = await connect()
+                await connection.send(
+                    b'HEAD /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+                )
+                response = await harness.read_all(connection)
+            head, _, body = response.partition(b'\r\n\r\n')
+            self.assertIn(b' 200 ', head)
+            self.assertEqual(body, b'')
+
+
 class UnreadResponseTest(unittest.TestCase):
     @virtual_time.run_in_virtual_time
     async def test_caller_that_reads_a_little_now_and_then_is_ended(self):
